--- /dev/null
+++ b/include/buckthornshunt/time.h
@@ -0,0 +1,50 @@
+#ifndef BUCKTHORNSHUNT_TIME_H
+#define BUCKTHORNSHUNT_TIME_H
+
+#include <chrono>
+#include <cstdint>
+
+namespace buckthornshunt {
+
+/// Span of runtime time, in nanoseconds.
+using Duration = std::chrono::nanoseconds;
+
+/// Tag of the runtime's monotonic clock; the kernel's clock yields its points.
+struct RuntimeClock
+{
+  using duration = Duration;
+  using rep = Duration::rep;
+  using period = Duration::period;
+  using time_point = std::chrono::time_point<RuntimeClock>;
+  static constexpr bool is_steady = true;
+};
+
+/// Point of the runtime's monotonic clock; meaningless in another process.
+using TimePoint = RuntimeClock::time_point;
+
+/// Milliseconds since the Unix epoch, as shown to people and stored in rows.
+struct WallTime
+{
+  std::int64_t mMillis = 0;
+
+  friend auto operator<=>(const WallTime&, const WallTime&) = default;
+};
+
+/// Whole milliseconds of a duration, rounded towards zero.
+constexpr std::int64_t
+ToMillis(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration)
+    .count();
+}
+
+/// Seconds of a duration as a real number.
+constexpr double
+ToSeconds(Duration aDuration)
+{
+  return std::chrono::duration<double>(aDuration).count();
+}
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/cli/cli.cpp
@@ -0,0 +1,212 @@
+#include "cli/cli.h"
+
+#include "kernel/clock.h"
+#include "net/http_client.h"
+#include "wire/row_codec.h"
+
+#include <boost/asio/co_spawn.hpp>
+
+#include <cstdlib>
+#include <iostream>
+#include <memory>
+#include <optional>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr const char* kServerVariable = "BUCKTHORNSHUNT_SERVER";
+constexpr const char* kDefaultServer = "127.0.0.1:7001";
+
+constexpr int kOptionBase = 100;
+
+bool
+ReadServer(std::string_view aText, Endpoint& aServer)
+{
+  auto endpoint = ToExpected<Endpoint>([&] { return ParseEndpoint(aText); });
+  if (!Ok(endpoint)) {
+    return false;
+  }
+  aServer = std::get<Endpoint>(std::move(endpoint));
+  return true;
+}
+
+int
+ExitStatusOf(const Failure& aFailure)
+{
+  if (std::holds_alternative<ConfigFailure>(aFailure) ||
+      std::holds_alternative<MessageFailure>(aFailure)) {
+    return kExitInvalid;
+  }
+  if (std::holds_alternative<CommitConflict>(aFailure)) {
+    return kExitConflict;
+  }
+  bool refused = std::holds_alternative<StateConflict>(aFailure) ||
+                 std::holds_alternative<NotFound>(aFailure);
+  return refused ? kExitRefused : kExitUnreachable;
+}
+
+int
+ExitStatusOf(int aHttpStatus)
+{
+  constexpr int kBadRequest = 400;
+  constexpr int kConflict = 409;
+  constexpr int kUnprocessable = 422;
+  if (aHttpStatus == kBadRequest || aHttpStatus == kUnprocessable) {
+    return kExitInvalid;
+  }
+  return aHttpStatus == kConflict ? kExitConflict : kExitRefused;
+}
+
+} // namespace
+
+bool
+ParseCommandLine(std::string_view aCommand,
+                 std::string_view aUsage,
+                 std::span<const char*> aArguments,
+                 std::span<TextOption> aOptions,
+                 CommandLine& aLine)
+{
+  char* server = nullptr;
+  int json = 0;
+  int seconds = 0;
+  std::vector<poptOption> table = {
+    { "server",
+      's',
+      POPT_ARG_STRING,
+      &server,
+      0,
+      "address of a daemon",
+      "HOST:PORT" },
+    { "json", 'j', POPT_ARG_NONE, &json, 0, "print JSON", nullptr },
+    { "timeout", 't', POPT_ARG_INT, &seconds, 0, "longest wait", "SECONDS" },
+  };
+  std::vector<char*> values(aOptions.size(), nullptr);
+  for (std::size_t i = 0; i < aOptions.size(); ++i) {
+    table.push_back({ aOptions[i].mName,
+                      0,
+                      POPT_ARG_STRING,
+                      &values[i],
+                      kOptionBase + static_cast<int>(i),
+                      aOptions[i].mHelp,
+                      aOptions[i].mMeta });
+  }
+  poptOption help[] = { POPT_AUTOHELP POPT_TABLEEND };
+  table.push_back(help[0]);
+  table.push_back(help[1]);
+
+  std::string name = "buckthornshunt " + std::string(aCommand);
+  std::vector<const char*> arguments{ name.c_str() };
+  arguments.insert(arguments.end(), aArguments.begin(), aArguments.end());
+  std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> popt(
+    poptGetContext(nullptr,
+                   static_cast<int>(arguments.size()),
+                   arguments.data(),
+                   table.data(),
+                   0),
+    poptFreeContext);
+  std::string usage(aUsage);
+  poptSetOtherOptionHelp(popt.get(), usage.c_str());
+  int parsed = 0;
+  while ((parsed = poptGetNextOpt(popt.get())) >= kOptionBase) {
+    aOptions[static_cast<std::size_t>(parsed - kOptionBase)].mValue =
+      values[static_cast<std::size_t>(parsed - kOptionBase)];
+  }
+  for (char* value : values) {
+    std::free(value);
+  }
+  std::unique_ptr<char, void (*)(void*)> held(server, std::free);
+  if (parsed < -1) {
+    std::cerr << name << ": " << poptBadOption(popt.get(), 0) << ": "
+              << poptStrerror(parsed) << "\n";
+    return false;
+  }
+  const char* fromEnvironment = std::getenv(kServerVariable);
+  std::string text =
+    fromEnvironment != nullptr ? fromEnvironment : kDefaultServer;
+  text = server != nullptr ? server : text;
+  if (!ReadServer(text, aLine.mServer)) {
+    std::cerr << name << ": " << text << " is not an address and port\n";
+    return false;
+  }
+  aLine.mJson = json != 0;
+  if (seconds > 0) {
+    aLine.mTimeout = std::chrono::seconds(seconds);
+  }
+  for (const char* rest = poptGetArg(popt.get()); rest != nullptr;
+       rest = poptGetArg(popt.get())) {
+    aLine.mArguments.emplace_back(rest);
+  }
+  return true;
+}
+
+Expected<HttpReply>
+CallServer(const CommandLine& aLine, HttpRequest aRequest)
+{
+  asio::io_context context(1);
+  SystemClock system(context);
+  Clock clock(context, system);
+  HttpClient client(context, clock);
+  Expected<HttpReply> answer = Failure(TimeoutFailure{});
+  TimePoint deadline = clock.Now() + aLine.mTimeout;
+  auto call = client.Exchange(aLine.mServer, std::move(aRequest), deadline);
+  asio::co_spawn(context,
+                 std::move(call),
+                 [&](const std::exception_ptr&, Expected<HttpReply> aAnswer) {
+                   answer = std::move(aAnswer);
+                   context.stop();
+                 });
+  context.run();
+  return answer;
+}
+
+bool
+CallForJson(const CommandLine& aLine,
+            HttpRequest aRequest,
+            Json& aAnswer,
+            int& aExit)
+{
+  constexpr int kSuccessClass = 2;
+  auto reply = CallServer(aLine, std::move(aRequest));
+  if (!Ok(reply)) {
+    aExit = Report(aLine, std::get<Failure>(reply));
+    return false;
+  }
+  const HttpReply& answer = std::get<HttpReply>(reply);
+  auto json = ToExpected<Json>([&] { return ParseJson(answer.mBody); });
+  if (!Ok(json)) {
+    aExit = Report(aLine, Failure(ProtocolFailure{ aLine.mServer }));
+    return false;
+  }
+  aAnswer = std::get<Json>(std::move(json));
+  if (answer.mStatus / 100 == kSuccessClass) {
+    return true;
+  }
+  if (aLine.mJson) {
+    std::cout << aAnswer.dump() << "\n";
+  } else {
+    std::cerr << "refused: " << aAnswer.value("detail", aAnswer.dump()) << "\n";
+  }
+  aExit = ExitStatusOf(answer.mStatus);
+  return false;
+}
+
+int
+Report(const CommandLine& aLine, const Failure& aFailure)
+{
+  if (aLine.mJson) {
+    Json json{ { "error", FailureName(aFailure) },
+               { "detail", Describe(aFailure) } };
+    if (const auto* config = std::get_if<ConfigFailure>(&aFailure)) {
+      json["file"] = config->mFile;
+      json["pointer"] = config->mPointer;
+      json["fault"] = ToString(config->mFault);
+    }
+    std::cout << json.dump() << "\n";
+  } else {
+    std::cerr << Describe(aFailure) << "\n";
+  }
+  return ExitStatusOf(aFailure);
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/cli/main.cpp
@@ -0,0 +1,64 @@
+#include "cli/cli.h"
+
+#include <algorithm>
+#include <iostream>
+#include <string_view>
+
+namespace buckthornshunt {
+
+namespace {
+
+struct Command
+{
+  std::string_view mName;
+  int (*mRun)(std::span<const char*>);
+  std::string_view mHelp;
+};
+
+constexpr Command kCommands[] = {
+  { "check", RunCheck, "check a configuration directory" },
+  { "diff", RunDiff, "show what apply would change" },
+  { "apply", RunApply, "put a configuration in force" },
+  { "status", RunStatus, "show what a daemon knows" },
+  { "move", RunMove, "move a VM to another pool" },
+  { "submit", RunSubmit, "send a request to a pool" },
+  { "trace", RunTrace, "show the hops of a request" },
+};
+
+void
+PrintUsage(std::ostream& aOut)
+{
+  aOut << "usage: buckthornshunt COMMAND [options]\n\n";
+  for (const Command& command : kCommands) {
+    aOut << "  " << command.mName << std::string(10 - command.mName.size(), ' ')
+         << command.mHelp << "\n";
+  }
+  aOut << "\nbuckthornshunt COMMAND --help shows a command's options.\n"
+       << "exit status: 0 done, 1 refused, 2 invalid, 3 unreachable, 4 "
+          "conflict, 5 unknown\n";
+}
+
+} // namespace
+
+} // namespace buckthornshunt
+
+int
+main(int argc, char** argv)
+{
+  using namespace buckthornshunt;
+  std::string_view name = argc > 1 ? argv[1] : "";
+  if (name == "--help" || name == "help") {
+    PrintUsage(std::cout);
+    return kExitOk;
+  }
+  const auto* it = std::find_if(
+    std::begin(kCommands), std::end(kCommands), [&](const Command& aCommand) {
+      return aCommand.mName == name;
+    });
+  if (it == std::end(kCommands)) {
+    PrintUsage(std::cerr);
+    return kExitInvalid;
+  }
+  auto** rest = const_cast<const char**>(argv + 2);
+  return it->mRun({ rest, static_cast<std::size_t>(argc - 2) });
+}
--- /dev/null
+++ b/src/core/failure.cpp
@@ -0,0 +1,115 @@
+#include "buckthornshunt/failure.h"
+
+#include <array>
+#include <cstddef>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr std::array<std::string_view, 8> kConfigFaults = {
+  "file_unreadable", "file_too_large", "syntax",        "duplicate_key",
+  "schema",          "unknown_name",   "no_difference", "infeasible"
+};
+
+constexpr std::array<std::string_view, 5> kMessageFaults = { "malformed",
+                                                             "too_large",
+                                                             "missing_field",
+                                                             "wrong_type",
+                                                             "unknown_kind" };
+
+constexpr std::array<std::string_view, 14> kFailureNames = {
+  "connect_failure",   "connection_lost", "protocol_failure", "timeout",
+  "store_unavailable", "commit_conflict", "commit_unsettled", "service_missing",
+  "service_mistyped",  "listen_failure",  "config_failure",   "message_failure",
+  "state_conflict",    "not_found"
+};
+
+struct Describer
+{
+  std::string operator()(const ConnectFailure& aFailure) const
+  {
+    return "can't connect to " + ToString(aFailure.mEndpoint);
+  }
+  std::string operator()(const ConnectionLost& aFailure) const
+  {
+    return "lost the connection to " + ToString(aFailure.mEndpoint);
+  }
+  std::string operator()(const ProtocolFailure& aFailure) const
+  {
+    return "malformed answer from " + ToString(aFailure.mEndpoint);
+  }
+  std::string operator()(const TimeoutFailure&) const { return "timed out"; }
+  std::string operator()(const StoreUnavailable&) const
+  {
+    return "platform store unavailable";
+  }
+  std::string operator()(const CommitConflict& aFailure) const
+  {
+    return "row " + aFailure.mKey + " was changed by another writer";
+  }
+  std::string operator()(const CommitUnsettled&) const
+  {
+    return "the store's answer was lost; the outcome of the write is not known";
+  }
+  std::string operator()(const ServiceMissing& aFailure) const
+  {
+    return "no service is named " + aFailure.mName;
+  }
+  std::string operator()(const ServiceMistyped& aFailure) const
+  {
+    return "service " + aFailure.mName + " has another type";
+  }
+  std::string operator()(const ListenFailure& aFailure) const
+  {
+    return "can't listen on " + ToString(aFailure.mEndpoint);
+  }
+  std::string operator()(const ConfigFailure& aFailure) const
+  {
+    std::string at = aFailure.mPointer.empty() ? "" : "#" + aFailure.mPointer;
+    return aFailure.mFile + at + ": " + std::string(ToString(aFailure.mFault)) +
+           ": " + aFailure.mDetail;
+  }
+  std::string operator()(const MessageFailure& aFailure) const
+  {
+    std::string field =
+      aFailure.mField.empty() ? "" : " (" + aFailure.mField + ")";
+    return "message refused: " + std::string(ToString(aFailure.mFault)) + field;
+  }
+  std::string operator()(const StateConflict& aFailure) const
+  {
+    return aFailure.mDetail;
+  }
+  std::string operator()(const NotFound& aFailure) const
+  {
+    return aFailure.mName + " doesn't exist";
+  }
+};
+
+} // namespace
+
+std::string_view
+ToString(ConfigFault aFault)
+{
+  return kConfigFaults[static_cast<std::size_t>(aFault)];
+}
+
+std::string_view
+ToString(MessageFault aFault)
+{
+  return kMessageFaults[static_cast<std::size_t>(aFault)];
+}
+
+std::string_view
+FailureName(const Failure& aFailure)
+{
+  return kFailureNames[aFailure.index()];
+}
+
+std::string
+Describe(const Failure& aFailure)
+{
+  return std::visit(Describer{}, aFailure);
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/daemon/assembly.cpp
@@ -0,0 +1,30 @@
+#include "daemon/assembly.h"
+
+#include "services/config_service.h"
+#include "services/control_service.h"
+#include "services/dispatch_service.h"
+#include "services/fence_service.h"
+#include "services/front_service.h"
+#include "services/table_service.h"
+
+namespace buckthornshunt {
+
+void
+AddServices(Kernel& aKernel, DaemonParts aParts)
+{
+  std::string site = aParts.mSelf.mDataCentre;
+  aKernel.GetTracer().SetNode(aParts.mSelf.mNode);
+  aKernel.Add<TableService>(TableService::kName, std::move(aParts.mPlatform));
+  aKernel.Add<ConfigService>(ConfigService::kName, site);
+  aKernel.Add<MemberService>(MemberService::kName, std::move(aParts.mSelf));
+  aKernel.Add<PeerService>(PeerService::kName, std::move(aParts.mPeers));
+  aKernel.Add<FenceService>(FenceService::kName);
+  aKernel.Add<DispatchService>(DispatchService::kName,
+                               std::move(aParts.mBackends));
+  aKernel.Add<ControlService>(ControlService::kName);
+  if (aParts.mWithFront) {
+    aKernel.Add<FrontService>(FrontService::kName, aParts.mCallers);
+  }
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/daemon/settings.cpp
@@ -0,0 +1,73 @@
+#include "daemon/settings.h"
+
+#include "wire/config_codec.h"
+#include "wire/config_schema.h"
+#include "wire/row_codec.h"
+
+namespace buckthornshunt {
+
+namespace {
+
+leaf::result<Endpoint>
+ReadEndpoint(std::string_view aFile,
+             const std::string& aText,
+             std::string aPointer)
+{
+  auto endpoint = ToExpected<Endpoint>([&] { return ParseEndpoint(aText); });
+  if (!Ok(endpoint)) {
+    return Fail(ConfigFailure{ ConfigFault::Schema,
+                               std::string(aFile),
+                               std::move(aPointer),
+                               "not an address and port" });
+  }
+  return std::get<Endpoint>(endpoint);
+}
+
+LogLevel
+ParseLevel(std::string_view aText)
+{
+  if (aText == "debug") {
+    return LogLevel::Debug;
+  }
+  if (aText == "warn") {
+    return LogLevel::Warn;
+  }
+  return aText == "error" ? LogLevel::Error : LogLevel::Info;
+}
+
+} // namespace
+
+leaf::result<Settings>
+SettingsFromJson(std::string_view aFile, const Json& aJson)
+{
+  BOOST_LEAF_CHECK(CheckSchema({ std::string(aFile), aJson }, kSettingsSchema));
+  Settings settings;
+  settings.mNode = aJson.at("node").get<std::string>();
+  settings.mDataCentre = aJson.at("data_centre").get<std::string>();
+  BOOST_LEAF_ASSIGN(settings.mCallers,
+                    ReadEndpoint(aFile, aJson.at("callers"), "/callers"));
+  BOOST_LEAF_ASSIGN(settings.mPeers,
+                    ReadEndpoint(aFile, aJson.at("peers"), "/peers"));
+  BOOST_LEAF_ASSIGN(settings.mPlatform,
+                    ReadEndpoint(aFile, aJson.at("platform"), "/platform"));
+  Json seeds = aJson.value("peer_seeds", Json::array());
+  for (std::size_t i = 0; i < seeds.size(); ++i) {
+    std::string pointer = "/peer_seeds/" + std::to_string(i);
+    BOOST_LEAF_AUTO(seed, ReadEndpoint(aFile, seeds[i], std::move(pointer)));
+    settings.mPeerSeeds.push_back(std::move(seed));
+  }
+  Json log = aJson.value("log", Json::object());
+  settings.mLogFormat =
+    log.value("format", "text") == "json" ? LogFormat::Json : LogFormat::Text;
+  settings.mLogLevel = ParseLevel(log.value("level", "info"));
+  return settings;
+}
+
+leaf::result<Settings>
+ReadSettings(const std::filesystem::path& aFile)
+{
+  BOOST_LEAF_AUTO(json, ReadDocument(aFile));
+  return SettingsFromJson(aFile.string(), json);
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/decide/claim.h
@@ -0,0 +1,104 @@
+#ifndef BUCKTHORNSHUNT_DECIDE_CLAIM_H
+#define BUCKTHORNSHUNT_DECIDE_CLAIM_H
+
+#include "buckthornshunt/outcome.h"
+#include "buckthornshunt/types.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+namespace buckthornshunt {
+
+/// State of a non-idempotent request's key.
+enum class ClaimState : std::uint8_t
+{
+  /// An attempt was assigned to a server and may have run.
+  Started,
+  /// The attempt ended; the claim holds its answer.
+  Finished,
+  /// It is certain that the attempt did not and will not run.
+  Released
+};
+
+/// The record by which a key runs at most once. It is written before the
+/// attempt is sent, in the platform's table or in the memory of the node that
+/// issued the caller's ticket.
+struct Claim
+{
+  ClaimState mState = ClaimState::Started;
+  AttemptId mAttempt;
+  std::string mVm;
+  /// Server run that took the attempt; a restarted server forgets attempts.
+  std::uint64_t mServerBoot = 0;
+  /// Set when Finished.
+  bool mFailed = false;
+  std::string mAnswer;
+
+  friend bool operator==(const Claim&, const Claim&) = default;
+};
+
+/// What a server knows of an attempt after it was asked to seal it: a sealed
+/// attempt that hasn't started never will.
+struct SealAnswer
+{
+  enum class State : std::uint8_t
+  {
+    Sealed,
+    Running,
+    Finished
+  };
+
+  State mState = State::Sealed;
+  std::uint64_t mServerBoot = 0;
+  bool mFailed = false;
+  std::string mAnswer;
+};
+
+/// The key is free: claim it for a new attempt.
+struct StartAttempt
+{};
+
+/// The key's attempt ended: give this outcome.
+struct ReplayOutcome
+{
+  Outcome mOutcome;
+};
+
+/// The attempt runs in this process: wait for it.
+struct JoinAttempt
+{
+  AttemptId mAttempt;
+};
+
+/// Another process started the attempt: ask the server about it.
+struct AskServer
+{
+  AttemptId mAttempt;
+  std::string mVm;
+};
+
+using ClaimStep =
+  std::variant<StartAttempt, ReplayOutcome, JoinAttempt, AskServer>;
+
+/// Next step for a request whose key has the claim, if any.
+ClaimStep
+NextStep(const std::optional<Claim>& aClaim, Incarnation aSelf);
+
+/// The claim after a server's answer to a seal; unchanged if the answer
+/// proves nothing.
+Claim
+ApplySeal(const Claim& aClaim, const SealAnswer& aAnswer);
+
+/// The claim after the outcome of its own attempt.
+Claim
+ApplyOutcome(const Claim& aClaim, const Outcome& aOutcome);
+
+/// Outcome to give for a Finished claim.
+Outcome
+OutcomeOf(const Claim& aClaim);
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/decide/ejection.h
@@ -0,0 +1,60 @@
+#ifndef BUCKTHORNSHUNT_DECIDE_EJECTION_H
+#define BUCKTHORNSHUNT_DECIDE_EJECTION_H
+
+#include "buckthornshunt/time.h"
+#include "decide/placement.h"
+
+#include <vector>
+
+namespace buckthornshunt {
+
+/// How a run at a server ended, as evidence about the server.
+enum class RunEvidence : std::uint8_t
+{
+  /// The work completed.
+  Good,
+  /// The work reported an error; the server or the work may be at fault.
+  WorkFailed,
+  /// No connection could be opened.
+  Unreachable
+};
+
+/// Finds servers of one pool that fail much more often than the others and
+/// keeps work from them for a time. Work that fails everywhere raises the
+/// rate of the whole pool and so ejects nobody.
+class OutlierEjection
+{
+public:
+  void Add();
+
+  /// Adds evidence; returns true if the server is ejected by it.
+  bool Record(ServerIndex aServer, RunEvidence aEvidence, TimePoint aNow);
+
+  bool Ejected(ServerIndex aServer) const { return mServers[aServer].mEjected; }
+
+  /// Servers whose time is over at aNow; they are tried again.
+  std::vector<ServerIndex> TakeReturned(TimePoint aNow);
+
+private:
+  struct Tally
+  {
+    double mGood = 0;
+    double mBad = 0;
+    int mUnreachableInRow = 0;
+    int mEjections = 0;
+    bool mEjected = false;
+    TimePoint mUntil;
+  };
+
+  bool IsOutlier(const Tally& aTally) const;
+  bool MayEject() const;
+
+  std::vector<Tally> mServers;
+  std::size_t mEjectedCount = 0;
+  double mPoolGood = 0;
+  double mPoolBad = 0;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/kernel/kernel.cpp
@@ -0,0 +1,58 @@
+#include "kernel/kernel.h"
+
+#include "kernel/log.h"
+
+namespace buckthornshunt {
+
+Kernel::Kernel(asio::io_context& aContext, Clock aClock, std::uint64_t aSeed)
+  : mContext(aContext)
+  , mClock(aClock)
+  , mTracer(aSeed)
+{
+}
+
+leaf::result<void*>
+Kernel::FindRaw(std::string_view aName, std::type_index aType)
+{
+  for (const Entry& entry : mEntries) {
+    if (entry.mName != aName) {
+      continue;
+    }
+    if (entry.mType != aType) {
+      return leaf::new_error(Failure(ServiceMistyped{ std::string(aName) }));
+    }
+    return entry.mService.get();
+  }
+  return leaf::new_error(Failure(ServiceMissing{ std::string(aName) }));
+}
+
+leaf::result<void>
+Kernel::Start()
+{
+  for (; mStarted < mEntries.size(); ++mStarted) {
+    Entry& entry = mEntries[mStarted];
+    BOOST_LEAF_CHECK(entry.mStart(entry.mService.get()));
+  }
+  return {};
+}
+
+void
+Kernel::CancelTasks()
+{
+  for (TaskGroup* group : mGroups) {
+    group->CancelAll();
+  }
+}
+
+Task<void>
+Kernel::Stop()
+{
+  while (mStarted > 0) {
+    --mStarted;
+    Entry& entry = mEntries[mStarted];
+    LogInfo("kernel", "stopping {}", entry.mName);
+    co_await entry.mStop(entry.mService.get());
+  }
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/kernel/log.cpp
@@ -0,0 +1,85 @@
+#include "kernel/log.h"
+
+#include <log4cxx/asyncappender.h>
+#include <log4cxx/consoleappender.h>
+#include <log4cxx/jsonlayout.h>
+#include <log4cxx/logger.h>
+#include <log4cxx/logmanager.h>
+#include <log4cxx/patternlayout.h>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr int kBufferedLines = 2048;
+
+log4cxx::LevelPtr
+ToLevel(LogLevel aLevel)
+{
+  switch (aLevel) {
+    case LogLevel::Debug:
+      return log4cxx::Level::getDebug();
+    case LogLevel::Info:
+      return log4cxx::Level::getInfo();
+    case LogLevel::Warn:
+      return log4cxx::Level::getWarn();
+    case LogLevel::Error:
+      break;
+  }
+  return log4cxx::Level::getError();
+}
+
+log4cxx::LayoutPtr
+MakeLayout(LogFormat aFormat)
+{
+  if (aFormat == LogFormat::Json) {
+    return std::make_shared<log4cxx::JSONLayout>();
+  }
+  return std::make_shared<log4cxx::PatternLayout>("%d{ISO8601} %-5p [%c] %m%n");
+}
+
+} // namespace
+
+// The asynchronous appender doesn't block: a full pipe on standard error
+// must not stop the daemon.
+void
+SetUpLogs(LogFormat aFormat, LogLevel aLevel)
+{
+  auto console =
+    std::make_shared<log4cxx::ConsoleAppender>(MakeLayout(aFormat));
+  console->setTarget(LOG4CXX_STR("System.err"));
+  log4cxx::helpers::Pool pool;
+  console->activateOptions(pool);
+
+  auto async = std::make_shared<log4cxx::AsyncAppender>();
+  async->setBufferSize(kBufferedLines);
+  async->setBlocking(false);
+  async->addAppender(console);
+
+  log4cxx::LoggerPtr root = log4cxx::Logger::getRootLogger();
+  root->removeAllAppenders();
+  root->addAppender(async);
+  root->setLevel(ToLevel(aLevel));
+}
+
+void
+ShutDownLogs()
+{
+  log4cxx::LogManager::shutdown();
+}
+
+bool
+LogEnabled(LogLevel aLevel, std::string_view aPart)
+{
+  return log4cxx::Logger::getLogger(std::string(aPart))
+    ->isEnabledFor(ToLevel(aLevel));
+}
+
+void
+WriteLog(LogLevel aLevel, std::string_view aPart, std::string_view aText)
+{
+  log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger(std::string(aPart));
+  logger->forcedLog(ToLevel(aLevel), std::string(aText));
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/kernel/log.h
@@ -0,0 +1,102 @@
+#ifndef BUCKTHORNSHUNT_KERNEL_LOG_H
+#define BUCKTHORNSHUNT_KERNEL_LOG_H
+
+#include <cstdint>
+#include <initializer_list>
+#include <sstream>
+#include <string>
+#include <string_view>
+
+namespace buckthornshunt {
+
+enum class LogFormat : std::uint8_t
+{
+  Text,
+  Json
+};
+
+enum class LogLevel : std::uint8_t
+{
+  Debug,
+  Info,
+  Warn,
+  Error
+};
+
+/// Sends logs to standard error. Lines are dropped, and counted by the
+/// library, while the reader of standard error doesn't keep up.
+void
+SetUpLogs(LogFormat aFormat, LogLevel aLevel);
+
+/// Ends the background writer after it wrote what it holds.
+void
+ShutDownLogs();
+
+/// Writes one line; aPart is the fixed prefix of the part that logs.
+void
+WriteLog(LogLevel aLevel, std::string_view aPart, std::string_view aText);
+
+bool
+LogEnabled(LogLevel aLevel, std::string_view aPart);
+
+/// Replaces each "{}" of the template by the next argument.
+template<class... Args>
+std::string
+FormatText(std::string_view aTemplate, const Args&... aArgs)
+{
+  std::ostringstream out;
+  std::string_view rest = aTemplate;
+  [[maybe_unused]] auto put = [&](const auto& aArg) {
+    std::size_t at = rest.find("{}");
+    out << rest.substr(0, at);
+    rest =
+      at == std::string_view::npos ? std::string_view{} : rest.substr(at + 2);
+    out << aArg;
+  };
+  (put(aArgs), ...);
+  out << rest;
+  return std::move(out).str();
+}
+
+template<class... Args>
+void
+Log(LogLevel aLevel,
+    std::string_view aPart,
+    std::string_view aTemplate,
+    const Args&... aArgs)
+{
+  if (LogEnabled(aLevel, aPart)) {
+    WriteLog(aLevel, aPart, FormatText(aTemplate, aArgs...));
+  }
+}
+
+template<class... Args>
+void
+LogInfo(std::string_view aPart,
+        std::string_view aTemplate,
+        const Args&... aArgs)
+{
+  Log(LogLevel::Info, aPart, aTemplate, aArgs...);
+}
+
+template<class... Args>
+void
+LogWarn(std::string_view aPart,
+        std::string_view aTemplate,
+        const Args&... aArgs)
+{
+  Log(LogLevel::Warn, aPart, aTemplate, aArgs...);
+}
+
+template<class... Args>
+void
+LogError(std::string_view aPart,
+         std::string_view aTemplate,
+         const Args&... aArgs)
+{
+  Log(LogLevel::Error, aPart, aTemplate, aArgs...);
+}
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/kernel/metrics.h
@@ -0,0 +1,75 @@
+#ifndef BUCKTHORNSHUNT_KERNEL_METRICS_H
+#define BUCKTHORNSHUNT_KERNEL_METRICS_H
+
+#include "buckthornshunt/time.h"
+
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace buckthornshunt {
+
+/// Counts events, or holds a level when it is set.
+class Counter
+{
+public:
+  void Add(std::int64_t aBy = 1) { mValue += aBy; }
+  void Set(std::int64_t aValue) { mValue = aValue; }
+  std::int64_t Value() const { return mValue; }
+
+private:
+  std::int64_t mValue = 0;
+};
+
+/// Counts durations in buckets whose bounds double, from 100 µs to 100 s.
+class LatencyHistogram
+{
+public:
+  static constexpr std::size_t kBuckets = 21;
+
+  /// Upper bound of a bucket; the last bucket has none.
+  static Duration Bound(std::size_t aBucket);
+
+  void Record(Duration aValue);
+  std::uint64_t Count() const { return mCount; }
+
+  /// Upper bound of the bucket that holds the quantile aFraction of 0 to 1.
+  Duration Quantile(double aFraction) const;
+
+  const std::array<std::uint64_t, kBuckets>& Buckets() const
+  {
+    return mBuckets;
+  }
+  Duration Sum() const { return mSum; }
+
+private:
+  std::array<std::uint64_t, kBuckets> mBuckets{};
+  std::uint64_t mCount = 0;
+  Duration mSum{};
+};
+
+/// All counters of a process, by name. References stay valid.
+class Metrics
+{
+public:
+  Counter& GetCounter(std::string_view aName);
+  LatencyHistogram& GetHistogram(std::string_view aName);
+
+  /// Every metric in the Prometheus text format.
+  std::string Render() const;
+
+  const std::map<std::string, Counter, std::less<>>& Counters() const
+  {
+    return mCounters;
+  }
+
+private:
+  std::map<std::string, Counter, std::less<>> mCounters;
+  std::map<std::string, LatencyHistogram, std::less<>> mHistograms;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/kernel/task.cpp
@@ -0,0 +1,117 @@
+#include "kernel/task.h"
+
+#include "kernel/log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/system/system_error.hpp>
+
+#include <exception>
+#include <utility>
+#include <vector>
+
+namespace buckthornshunt {
+
+Event::Event(asio::io_context& aContext)
+  : mTimer(aContext, asio::steady_timer::time_point::max())
+{
+}
+
+void
+Event::NotifyAll()
+{
+  mTimer.cancel();
+}
+
+void
+Event::NotifyOne()
+{
+  mTimer.cancel_one();
+}
+
+Task<void>
+Event::Wait()
+{
+  constexpr auto kToken = asio::as_tuple(asio::use_awaitable);
+  co_await mTimer.async_wait(kToken);
+}
+
+TaskGroup::TaskGroup(asio::io_context& aContext, Registry* aRegistry)
+  : mContext(aContext)
+  , mRegistry(aRegistry)
+  , mChanged(aContext)
+{
+  if (mRegistry != nullptr) {
+    mRegistry->insert(this);
+  }
+}
+
+TaskGroup::~TaskGroup()
+{
+  if (mRegistry != nullptr) {
+    mRegistry->erase(this);
+  }
+}
+
+void
+TaskGroup::Spawn(std::string_view aName, Task<void> aTask)
+{
+  std::uint64_t id = mNextId++;
+  auto signal = std::make_shared<asio::cancellation_signal>();
+  mRunning.emplace(id, signal);
+  auto done = [this, id, aName](const std::exception_ptr& aError) {
+    Finish(id, aName, aError);
+  };
+  asio::co_spawn(mContext,
+                 std::move(aTask),
+                 asio::bind_cancellation_slot(signal->slot(), std::move(done)));
+}
+
+// A cancelled coroutine ends with operation_aborted; that is its normal end.
+// Any other exception is a defect, so it ends the process through the
+// executor instead of leaving a service half alive.
+void
+TaskGroup::Finish(std::uint64_t aId,
+                  std::string_view aName,
+                  const std::exception_ptr& aError)
+{
+  mRunning.erase(aId);
+  mChanged.NotifyAll();
+  if (!aError) {
+    return;
+  }
+  try {
+    std::rethrow_exception(aError);
+  } catch (const boost::system::system_error& error) {
+    if (error.code() == asio::error::operation_aborted) {
+      return;
+    }
+    LogError("kernel", "task {} ended: {}", aName, error.what());
+    throw;
+  }
+}
+
+// The library may carry a signal out later through the executor, when the
+// task and its entry are gone already; the posted call keeps it until then.
+void
+TaskGroup::CancelAll()
+{
+  auto running = mRunning;
+  for (auto& [id, signal] : running) {
+    signal->emit(asio::cancellation_type::terminal);
+    asio::post(mContext, [held = signal] {});
+  }
+}
+
+Task<void>
+TaskGroup::Drained()
+{
+  while (!mRunning.empty()) {
+    co_await mChanged.Wait();
+  }
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/kernel/task.h
@@ -0,0 +1,81 @@
+#ifndef BUCKTHORNSHUNT_KERNEL_TASK_H
+#define BUCKTHORNSHUNT_KERNEL_TASK_H
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <cstdint>
+#include <exception>
+#include <map>
+#include <memory>
+#include <set>
+#include <string_view>
+
+namespace buckthornshunt {
+
+namespace asio = boost::asio;
+
+/// A coroutine of the runtime.
+template<class Value>
+using Task = asio::awaitable<Value>;
+
+/// Wakes coroutines that wait for a condition; they check it again themselves.
+class Event
+{
+public:
+  explicit Event(asio::io_context& aContext);
+
+  /// Wakes every coroutine that waits now.
+  void NotifyAll();
+
+  /// Wakes one coroutine that waits now.
+  void NotifyOne();
+
+  /// Returns after a notification, or early if the coroutine is cancelled.
+  Task<void> Wait();
+
+private:
+  asio::steady_timer mTimer;
+};
+
+/// The running coroutines of one service.
+class TaskGroup
+{
+public:
+  /// Groups of one process; a group enters and leaves by itself.
+  using Registry = std::set<TaskGroup*>;
+
+  explicit TaskGroup(asio::io_context& aContext, Registry* aRegistry = nullptr);
+  ~TaskGroup();
+  TaskGroup(const TaskGroup&) = delete;
+  TaskGroup& operator=(const TaskGroup&) = delete;
+
+  /// Starts a coroutine; aName must be a literal.
+  void Spawn(std::string_view aName, Task<void> aTask);
+
+  /// Asks every running coroutine to end.
+  void CancelAll();
+
+  /// Returns once no coroutine runs.
+  Task<void> Drained();
+
+  std::size_t Size() const { return mRunning.size(); }
+  asio::io_context& Context() { return mContext; }
+
+private:
+  void Finish(std::uint64_t aId,
+              std::string_view aName,
+              const std::exception_ptr& aError);
+
+  asio::io_context& mContext;
+  Registry* mRegistry;
+  Event mChanged;
+  std::uint64_t mNextId = 0;
+  std::map<std::uint64_t, std::shared_ptr<asio::cancellation_signal>> mRunning;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,205 @@
+#include "net/http_client.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+#include <algorithm>
+
+namespace buckthornshunt {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kToken = asio::as_tuple(asio::use_awaitable);
+constexpr Duration kConnectTimeout = std::chrono::seconds(1);
+constexpr std::uint64_t kMostReplyBytes = 64ULL * 1024 * 1024;
+constexpr std::size_t kMostIdle = 32;
+
+/// Idle connections that saw no traffic for this long aren't trusted: a
+/// middle box may have forgotten them.
+constexpr Duration kTrustIdleFor = std::chrono::seconds(10);
+
+http::request<http::string_body>
+ToMessage(const Endpoint& aServer, HttpRequest aRequest)
+{
+  http::request<http::string_body> message;
+  message.version(11);
+  message.method_string(aRequest.mMethod);
+  message.target(aRequest.mTarget);
+  message.set(http::field::host, ToString(aServer));
+  for (const auto& [name, value] : aRequest.mFields) {
+    message.set(name, value);
+  }
+  message.body() = std::move(aRequest.mBody);
+  message.prepare_payload();
+  return message;
+}
+
+HttpReply
+ToReply(http::response<http::string_body> aMessage)
+{
+  HttpReply reply;
+  reply.mStatus = static_cast<int>(aMessage.result_int());
+  for (const auto& field : aMessage) {
+    reply.mFields.emplace_back(std::string(field.name_string()),
+                               std::string(field.value()));
+  }
+  reply.mBody = std::move(aMessage.body());
+  return reply;
+}
+
+} // namespace
+
+class HttpConnection
+{
+public:
+  explicit HttpConnection(asio::io_context& aContext)
+    : mSocket(aContext)
+  {
+  }
+
+  void Close()
+  {
+    boost::system::error_code ec;
+    mSocket.close(ec);
+  }
+
+  // A server that closed an idle connection has made it readable.
+  bool StillOpen()
+  {
+    boost::system::error_code ec;
+    char byte = 0;
+    mSocket.non_blocking(true, ec);
+    mSocket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+    return ec == asio::error::would_block;
+  }
+
+  tcp::socket mSocket;
+  beast::flat_buffer mBuffer;
+  TimePoint mIdleSince;
+};
+
+HttpClient::HttpClient(asio::io_context& aContext, Clock& aClock)
+  : mContext(aContext)
+  , mClock(aClock)
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+HttpClient::ConnectionPtr
+HttpClient::TakeIdle(const Endpoint& aServer)
+{
+  auto it = mIdle.find(aServer);
+  if (it == mIdle.end()) {
+    return nullptr;
+  }
+  TimePoint trustedSince = mClock.Now() - kTrustIdleFor;
+  while (!it->second.empty()) {
+    ConnectionPtr connection = std::move(it->second.back());
+    it->second.pop_back();
+    if (connection->mIdleSince >= trustedSince && connection->StillOpen()) {
+      return connection;
+    }
+  }
+  return nullptr;
+}
+
+void
+HttpClient::PutIdle(const Endpoint& aServer, ConnectionPtr aConnection)
+{
+  std::vector<ConnectionPtr>& idle = mIdle[aServer];
+  if (idle.size() < kMostIdle) {
+    aConnection->mIdleSince = mClock.Now();
+    idle.push_back(std::move(aConnection));
+  }
+}
+
+void
+HttpClient::Forget(const Endpoint& aServer)
+{
+  mIdle.erase(aServer);
+}
+
+std::size_t
+HttpClient::IdleConnections() const
+{
+  std::size_t n = 0;
+  for (const auto& [server, idle] : mIdle) {
+    n += idle.size();
+  }
+  return n;
+}
+
+Task<Expected<HttpClient::ConnectionPtr>>
+HttpClient::Open(const Endpoint& aServer, TimePoint aDeadline)
+{
+  Endpoint server = aServer;
+  auto connection = std::make_unique<HttpConnection>(mContext);
+  boost::system::error_code ec;
+  auto address = asio::ip::make_address(server.mHost, ec);
+  if (ec) {
+    co_return Failure(ConnectFailure{ server });
+  }
+  tcp::endpoint endpoint(address, server.mPort);
+  TimePoint due = std::min(aDeadline, mClock.Now() + kConnectTimeout);
+  Watchdog late(mClock, due, [&] { connection->Close(); });
+  auto [error] = co_await connection->mSocket.async_connect(endpoint, kToken);
+  if (error || late.Fired()) {
+    co_return Failure(ConnectFailure{ server });
+  }
+  connection->mSocket.set_option(tcp::no_delay(true), ec);
+  co_return connection;
+}
+
+Task<Expected<HttpReply>>
+HttpClient::Exchange(Endpoint aServer,
+                     HttpRequest aRequest,
+                     TimePoint aDeadline)
+{
+  ConnectionPtr connection = TakeIdle(aServer);
+  if (!connection) {
+    auto opened = co_await Open(aServer, aDeadline);
+    if (!Ok(opened)) {
+      co_return std::get<Failure>(std::move(opened));
+    }
+    connection = std::get<ConnectionPtr>(std::move(opened));
+  }
+  auto message = ToMessage(aServer, std::move(aRequest));
+  Watchdog late(mClock, aDeadline, [&] { connection->Close(); });
+  auto [writeError, written] =
+    co_await http::async_write(connection->mSocket, message, kToken);
+  if (writeError) {
+    co_return late.Fired() ? Failure(TimeoutFailure{})
+                           : Failure(ConnectionLost{ aServer });
+  }
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMostReplyBytes);
+  auto [readError, read] = co_await http::async_read(
+    connection->mSocket, connection->mBuffer, parser, kToken);
+  if (late.Fired()) {
+    co_return Failure(TimeoutFailure{});
+  }
+  if (readError) {
+    bool lost = readError.category() == boost::system::system_category() ||
+                readError == http::error::end_of_stream ||
+                readError == http::error::partial_message ||
+                readError.category() == asio::error::get_misc_category();
+    co_return lost ? Failure(ConnectionLost{ aServer })
+                   : Failure(ProtocolFailure{ aServer });
+  }
+  bool keep = parser.get().keep_alive();
+  HttpReply reply = ToReply(parser.release());
+  if (keep) {
+    PutIdle(aServer, std::move(connection));
+  }
+  co_return reply;
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,281 @@
+#include "net/http_server.h"
+
+#include "buckthornshunt/failure.h"
+#include "kernel/log.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/leaf/error.hpp>
+
+namespace buckthornshunt {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kToken = asio::as_tuple(asio::use_awaitable);
+constexpr Duration kAcceptPause = std::chrono::milliseconds(100);
+constexpr int kStatusBadRequest = 400;
+constexpr int kStatusTooLarge = 413;
+constexpr int kStatusHeadersTooLarge = 431;
+
+using Parser = http::request_parser<http::string_body>;
+
+HttpRequest
+TakeRequest(Parser& aParser)
+{
+  auto message = aParser.release();
+  HttpRequest request;
+  request.mMethod = std::string(message.method_string());
+  request.mTarget = std::string(message.target());
+  for (const auto& field : message) {
+    request.mFields.emplace_back(std::string(field.name_string()),
+                                 std::string(field.value()));
+  }
+  request.mBody = std::move(message.body());
+  return request;
+}
+
+http::response<http::string_body>
+ToMessage(HttpReply aReply, bool aKeepAlive)
+{
+  http::response<http::string_body> message;
+  message.version(11);
+  message.result(static_cast<unsigned>(aReply.mStatus));
+  for (const auto& [name, value] : aReply.mFields) {
+    message.set(name, value);
+  }
+  message.keep_alive(aKeepAlive);
+  message.body() = std::move(aReply.mBody);
+  message.prepare_payload();
+  return message;
+}
+
+// Status for a request that could not be read; 0 if the caller just left.
+int
+StatusOfReadError(const boost::system::error_code& aError)
+{
+  if (aError == http::error::body_limit) {
+    return kStatusTooLarge;
+  }
+  if (aError == http::error::header_limit) {
+    return kStatusHeadersTooLarge;
+  }
+  bool malformed = aError.category() ==
+                   http::make_error_code(http::error::bad_method).category();
+  bool left = aError == http::error::end_of_stream ||
+              aError == http::error::partial_message;
+  return malformed && !left ? kStatusBadRequest : 0;
+}
+
+std::string_view
+FaultOfStatus(int aStatus)
+{
+  bool tooLarge =
+    aStatus == kStatusTooLarge || aStatus == kStatusHeadersTooLarge;
+  return ToString(tooLarge ? MessageFault::TooLarge : MessageFault::Malformed);
+}
+
+} // namespace
+
+struct HttpServer::Connection
+{
+  explicit Connection(tcp::socket aSocket)
+    : mSocket(std::move(aSocket))
+  {
+  }
+
+  void Close()
+  {
+    boost::system::error_code ec;
+    mSocket.close(ec);
+  }
+
+  // Becomes readable while a request is in progress if the caller closes the
+  // connection, or if it sends its next request early.
+  void WatchCaller(const std::shared_ptr<CallerState>& aCaller)
+  {
+    mSocket.async_wait(
+      tcp::socket::wait_read,
+      [this, aCaller](boost::system::error_code aError) {
+        // Once nothing else holds the state, the connection may be gone too.
+        if (aError || aCaller.use_count() == 1) {
+          return;
+        }
+        boost::system::error_code ec;
+        char byte = 0;
+        mSocket.non_blocking(true, ec);
+        std::size_t n = mSocket.receive(
+          asio::buffer(&byte, 1), tcp::socket::message_peek, ec);
+        bool closed = ec ? ec != asio::error::would_block : n == 0;
+        if (closed) {
+          aCaller->SetGone();
+        }
+      });
+  }
+
+  tcp::socket mSocket;
+  beast::flat_buffer mBuffer;
+  bool mBusy = false;
+};
+
+HttpServer::HttpServer(asio::io_context& aContext,
+                       Clock& aClock,
+                       std::string_view aPart,
+                       HttpLimits aLimits,
+                       HttpHandler aHandler)
+  : mContext(aContext)
+  , mClock(aClock)
+  , mPart(aPart)
+  , mLimits(aLimits)
+  , mHandler(std::move(aHandler))
+  , mAcceptor(aContext)
+  , mTasks(aContext)
+{
+}
+
+leaf::result<void>
+HttpServer::Listen(const Endpoint& aEndpoint)
+{
+  boost::system::error_code ec;
+  auto address = asio::ip::make_address(aEndpoint.mHost, ec);
+  tcp::endpoint endpoint(address, aEndpoint.mPort);
+  auto fail = [&] {
+    return leaf::new_error(Failure(ListenFailure{ aEndpoint }));
+  };
+  if (ec) {
+    return fail();
+  }
+  mAcceptor.open(endpoint.protocol(), ec);
+  mAcceptor.set_option(tcp::acceptor::reuse_address(true), ec);
+  mAcceptor.bind(endpoint, ec);
+  if (ec) {
+    return fail();
+  }
+  mAcceptor.listen(tcp::acceptor::max_listen_connections, ec);
+  if (ec) {
+    return fail();
+  }
+  mPort = mAcceptor.local_endpoint().port();
+  mTasks.Spawn("accept", Accept());
+  return {};
+}
+
+// An error of one accept, such as too many open files, must not end the
+// acceptance of others; the pause keeps it from spinning meanwhile.
+Task<void>
+HttpServer::Accept()
+{
+  while (!mStopping) {
+    tcp::socket socket(mContext);
+    auto [ec] = co_await mAcceptor.async_accept(socket, kToken);
+    if (mStopping || ec == asio::error::operation_aborted) {
+      co_return;
+    }
+    if (ec) {
+      LogWarn(mPart, "accept failed: {}", ec.message());
+      co_await mClock.Sleep(kAcceptPause);
+      continue;
+    }
+    if (mOpen.size() >= mLimits.mConnections) {
+      continue;
+    }
+    mTasks.Spawn("connection", Serve(std::move(socket)));
+  }
+}
+
+Task<void>
+HttpServer::Serve(tcp::socket aSocket)
+{
+  Connection connection(std::move(aSocket));
+  boost::system::error_code ec;
+  connection.mSocket.set_option(tcp::no_delay(true), ec);
+  mOpen.insert(&connection);
+  bool more = true;
+  while (more && !mStopping) {
+    more = co_await ServeOne(connection);
+  }
+  mOpen.erase(&connection);
+  connection.mSocket.shutdown(tcp::socket::shutdown_both, ec);
+}
+
+// Reads one request, has it answered and writes the answer. False ends the
+// connection.
+Task<bool>
+HttpServer::ServeOne(Connection& aConnection)
+{
+  Parser parser;
+  parser.header_limit(mLimits.mHeaderBytes);
+  parser.body_limit(mLimits.mBodyBytes);
+  boost::system::error_code readError;
+  {
+    Watchdog idle(
+      mClock, mClock.Now() + mLimits.mIdle, [&] { aConnection.Close(); });
+    auto [ec, n] = co_await http::async_read(
+      aConnection.mSocket, aConnection.mBuffer, parser, kToken);
+    readError = ec;
+  }
+  HttpReply reply;
+  bool keepAlive = false;
+  if (readError) {
+    int status = StatusOfReadError(readError);
+    if (status == 0) {
+      co_return false;
+    }
+    std::string body =
+      "{\"error\":\"" + std::string(FaultOfStatus(status)) + "\"}";
+    reply = MakeReply(status, kJsonType, std::move(body));
+  } else {
+    keepAlive = parser.get().keep_alive();
+    HttpRequest request = TakeRequest(parser);
+    aConnection.mBusy = true;
+    auto caller = std::make_shared<CallerState>();
+    aConnection.WatchCaller(caller);
+    reply = co_await mHandler(request, *caller);
+    aConnection.mBusy = false;
+  }
+  keepAlive = keepAlive && !mStopping;
+  auto message = ToMessage(std::move(reply), keepAlive);
+  Watchdog slow(
+    mClock, mClock.Now() + mLimits.mIdle, [&] { aConnection.Close(); });
+  auto [ec, n] =
+    co_await http::async_write(aConnection.mSocket, message, kToken);
+  co_return !ec && keepAlive;
+}
+
+void
+HttpServer::StopAccepting()
+{
+  mStopping = true;
+  boost::system::error_code ec;
+  mAcceptor.close(ec);
+  for (Connection* connection : mOpen) {
+    if (!connection->mBusy) {
+      connection->Close();
+    }
+  }
+}
+
+Task<void>
+HttpServer::Drained()
+{
+  return mTasks.Drained();
+}
+
+void
+HttpServer::Abort()
+{
+  mStopping = true;
+  boost::system::error_code ec;
+  mAcceptor.close(ec);
+  for (Connection* connection : mOpen) {
+    connection->Close();
+  }
+  mTasks.CancelAll();
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/ports/backend.cpp
@@ -0,0 +1,46 @@
+#include "ports/backend.h"
+
+#include "wire/backend_codec.h"
+
+namespace buckthornshunt {
+
+namespace {
+
+struct Caller
+{
+  Endpoint mServer;
+  BackendCall mCall;
+  TimePoint mDeadline;
+
+  Task<Expected<BackendReply>> operator()(HttpBackends& aBackends)
+  {
+    HttpRequest request = EncodeBackendCall(mCall);
+    auto reply = co_await aBackends.mClient->Exchange(
+      mServer, std::move(request), mDeadline);
+    if (!Ok(reply)) {
+      co_return std::get<Failure>(std::move(reply));
+    }
+    co_return DecodeBackendReply(
+      mCall, mServer, std::get<HttpReply>(std::move(reply)));
+  }
+  Task<Expected<BackendReply>> operator()(InProcessBackends& aBackends)
+  {
+    auto reply = co_await aBackends.mCall(mServer, mCall, mDeadline);
+    co_return reply;
+  }
+};
+
+} // namespace
+
+Task<Expected<BackendReply>>
+CallBackend(Backends& aBackends,
+            Endpoint aServer,
+            BackendCall aCall,
+            TimePoint aDeadline)
+{
+  Caller caller{ std::move(aServer), std::move(aCall), aDeadline };
+  auto reply = co_await std::visit(caller, aBackends);
+  co_return reply;
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/ports/backend.h
@@ -0,0 +1,37 @@
+#ifndef BUCKTHORNSHUNT_PORTS_BACKEND_H
+#define BUCKTHORNSHUNT_PORTS_BACKEND_H
+
+#include "net/http_client.h"
+#include "ports/backend_calls.h"
+
+#include <functional>
+#include <variant>
+
+namespace buckthornshunt {
+
+/// Backend servers, met over HTTP.
+struct HttpBackends
+{
+  HttpClient* mClient = nullptr;
+};
+
+/// Stand-ins of backend servers within this process, for tests.
+struct InProcessBackends
+{
+  std::function<Task<Expected<BackendReply>>(Endpoint, BackendCall, TimePoint)>
+    mCall;
+};
+
+using Backends = std::variant<HttpBackends, InProcessBackends>;
+
+/// Makes one call to a server. ConnectFailure says that nothing reached the
+/// server; any other failure leaves open whether it started the work.
+Task<Expected<BackendReply>>
+CallBackend(Backends& aBackends,
+            Endpoint aServer,
+            BackendCall aCall,
+            TimePoint aDeadline);
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/services/control_service.cpp
@@ -0,0 +1,414 @@
+#include "services/control_service.h"
+
+#include "kernel/log.h"
+#include "services/config_service.h"
+#include "services/member_service.h"
+#include "services/table_service.h"
+
+#include <algorithm>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr std::string_view kPart = "control";
+constexpr Duration kStepInterval = std::chrono::seconds(1);
+constexpr Duration kCallTimeout = std::chrono::seconds(2);
+constexpr Duration kListInterval = std::chrono::seconds(2);
+
+/// The holder renews the role this often; others take it over once it stood
+/// still for the longer time.
+constexpr Duration kRenewInterval = std::chrono::seconds(5);
+constexpr Duration kTakeOverAfter = std::chrono::seconds(15);
+
+/// A node that the platform hasn't listed for this long has ended.
+constexpr Duration kNodeGoneAfter = std::chrono::seconds(30);
+
+constexpr SightingRule kSightingRule{};
+
+} // namespace
+
+ControlService::ControlService(Kernel& aKernel)
+  : mKernel(aKernel)
+  , mTasks(aKernel.Context(), &aKernel.Groups())
+{
+}
+
+leaf::result<void>
+ControlService::Start()
+{
+  BOOST_LEAF_ASSIGN(mTable, mKernel.Find<TableService>(TableService::kName));
+  BOOST_LEAF_ASSIGN(mMembers,
+                    mKernel.Find<MemberService>(MemberService::kName));
+  BOOST_LEAF_ASSIGN(mConfig, mKernel.Find<ConfigService>(ConfigService::kName));
+  mDataCentre = mMembers->Self().mDataCentre;
+  mTasks.Spawn("control lead", Lead());
+  return {};
+}
+
+Task<void>
+ControlService::Stop()
+{
+  mTasks.CancelAll();
+  co_await mTasks.Drained();
+}
+
+TimePoint
+ControlService::CallDeadline()
+{
+  return mKernel.GetClock().Now() + kCallTimeout;
+}
+
+Task<void>
+ControlService::Lead()
+{
+  Clock& clock = mKernel.GetClock();
+  TimePoint renewAt = clock.Now();
+  while (true) {
+    if (clock.Now() >= renewAt) {
+      bool leading = co_await HoldRole();
+      if (leading != mLeading) {
+        LogInfo(
+          kPart, leading ? "leads {}" : "no longer leads {}", mDataCentre);
+      }
+      mLeading = leading;
+      renewAt = clock.Now() + kRenewInterval;
+    }
+    if (mLeading && mConfig->Current()) {
+      co_await Step();
+    }
+    co_await clock.Sleep(kStepInterval);
+  }
+}
+
+// Renews the role if this node holds it, or takes it over once its holder has
+// stopped to renew it. The time is measured on this node's own clock, between
+// two sightings of the same count. Two holders at once are harmless.
+Task<bool>
+ControlService::HoldRole()
+{
+  Clock& clock = mKernel.GetClock();
+  const NodeIdentity& self = mMembers->Self();
+  std::string key = RoleKey(mDataCentre);
+  auto read = co_await mTable->Read(key, CallDeadline());
+  if (!Ok(read)) {
+    co_return false;
+  }
+  const std::optional<Row>& row = std::get<RowRead>(read).mRow;
+  RoleLease next{ self.mNode, self.mIncarnation, 1 };
+  Revision expected{};
+  if (row) {
+    expected = row->mRevision;
+    auto decoded =
+      ToExpected<RoleLease>([&] { return DecodeRole(row->mValue); });
+    if (!Ok(decoded)) {
+      co_return false;
+    }
+    const RoleLease& held = std::get<RoleLease>(decoded);
+    bool moved =
+      held.mIncarnation != mSeenHolder || held.mRenewals != mSeenRenewals;
+    if (moved) {
+      mSeenHolder = held.mIncarnation;
+      mSeenRenewals = held.mRenewals;
+      mSeenAt = clock.Now();
+    }
+    bool own = held.mIncarnation == self.mIncarnation;
+    if (!own && clock.Now() - mSeenAt < kTakeOverAfter) {
+      co_return false;
+    }
+    next.mRenewals = held.mRenewals + 1;
+  }
+  CommitRows commit;
+  commit.mWrites.push_back({ key, EncodeRole(next), expected, false });
+  auto written = co_await mTable->Commit(std::move(commit), CallDeadline());
+  co_return Ok(written);
+}
+
+std::vector<HeldVm>
+ControlService::Rows() const
+{
+  std::vector<HeldVm> rows;
+  mTable->View().ForEach(VmPrefix(mDataCentre), [&](const Row& aRow) {
+    auto row = ToExpected<VmOwnership>([&] { return DecodeVm(aRow.mValue); });
+    if (Ok(row)) {
+      rows.push_back({ std::get<VmOwnership>(std::move(row)), aRow.mRevision });
+    }
+  });
+  return rows;
+}
+
+std::optional<HeldVm>
+ControlService::RowOf(std::string_view aVm) const
+{
+  const Row* row = mTable->View().Find(VmKey(mDataCentre, aVm));
+  if (row == nullptr) {
+    return std::nullopt;
+  }
+  auto vm = ToExpected<VmOwnership>([&] { return DecodeVm(row->mValue); });
+  if (!Ok(vm)) {
+    return std::nullopt;
+  }
+  return HeldVm{ std::get<VmOwnership>(std::move(vm)), row->mRevision };
+}
+
+std::vector<LeaveAck>
+ControlService::AcksOf(std::string_view aVm) const
+{
+  std::vector<LeaveAck> acks;
+  mTable->View().ForEach(AckPrefix(mDataCentre, aVm), [&](const Row& aRow) {
+    auto ack = ToExpected<LeaveAck>([&] { return DecodeAck(aRow.mValue); });
+    if (Ok(ack)) {
+      acks.push_back(std::get<LeaveAck>(std::move(ack)));
+    }
+  });
+  return acks;
+}
+
+std::vector<FleetVm>
+ControlService::Fleet() const
+{
+  std::vector<FleetVm> fleet;
+  std::map<std::string, VmListing, std::less<>> listed;
+  if (mList) {
+    for (const VmListing& vm : mList->mWorkers) {
+      if (vm.mDataCentre == mDataCentre) {
+        listed.emplace(vm.mVm, vm);
+      }
+    }
+  }
+  for (HeldVm& held : Rows()) {
+    VmOwnership& row = held.mRow;
+    if (row.mState == VmState::Retired) {
+      listed.erase(row.mVm);
+      continue;
+    }
+    auto it = listed.find(row.mVm);
+    VmListing listing{ row.mVm, mDataCentre, row.mRack, row.mEndpoint, false };
+    if (it != listed.end()) {
+      listing = it->second;
+      listed.erase(it);
+    }
+    fleet.push_back({ std::move(listing), true, std::move(row) });
+  }
+  for (auto& [name, listing] : listed) {
+    fleet.push_back({ std::move(listing), false, {} });
+  }
+  return fleet;
+}
+
+std::vector<PoolStanding>
+ControlService::Standings() const
+{
+  if (!mConfig->Current()) {
+    return {};
+  }
+  return AssessPools(*mConfig->Current(), Fleet());
+}
+
+// Writes an ownership row over the one it was derived from, and its copy in
+// the ledger, at once. The revision of the row guards the step; so does the
+// ledger, which takes each epoch of a VM once.
+Task<Expected<Revision>>
+ControlService::WriteRow(VmOwnership aNext,
+                         Revision aExpected,
+                         CommitRows aMore,
+                         TimePoint aDeadline)
+{
+  std::string value = EncodeVm(aNext);
+  CommitRows commit;
+  commit.mWrites.push_back(
+    { VmKey(mDataCentre, aNext.mVm), value, aExpected, false });
+  commit.mWrites.push_back(
+    { LedgerKey(mDataCentre, aNext), value, Revision{}, false });
+  for (RowWrite& write : aMore.mWrites) {
+    commit.mWrites.push_back(std::move(write));
+  }
+  auto written = co_await mTable->Commit(std::move(commit), aDeadline);
+  if (Ok(written)) {
+    LogInfo(kPart,
+            "VM {} is {} in {} at epoch {}",
+            aNext.mVm,
+            ToString(aNext.mState),
+            aNext.mPool,
+            ToNumber(aNext.mEpoch));
+  }
+  co_return written;
+}
+
+Task<void>
+ControlService::Step()
+{
+  co_await UpdateList();
+  if (!mList) {
+    co_return;
+  }
+  for (HeldVm& vm : Rows()) {
+    co_await Sight(std::move(vm));
+  }
+  co_await FinishMoves();
+  // The plan rests on rows that this node has read back.
+  for (PoolAction& action : PlanPools(*mConfig->Current(), Fleet())) {
+    co_await CarryOut(std::move(action));
+  }
+}
+
+Task<void>
+ControlService::UpdateList()
+{
+  Clock& clock = mKernel.GetClock();
+  if (mList && clock.Now() - mListAt < kListInterval) {
+    co_return;
+  }
+  auto list = co_await mTable->List(CallDeadline());
+  if (!Ok(list)) {
+    co_return;
+  }
+  mList = std::get<VmList>(std::move(list));
+  mListAt = clock.Now();
+  const auto& entry = mList->mEntryVms;
+  for (const NodeRecord& node : mMembers->NodesOf(mDataCentre)) {
+    if (std::find(entry.begin(), entry.end(), node.mNode) != entry.end()) {
+      mNodeMissingSince.erase(node.mNode);
+    } else {
+      mNodeMissingSince.try_emplace(node.mNode, clock.Now());
+    }
+  }
+  for (const std::string& name : GoneNodes()) {
+    for (const NodeRecord& node : mMembers->NodesOf(mDataCentre)) {
+      if (node.mNode == name) {
+        co_await Unregister(node);
+      }
+    }
+  }
+}
+
+std::vector<std::string>
+ControlService::GoneNodes() const
+{
+  std::vector<std::string> gone;
+  for (const auto& [name, since] : mNodeMissingSince) {
+    if (mListAt - since >= kNodeGoneAfter) {
+      gone.push_back(name);
+    }
+  }
+  return gone;
+}
+
+Task<void>
+ControlService::Unregister(NodeRecord aNode)
+{
+  const Row* row = mTable->View().Find(NodeKey(mDataCentre, aNode.mNode));
+  if (row == nullptr) {
+    co_return;
+  }
+  CommitRows commit;
+  commit.mWrites.push_back({ row->mKey, {}, row->mRevision, true });
+  auto written = co_await mTable->Commit(std::move(commit), CallDeadline());
+  if (Ok(written)) {
+    LogInfo(kPart, "node {} has ended", aNode.mNode);
+  }
+}
+
+// Follows what the platform lists: a VM that it takes away gets no new work,
+// a VM that is missing counts as lost, later as retired.
+Task<void>
+ControlService::Sight(HeldVm aVm)
+{
+  Clock& clock = mKernel.GetClock();
+  const VmOwnership& row = aVm.mRow;
+  const auto& workers = mList->mWorkers;
+  auto it =
+    std::find_if(workers.begin(), workers.end(), [&](const VmListing& aListed) {
+      return aListed.mVm == row.mVm;
+    });
+  VmOwnership next = row;
+  if (it == workers.end()) {
+    TimePoint since =
+      mMissingSince.try_emplace(row.mVm, clock.Now()).first->second;
+    next = MarkMissing(row, mListAt - since, kSightingRule, clock.WallNow());
+  } else {
+    mMissingSince.erase(row.mVm);
+    next = MarkSeen(row, clock.WallNow());
+    if (it->mLeaving) {
+      next = MarkDraining(next, clock.WallNow());
+    }
+  }
+  if (next.mState != row.mState) {
+    co_await WriteRow(std::move(next), aVm.mRevision, {}, CallDeadline());
+  }
+}
+
+Task<void>
+ControlService::FinishMoves()
+{
+  for (HeldVm& vm : Rows()) {
+    if (vm.mRow.mState == VmState::Leaving) {
+      co_await FinishIfFenced(std::move(vm));
+    }
+  }
+}
+
+Task<void>
+ControlService::FinishIfFenced(HeldVm aVm)
+{
+  const VmOwnership& row = aVm.mRow;
+  std::vector<NodeRecord> nodes = mMembers->NodesOf(mDataCentre);
+  std::vector<LeaveAck> acks = AcksOf(row.mVm);
+  if (!FenceHolds(row, nodes, acks, GoneNodes())) {
+    co_return;
+  }
+  CommitRows more;
+  mTable->View().ForEach(AckPrefix(mDataCentre, row.mVm), [&](const Row& aAck) {
+    more.mWrites.push_back({ aAck.mKey, {}, aAck.mRevision, true });
+  });
+  // A node that registers after the nodes were read has seen the leave, so
+  // it sends nothing to the VM until it sees the join.
+  VmOwnership next = FinishMove(row, mKernel.GetClock().WallNow());
+  auto written = co_await WriteRow(
+    std::move(next), aVm.mRevision, std::move(more), CallDeadline());
+  if (Ok(written)) {
+    mKernel.GetMetrics().GetCounter("vm_moves_total").Add();
+  }
+}
+
+Task<Expected<VmOwnership>>
+ControlService::Move(std::string aVm, std::string aPool, TimePoint aDeadline)
+{
+  std::optional<HeldVm> held = RowOf(aVm);
+  if (!held) {
+    co_return Failure(NotFound{ "VM " + aVm });
+  }
+  if (!mConfig->Current() || !mConfig->Current()->mPools.contains(aPool)) {
+    co_return Failure(NotFound{ "pool " + aPool });
+  }
+  WallTime now = mKernel.GetClock().WallNow();
+  auto next =
+    ToExpected<VmOwnership>([&] { return BeginMove(held->mRow, aPool, now); });
+  if (!Ok(next)) {
+    co_return next;
+  }
+  auto written = co_await WriteRow(
+    std::get<VmOwnership>(next), held->mRevision, {}, aDeadline);
+  if (!Ok(written)) {
+    co_return std::get<Failure>(std::move(written));
+  }
+  co_return next;
+}
+
+Task<void>
+ControlService::CarryOut(PoolAction aAction)
+{
+  if (const auto* move = std::get_if<MoveVm>(&aAction)) {
+    co_await Move(move->mVm, move->mPool, CallDeadline());
+    co_return;
+  }
+  const AdoptVm& adopt = std::get<AdoptVm>(aAction);
+  for (const VmListing& vm : mList->mWorkers) {
+    if (vm.mVm == adopt.mVm) {
+      VmOwnership row = Adopt(vm, adopt.mPool, mKernel.GetClock().WallNow());
+      co_await WriteRow(std::move(row), Revision{}, {}, CallDeadline());
+    }
+  }
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/services/control_service.h
@@ -0,0 +1,94 @@
+#ifndef BUCKTHORNSHUNT_SERVICES_CONTROL_SERVICE_H
+#define BUCKTHORNSHUNT_SERVICES_CONTROL_SERVICE_H
+
+#include "decide/ownership.h"
+#include "decide/pool_plan.h"
+#include "kernel/kernel.h"
+#include "ports/platform_calls.h"
+#include "wire/row_codec.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornshunt {
+
+class ConfigService;
+class MemberService;
+class TableService;
+
+/// An ownership row and the revision that a change of it must name.
+struct HeldVm
+{
+  VmOwnership mRow;
+  Revision mRevision{};
+};
+
+/// Keeps the pools of this node's data centre at their budgets while it holds
+/// the controller's role. Each of its steps is a compare-and-set on the rows
+/// that it read, so that two controllers at once do no harm.
+class ControlService
+{
+public:
+  static constexpr std::string_view kName = "control";
+
+  explicit ControlService(Kernel& aKernel);
+
+  leaf::result<void> Start();
+  Task<void> Stop();
+
+  /// True while this node holds the role, as far as it knows.
+  bool Leading() const { return mLeading; }
+
+  /// Starts an operator's move of a VM of this data centre. Any node may.
+  Task<Expected<VmOwnership>> Move(std::string aVm,
+                                   std::string aPool,
+                                   TimePoint aDeadline);
+
+  /// VMs of the data centre with their rows, as this node knows them.
+  std::vector<FleetVm> Fleet() const;
+
+  std::vector<PoolStanding> Standings() const;
+
+private:
+  Task<void> Lead();
+  Task<bool> HoldRole();
+  Task<void> Step();
+  Task<void> UpdateList();
+  Task<void> Sight(HeldVm aVm);
+  Task<void> FinishMoves();
+  Task<void> FinishIfFenced(HeldVm aVm);
+  Task<void> CarryOut(PoolAction aAction);
+  Task<void> Unregister(NodeRecord aNode);
+  Task<Expected<Revision>> WriteRow(VmOwnership aNext,
+                                    Revision aExpected,
+                                    CommitRows aMore,
+                                    TimePoint aDeadline);
+  std::vector<HeldVm> Rows() const;
+  std::optional<HeldVm> RowOf(std::string_view aVm) const;
+  std::vector<LeaveAck> AcksOf(std::string_view aVm) const;
+  std::vector<std::string> GoneNodes() const;
+  TimePoint CallDeadline();
+
+  Kernel& mKernel;
+  TableService* mTable = nullptr;
+  MemberService* mMembers = nullptr;
+  ConfigService* mConfig = nullptr;
+  std::string mDataCentre;
+  bool mLeading = false;
+  /// The role's row as last seen, and since when it stands still.
+  std::uint64_t mSeenRenewals = 0;
+  Incarnation mSeenHolder{};
+  TimePoint mSeenAt;
+  std::optional<VmList> mList;
+  TimePoint mListAt;
+  std::map<std::string, TimePoint, std::less<>> mMissingSince;
+  std::map<std::string, TimePoint, std::less<>> mNodeMissingSince;
+  TaskGroup mTasks;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/services/dispatch_attempts.cpp
@@ -0,0 +1,404 @@
+// The steps of DispatchService that run attempts and settle their outcome.
+
+#include "kernel/log.h"
+#include "services/dispatch_service.h"
+#include "services/member_service.h"
+#include "services/peer_service.h"
+#include "services/table_service.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr std::string_view kPart = "dispatch";
+
+/// Distinct servers at which work may fail before its failure is taken for
+/// the work's own.
+constexpr std::size_t kServersBeforeFailed = 2;
+constexpr int kMostAttempts = 5;
+
+constexpr Duration kSealTimeout = std::chrono::seconds(1);
+constexpr Duration kFirstSealPause = std::chrono::milliseconds(50);
+constexpr Duration kLongestSealPause = std::chrono::seconds(1);
+constexpr Duration kClaimTimeout = std::chrono::seconds(2);
+constexpr Duration kFinishTimeout = std::chrono::seconds(10);
+constexpr Duration kCancelTimeout = std::chrono::seconds(1);
+constexpr Duration kStoreRetryAfter = std::chrono::seconds(1);
+
+} // namespace
+
+// Runs one attempt in a slot. Only a refusal of the server, or a connection
+// that could not be opened, proves that nothing ran.
+Task<DispatchService::AttemptResult>
+DispatchService::RunAttempt(Serving& aServing, Slot& aSlot, AttemptId aAttempt)
+{
+  Clock& clock = mKernel.GetClock();
+  PoolRuntime& pool = aServing.mPool;
+  const Request& request = aServing.mRequest;
+  ServerIndex server = aSlot.Server();
+  Endpoint endpoint = pool.Server(server).mEndpoint;
+  std::string vm = pool.Server(server).mVm;
+  TimePoint from = clock.Now();
+  RunTask task{ aAttempt,
+                request.mPool,
+                request.mOperation,
+                request.mDeadline - from,
+                request.mBody };
+  BackendCall call = std::move(task);
+  Watchdog aging(
+    clock, from + pool.LongAfter(), [&aSlot] { aSlot.MarkLong(); });
+  auto reply = co_await CallBackend(
+    mBackends, endpoint, std::move(call), request.mDeadline);
+  RecordSpan(request, "backend", from, vm);
+
+  AttemptResult result{ Unknown{ aAttempt }, server, false };
+  if (!Ok(reply)) {
+    bool neverSent =
+      std::holds_alternative<ConnectFailure>(std::get<Failure>(reply));
+    if (neverSent) {
+      pool.RecordRun(server, RunEvidence::Unreachable);
+      result.mOutcome = NotRun{ NotRunReason::NoCapacity, kStoreRetryAfter };
+      result.mTryElsewhere = true;
+    }
+    co_return result;
+  }
+  BackendReply& answer = std::get<BackendReply>(reply);
+  if (const auto* refused = std::get_if<TaskRefused>(&answer)) {
+    pool.RecordReport(server, refused->mReport);
+    if (refused->mReason == RefusalReason::Draining) {
+      pool.MarkDraining(server);
+    }
+    result.mOutcome = NotRun{ NotRunReason::NoCapacity, kStoreRetryAfter };
+    result.mTryElsewhere = refused->mReason != RefusalReason::Sealed;
+    co_return result;
+  }
+  TaskEnded& ended = std::get<TaskEnded>(answer);
+  pool.RecordReport(server, ended.mReport);
+  pool.RecordRun(server,
+                 ended.mFailed ? RunEvidence::WorkFailed : RunEvidence::Good);
+  pool.RecordTime(request.mOperation, clock.Now() - from);
+  if (ended.mFailed) {
+    result.mOutcome = Failed{ std::move(ended.mBody), aAttempt };
+  } else {
+    result.mOutcome = Completed{ std::move(ended.mBody), aAttempt };
+  }
+  co_return result;
+}
+
+// Work that may run more than once is tried again elsewhere, within the
+// deadline and the pool's retry budget. Work that fails at several servers is
+// given up as failed by itself.
+Task<Outcome>
+DispatchService::ServeRepeatable(Serving& aServing)
+{
+  PoolRuntime& pool = aServing.mPool;
+  const Request& request = aServing.mRequest;
+  CallerState& caller = aServing.mCaller;
+  Outcome last = NotRun{ NotRunReason::NoCapacity, kStoreRetryAfter };
+  std::size_t failures = 0;
+  for (int i = 0; i < kMostAttempts; ++i) {
+    bool forward =
+      aServing.mOrigin == RequestOrigin::Caller && !pool.HasServers();
+    std::string node =
+      forward ? mPeers->FindRoom({}, request.mPool) : std::string();
+    if (!node.empty()) {
+      last = co_await ForwardTo(std::move(node), request);
+      co_return last;
+    }
+    TimePoint from = mKernel.GetClock().Now();
+    SlotRequest wanted{ aServing.mLane, request.mDeadline, aServing.mTried };
+    auto granted = co_await pool.Acquire(wanted, caller);
+    RecordSpan(request, "wait", from, {});
+    if (auto* refused = std::get_if<NotRun>(&granted)) {
+      bool ranBefore = !std::holds_alternative<NotRun>(last);
+      co_return ranBefore ? last : Outcome(*refused);
+    }
+    Slot slot = std::get<Slot>(std::move(granted));
+    AttemptId attempt = NewAttempt();
+    Endpoint endpoint = pool.Server(slot.Server()).mEndpoint;
+    caller.OnGone([this, endpoint, attempt] {
+      mTasks.Spawn("cancel", CancelAttempt(endpoint, attempt));
+    });
+    AttemptResult result = co_await RunAttempt(aServing, slot, attempt);
+    caller.OnGone(nullptr);
+    aServing.mTried.push_back(result.mServer);
+    bool done = std::holds_alternative<Completed>(result.mOutcome);
+    failures += std::holds_alternative<Failed>(result.mOutcome) ? 1 : 0;
+    last = std::move(result.mOutcome);
+    bool hopeless = failures >= kServersBeforeFailed || caller.Gone() ||
+                    mKernel.GetClock().Now() >= request.mDeadline;
+    if (done || hopeless || !pool.Retries().TryTake()) {
+      co_return last;
+    }
+    mKernel.GetMetrics().GetCounter("retries_total").Add();
+  }
+  co_return last;
+}
+
+Task<void>
+DispatchService::CancelAttempt(Endpoint aServer, AttemptId aAttempt)
+{
+  TimePoint deadline = mKernel.GetClock().Now() + kCancelTimeout;
+  BackendCall call = CancelTask{ aAttempt };
+  co_await CallBackend(
+    mBackends, std::move(aServer), std::move(call), deadline);
+}
+
+// Work that must not run twice needs a claim on its key before it is sent.
+Task<Outcome>
+DispatchService::ServeOnce(Serving& aServing)
+{
+  std::optional<Ticket> ticket = ParseTicket(aServing.mRequest.mKey);
+  if (ticket) {
+    Outcome outcome = co_await ServeTicket(aServing, std::move(*ticket));
+    co_return outcome;
+  }
+  bool fromCaller = aServing.mOrigin == RequestOrigin::Caller;
+  if (fromCaller && !aServing.mPool.HasServers()) {
+    std::string node = mPeers->FindRoom({}, aServing.mRequest.mPool);
+    if (!node.empty()) {
+      Outcome outcome = co_await ForwardTo(std::move(node), aServing.mRequest);
+      co_return outcome;
+    }
+  }
+  Outcome outcome = co_await RunClaimed(aServing, mTableClaims.get());
+  co_return outcome;
+}
+
+// Only the node that issued a ticket knows whether it was used. If that run
+// of the node is gone, nobody can tell any more.
+Task<Outcome>
+DispatchService::ServeTicket(Serving& aServing, Ticket aTicket)
+{
+  const NodeIdentity& self = mMembers->Self();
+  if (aTicket.mNode == self.mNode &&
+      aTicket.mIncarnation == self.mIncarnation) {
+    Outcome outcome = co_await RunClaimed(aServing, mTicketClaims.get());
+    co_return outcome;
+  }
+  bool mayForward =
+    aServing.mOrigin == RequestOrigin::Caller && mPeers->IsLive(aTicket.mNode);
+  if (!mayForward) {
+    co_return Unknown{};
+  }
+  Outcome outcome = co_await ForwardTo(aTicket.mNode, aServing.mRequest);
+  co_return outcome;
+}
+
+// Follows a key's claim from step to step until there is an outcome.
+Task<Outcome>
+DispatchService::RunClaimed(Serving& aServing, ClaimStore aStore)
+{
+  Clock& clock = mKernel.GetClock();
+  const Request& request = aServing.mRequest;
+  Incarnation self = mMembers->Self().mIncarnation;
+  AttemptId last{};
+  for (int i = 0; i < kMostAttempts && clock.Now() < request.mDeadline; ++i) {
+    TimePoint from = clock.Now();
+    TimePoint deadline = std::min(request.mDeadline, from + kClaimTimeout);
+    auto loaded = co_await LoadClaim(aStore, request.mKey, deadline);
+    RecordSpan(request, "claim", from, request.mKey);
+    if (!Ok(loaded)) {
+      // Without the claim nobody can say whether the key has run before, so
+      // "not run" would be a guess.
+      co_return Unknown{ last };
+    }
+    HeldClaim held = std::get<HeldClaim>(std::move(loaded));
+    std::optional<Claim> claim;
+    if (held.mClaim) {
+      claim = held.mClaim->mClaim;
+      last = claim->mAttempt;
+    }
+    ClaimStep step = NextStep(claim, self);
+    if (auto* replay = std::get_if<ReplayOutcome>(&step)) {
+      co_return std::move(replay->mOutcome);
+    }
+    std::optional<Outcome> outcome;
+    auto* join = std::get_if<JoinAttempt>(&step);
+    if (std::holds_alternative<StartAttempt>(step)) {
+      outcome = co_await StartClaimed(aServing, aStore, held);
+    } else if (join != nullptr && mRunning.contains(join->mAttempt)) {
+      outcome = co_await Join(join->mAttempt, request.mDeadline);
+    } else {
+      outcome = co_await SettleOther(aServing, aStore, held);
+    }
+    if (outcome) {
+      co_return std::move(*outcome);
+    }
+  }
+  co_return Unknown{ last };
+}
+
+// Claims the key for a new attempt and runs it. No outcome means that another
+// node changed the claim first or a server refused: the claim is read again.
+Task<std::optional<Outcome>>
+DispatchService::StartClaimed(Serving& aServing,
+                              ClaimStore aStore,
+                              HeldClaim& aHeld)
+{
+  Clock& clock = mKernel.GetClock();
+  const Request& request = aServing.mRequest;
+  SlotRequest wanted{ aServing.mLane, request.mDeadline, aServing.mTried };
+  auto granted = co_await aServing.mPool.Acquire(wanted, aServing.mCaller);
+  if (auto* refused = std::get_if<NotRun>(&granted)) {
+    co_return Outcome(*refused);
+  }
+  Slot slot = std::get<Slot>(std::move(granted));
+  const ServerEntry& entry = aServing.mPool.Server(slot.Server());
+  AttemptId attempt = NewAttempt();
+  StoredClaim stored{
+    mMembers->Self().mDataCentre,
+    { ClaimState::Started, attempt, entry.mVm, entry.mBoot, false, {} }
+  };
+  Endpoint endpoint = entry.mEndpoint;
+  TimePoint deadline = std::min(request.mDeadline, clock.Now() + kClaimTimeout);
+  TimePoint from = clock.Now();
+  auto saved =
+    co_await SaveClaim(aStore, request.mKey, stored, aHeld.mRevision, deadline);
+  RecordSpan(request, "claim", from, request.mKey);
+  if (!Ok(saved)) {
+    // The attempt was not sent and its id is never used again, so even a
+    // claim that reached the store unseen can only be sealed.
+    if (std::holds_alternative<CommitConflict>(std::get<Failure>(saved))) {
+      co_return std::nullopt;
+    }
+    co_return Outcome(
+      NotRun{ NotRunReason::PlatformUnavailable, kStoreRetryAfter });
+  }
+  Revision revision = std::get<Revision>(saved);
+  auto running = std::make_shared<RunningAttempt>(mKernel.Context());
+  mRunning[attempt] = running;
+  AttemptResult result = co_await RunAttempt(aServing, slot, attempt);
+  Claim claim = ApplyOutcome(stored.mClaim, result.mOutcome);
+  if (claim.mState == ClaimState::Started) {
+    claim = co_await Settle(std::move(claim), endpoint, request.mDeadline);
+  }
+  slot = Slot();
+  stored.mClaim = claim;
+  if (claim.mState == ClaimState::Finished) {
+    running->mOutcome = OutcomeOf(claim);
+  } else if (claim.mState == ClaimState::Released) {
+    running->mOutcome = NotRun{ NotRunReason::NoCapacity, kStoreRetryAfter };
+  } else {
+    running->mOutcome = Unknown{ attempt };
+  }
+  Outcome outcome = *running->mOutcome;
+  running->mDone.NotifyAll();
+  mRunning.erase(attempt);
+  if (claim.mState == ClaimState::Started) {
+    co_return outcome;
+  }
+  if (result.mTryElsewhere) {
+    // The next attempt takes the claim over from this one.
+    aServing.mTried.push_back(result.mServer);
+    auto released = co_await SaveClaim(
+      aStore, request.mKey, stored, revision, clock.Now() + kClaimTimeout);
+    co_return Ok(released) ? std::nullopt : std::optional(outcome);
+  }
+  mTasks.Spawn("claim finish",
+               FinishClaim(aStore, request.mKey, std::move(stored), revision));
+  co_return outcome;
+}
+
+// The answer goes to the caller before the claim is finished: until it is, a
+// repeat of the key finds the answer at the server.
+Task<void>
+DispatchService::FinishClaim(ClaimStore aStore,
+                             std::string aKey,
+                             StoredClaim aClaim,
+                             Revision aAt)
+{
+  TimePoint deadline = mKernel.GetClock().Now() + kFinishTimeout;
+  auto saved =
+    co_await SaveClaim(aStore, aKey, std::move(aClaim), aAt, deadline);
+  if (!Ok(saved)) {
+    LogWarn(kPart,
+            "claim {} could not be finished: {}",
+            aKey,
+            Describe(std::get<Failure>(saved)));
+  }
+}
+
+Task<Outcome>
+DispatchService::Join(AttemptId aAttempt, TimePoint aDeadline)
+{
+  Clock& clock = mKernel.GetClock();
+  std::shared_ptr<RunningAttempt> running = mRunning.at(aAttempt);
+  Watchdog late(clock, aDeadline, [running] { running->mDone.NotifyAll(); });
+  while (!running->mOutcome && !late.Fired()) {
+    co_await running->mDone.Wait();
+  }
+  co_return running->mOutcome ? *running->mOutcome
+                              : Outcome(Unknown{ aAttempt });
+}
+
+// Settles a claim whose attempt another process started. Servers of another
+// data centre are reached only through that data centre's own nodes.
+Task<std::optional<Outcome>>
+DispatchService::SettleOther(Serving& aServing,
+                             ClaimStore aStore,
+                             HeldClaim& aHeld)
+{
+  const Request& request = aServing.mRequest;
+  StoredClaim stored = *aHeld.mClaim;
+  AttemptId attempt = stored.mClaim.mAttempt;
+  if (stored.mDataCentre != mMembers->Self().mDataCentre) {
+    std::string node = mPeers->FindNode(stored.mDataCentre);
+    if (node.empty() || aServing.mOrigin == RequestOrigin::Peer) {
+      co_return Outcome(Unknown{ attempt });
+    }
+    Outcome outcome = co_await ForwardTo(std::move(node), request);
+    co_return outcome;
+  }
+  Endpoint endpoint = EndpointOf(stored.mClaim.mVm);
+  Claim claim = co_await Settle(stored.mClaim, endpoint, request.mDeadline);
+  if (claim.mState == ClaimState::Started) {
+    co_return Outcome(Unknown{ attempt });
+  }
+  stored.mClaim = claim;
+  if (claim.mState == ClaimState::Finished) {
+    Outcome outcome = OutcomeOf(claim);
+    mTasks.Spawn(
+      "claim finish",
+      FinishClaim(aStore, request.mKey, std::move(stored), aHeld.mRevision));
+    co_return outcome;
+  }
+  // Released: the next round starts a new attempt over it.
+  TimePoint deadline =
+    std::min(request.mDeadline, mKernel.GetClock().Now() + kClaimTimeout);
+  co_await SaveClaim(
+    aStore, request.mKey, std::move(stored), aHeld.mRevision, deadline);
+  co_return std::nullopt;
+}
+
+// Asks the server about an attempt until it is settled or the time is over.
+// A server that didn't start it is made to refuse it from then on.
+Task<Claim>
+DispatchService::Settle(Claim aClaim, Endpoint aServer, TimePoint aDeadline)
+{
+  Clock& clock = mKernel.GetClock();
+  mKernel.GetMetrics().GetCounter("attempts_settled_total").Add();
+  Duration pause = kFirstSealPause;
+  while (clock.Now() < aDeadline && !aServer.mHost.empty()) {
+    TimePoint callDeadline = std::min(aDeadline, clock.Now() + kSealTimeout);
+    BackendCall call = SealTask{ aClaim.mAttempt };
+    auto reply =
+      co_await CallBackend(mBackends, aServer, std::move(call), callDeadline);
+    if (Ok(reply)) {
+      aClaim =
+        ApplySeal(aClaim, std::get<SealAnswer>(std::get<BackendReply>(reply)));
+    }
+    if (aClaim.mState != ClaimState::Started) {
+      break;
+    }
+    co_await clock.Sleep(
+      std::min(pause, std::max(aDeadline - clock.Now(), Duration::zero())));
+    pause = std::min(pause * 2, kLongestSealPause);
+  }
+  co_return aClaim;
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/services/dispatch_service.cpp
@@ -0,0 +1,356 @@
+#include "services/dispatch_service.h"
+
+#include "decide/ownership.h"
+#include "kernel/log.h"
+#include "services/config_service.h"
+#include "services/member_service.h"
+#include "services/peer_service.h"
+#include "services/table_service.h"
+
+#include <algorithm>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr std::string_view kPart = "dispatch";
+constexpr Duration kHousekeeping = std::chrono::milliseconds(250);
+constexpr Duration kProbeTimeout = std::chrono::seconds(1);
+constexpr Duration kRefusedAfter = std::chrono::seconds(1);
+
+} // namespace
+
+DispatchService::DispatchService(Kernel& aKernel, Backends aBackends)
+  : mKernel(aKernel)
+  , mBackends(std::move(aBackends))
+  , mIdle(aKernel.Context())
+  , mActiveChanged(aKernel.Context())
+  , mTasks(aKernel.Context(), &aKernel.Groups())
+{
+}
+
+leaf::result<void>
+DispatchService::Start()
+{
+  BOOST_LEAF_ASSIGN(mTable, mKernel.Find<TableService>(TableService::kName));
+  BOOST_LEAF_ASSIGN(mConfig, mKernel.Find<ConfigService>(ConfigService::kName));
+  BOOST_LEAF_ASSIGN(mMembers,
+                    mKernel.Find<MemberService>(MemberService::kName));
+  BOOST_LEAF_ASSIGN(mPeers, mKernel.Find<PeerService>(PeerService::kName));
+  const NodeIdentity& self = mMembers->Self();
+  mTableClaims = std::make_unique<TableClaims>(*mTable);
+  mTicketClaims = std::make_unique<TicketClaims>(
+    mKernel.GetClock(), self.mNode, self.mIncarnation);
+  mTasks.Spawn("dispatch config", FollowConfig());
+  mTasks.Spawn("dispatch ownership", FollowOwnership());
+  mTasks.Spawn("dispatch members", FollowMembers());
+  mTasks.Spawn("dispatch housekeeping", Housekeep());
+  return {};
+}
+
+// Requests in flight go on to their end. Those that wait for a slot keep
+// waiting too, since their callers were promised an answer, but no new ones
+// are taken.
+Task<void>
+DispatchService::Stop()
+{
+  mStopping = true;
+  while (mActive > 0) {
+    co_await mActiveChanged.Wait();
+  }
+  mTasks.CancelAll();
+  co_await mTasks.Drained();
+}
+
+Task<void>
+DispatchService::FollowConfig()
+{
+  while (true) {
+    if (mConfig->Current()) {
+      for (const auto& [name, config] : mConfig->Current()->mPools) {
+        auto it = mPools.find(name);
+        if (it != mPools.end()) {
+          it->second->SetConfig(config);
+          continue;
+        }
+        mPools.emplace(name,
+                       std::make_unique<PoolRuntime>(mKernel, name, config));
+      }
+      LoadOwnership();
+      ShareSlots();
+    }
+    co_await mConfig->Changed().Wait();
+  }
+}
+
+Task<void>
+DispatchService::FollowOwnership()
+{
+  auto watch = mTable->Watch(VmPrefix(mMembers->Self().mDataCentre));
+  while (true) {
+    co_await watch->Next();
+    LoadOwnership();
+  }
+}
+
+// Gives each pool the VMs that serve it by their rows. A VM that leaves loses
+// its place here at once; what still runs there ends by itself.
+void
+DispatchService::LoadOwnership()
+{
+  std::map<std::string, std::vector<VmOwnership>, std::less<>> byPool;
+  mTable->View().ForEach(
+    VmPrefix(mMembers->Self().mDataCentre), [&](const Row& aRow) {
+      auto row = ToExpected<VmOwnership>([&] { return DecodeVm(aRow.mValue); });
+      if (Ok(row)) {
+        VmOwnership& vm = std::get<VmOwnership>(row);
+        if (MayDispatch(vm, vm.mPool)) {
+          byPool[vm.mPool].push_back(std::move(vm));
+        }
+      }
+    });
+  for (auto& [name, pool] : mPools) {
+    pool->SetServers(byPool[name]);
+  }
+  mIdle.NotifyAll();
+}
+
+Task<void>
+DispatchService::FollowMembers()
+{
+  while (true) {
+    ShareSlots();
+    co_await mPeers->Changed().Wait();
+  }
+}
+
+// The nodes of the data centre share every server's slots evenly. A node that
+// isn't linked counts as gone: should it be alive, the servers refuse what
+// goes beyond their slots.
+void
+DispatchService::ShareSlots()
+{
+  const NodeIdentity& self = mMembers->Self();
+  std::vector<std::string> live{ self.mNode };
+  for (const NodeRecord& node : mMembers->NodesOf(self.mDataCentre)) {
+    if (node.mNode != self.mNode && mPeers->IsLive(node.mNode)) {
+      live.push_back(node.mNode);
+    }
+  }
+  std::sort(live.begin(), live.end());
+  auto own = std::find(live.begin(), live.end(), self.mNode) - live.begin();
+  mLiveNodes = static_cast<int>(live.size());
+  for (auto& [name, pool] : mPools) {
+    pool->ShareAmong(mLiveNodes, static_cast<int>(own));
+  }
+}
+
+Task<void>
+DispatchService::Housekeep()
+{
+  while (true) {
+    co_await mKernel.GetClock().Sleep(kHousekeeping);
+    for (auto& [name, pool] : mPools) {
+      pool->Sweep();
+      mPeers->AnnounceRoom(name, Ready() && pool->HasSpareRoom());
+      for (ServerIndex server : pool->DueProbes()) {
+        mTasks.Spawn("probe", Probe(name, server));
+      }
+    }
+  }
+}
+
+Task<void>
+DispatchService::Probe(std::string aPool, ServerIndex aServer)
+{
+  PoolRuntime& pool = *mPools.at(aPool);
+  Endpoint endpoint = pool.Server(aServer).mEndpoint;
+  TimePoint deadline = mKernel.GetClock().Now() + kProbeTimeout;
+  BackendCall call = ProbeServer{};
+  auto reply =
+    co_await CallBackend(mBackends, endpoint, std::move(call), deadline);
+  std::optional<ServerHealth> health;
+  if (Ok(reply)) {
+    health = std::get<ServerHealth>(std::get<BackendReply>(reply));
+  }
+  pool.RecordProbe(aServer, health);
+}
+
+bool
+DispatchService::Ready() const
+{
+  return !mStopping && mConfig->Current() && mMembers->Registered();
+}
+
+std::optional<Ticket>
+DispatchService::IssueTicket()
+{
+  return mStopping ? std::nullopt : mTicketClaims->Issue();
+}
+
+int
+DispatchService::InFlightOn(std::string_view aVm) const
+{
+  int n = 0;
+  for (const auto& [name, pool] : mPools) {
+    n += pool->InFlightOn(aVm);
+  }
+  return n;
+}
+
+std::vector<PoolFigures>
+DispatchService::Figures() const
+{
+  std::vector<PoolFigures> figures;
+  for (const auto& [name, pool] : mPools) {
+    figures.push_back(pool->Figures());
+  }
+  return figures;
+}
+
+AttemptId
+DispatchService::NewAttempt()
+{
+  return { mMembers->Self().mIncarnation, mNextAttempt++ };
+}
+
+Endpoint
+DispatchService::EndpointOf(std::string_view aVm) const
+{
+  const Row* row =
+    mTable->View().Find(VmKey(mMembers->Self().mDataCentre, aVm));
+  if (row == nullptr) {
+    return {};
+  }
+  auto vm = ToExpected<VmOwnership>([&] { return DecodeVm(row->mValue); });
+  return Ok(vm) ? std::get<VmOwnership>(vm).mEndpoint : Endpoint{};
+}
+
+Lane
+DispatchService::LaneOf(const PoolRuntime& aPool, const Request& aRequest) const
+{
+  auto it = aPool.Config().mOperations.find(aRequest.mOperation);
+  if (it != aPool.Config().mOperations.end() && it->second.mUrgent) {
+    return Lane::Urgent;
+  }
+  bool isLong = aPool.Classify(aRequest.mOperation) == WorkClass::Long;
+  return isLong ? Lane::Long : Lane::Short;
+}
+
+// Work is repeated only if both the caller and the configuration allow it.
+Repeatable
+DispatchService::RepeatableOf(const PoolRuntime& aPool,
+                              const Request& aRequest) const
+{
+  auto it = aPool.Config().mOperations.find(aRequest.mOperation);
+  bool configured = it != aPool.Config().mOperations.end() &&
+                    it->second.mRepeatable == Repeatable::Idempotent;
+  bool both = configured && aRequest.mRepeatable == Repeatable::Idempotent;
+  return both ? Repeatable::Idempotent : Repeatable::NonIdempotent;
+}
+
+// A team's slots are shared among the nodes like the servers' are.
+bool
+DispatchService::OverQuota(std::string_view aTeam) const
+{
+  auto team = mConfig->Current()->mTeams.find(aTeam);
+  if (team == mConfig->Current()->mTeams.end()) {
+    return false;
+  }
+  int share = (team->second.mSlots + mLiveNodes - 1) / mLiveNodes;
+  auto active = mTeamActive.find(aTeam);
+  return active != mTeamActive.end() && active->second > share;
+}
+
+void
+DispatchService::RecordSpan(const Request& aRequest,
+                            std::string_view aName,
+                            TimePoint aFrom,
+                            std::string_view aNote)
+{
+  Tracer& tracer = mKernel.GetTracer();
+  Clock& clock = mKernel.GetClock();
+  Duration length = clock.Now() - aFrom;
+  Span span;
+  span.mTrace = aRequest.mTrace;
+  span.mId = tracer.NewId();
+  span.mParent = aRequest.mSpan;
+  span.mName = aName;
+  span.mStart = WallTime{ clock.WallNow().mMillis - ToMillis(length) };
+  span.mLength = length;
+  span.mNote = aNote;
+  tracer.Record(std::move(span));
+}
+
+Task<Outcome>
+DispatchService::Serve(const Request& aRequest,
+                       CallerState& aCaller,
+                       RequestOrigin aOrigin)
+{
+  if (mStopping) {
+    co_return NotRun{ NotRunReason::Stopping, kRefusedAfter };
+  }
+  ++mActive;
+  ++mTeamActive[aRequest.mTeam];
+  TimePoint from = mKernel.GetClock().Now();
+  Outcome outcome = co_await ServeHere(aRequest, aCaller, aOrigin);
+  RecordSpan(aRequest, "serve", from, OutcomeName(outcome));
+  auto team = mTeamActive.find(aRequest.mTeam);
+  if (--team->second == 0) {
+    mTeamActive.erase(team);
+  }
+  --mActive;
+  mActiveChanged.NotifyAll();
+  std::string name(OutcomeName(outcome));
+  mKernel.GetMetrics().GetCounter("requests_" + name + "_total").Add();
+  co_return outcome;
+}
+
+// A node that isn't registered may not send work to servers, but it can pass
+// a request on to a peer of its data centre that may.
+Task<Outcome>
+DispatchService::ServeHere(const Request& aRequest,
+                           CallerState& aCaller,
+                           RequestOrigin aOrigin)
+{
+  bool fromCaller = aOrigin == RequestOrigin::Caller;
+  if (!Ready()) {
+    std::string node = mPeers->FindNode(mMembers->Self().mDataCentre);
+    if (!fromCaller || node.empty()) {
+      co_return NotRun{ NotRunReason::NotReady, kRefusedAfter };
+    }
+    Outcome outcome = co_await ForwardTo(std::move(node), aRequest);
+    co_return outcome;
+  }
+  auto it = mPools.find(aRequest.mPool);
+  if (it == mPools.end() ||
+      !mConfig->Current()->mPools.contains(aRequest.mPool)) {
+    co_return NotRun{ NotRunReason::UnknownPool, kRefusedAfter };
+  }
+  if (OverQuota(aRequest.mTeam)) {
+    co_return NotRun{ NotRunReason::QuotaExceeded, kRefusedAfter };
+  }
+  PoolRuntime& pool = *it->second;
+  Serving serving{
+    aRequest, aCaller, aOrigin, pool, LaneOf(pool, aRequest), {}
+  };
+  if (RepeatableOf(pool, aRequest) == Repeatable::Idempotent) {
+    Outcome outcome = co_await ServeRepeatable(serving);
+    co_return outcome;
+  }
+  Outcome outcome = co_await ServeOnce(serving);
+  co_return outcome;
+}
+
+Task<Outcome>
+DispatchService::ForwardTo(std::string aNode, const Request& aRequest)
+{
+  TimePoint from = mKernel.GetClock().Now();
+  mKernel.GetMetrics().GetCounter("requests_forwarded_total").Add();
+  std::string note = "to " + aNode;
+  Outcome outcome = co_await mPeers->Forward(std::move(aNode), aRequest);
+  RecordSpan(aRequest, "forward", from, note);
+  co_return outcome;
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/services/dispatch_service.h
@@ -0,0 +1,166 @@
+#ifndef BUCKTHORNSHUNT_SERVICES_DISPATCH_SERVICE_H
+#define BUCKTHORNSHUNT_SERVICES_DISPATCH_SERVICE_H
+
+#include "buckthornshunt/outcome.h"
+#include "kernel/caller_state.h"
+#include "kernel/kernel.h"
+#include "ports/backend.h"
+#include "services/claim_store.h"
+#include "services/pool_runtime.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornshunt {
+
+class ConfigService;
+class MemberService;
+class PeerService;
+class TableService;
+
+/// Where a request came from. A peer's request stays in this data centre.
+enum class RequestOrigin : std::uint8_t
+{
+  Caller,
+  Peer
+};
+
+/// Places requests on backend servers and settles what became of them.
+class DispatchService
+{
+public:
+  static constexpr std::string_view kName = "dispatch";
+
+  DispatchService(Kernel& aKernel, Backends aBackends);
+
+  leaf::result<void> Start();
+
+  /// Waits for what is in flight, refuses what waits, then ends.
+  Task<void> Stop();
+
+  /// Serves a request to its end. The request must outlive the call.
+  Task<Outcome> Serve(const Request& aRequest,
+                      CallerState& aCaller,
+                      RequestOrigin aOrigin);
+
+  /// A ticket for a request without the platform; none while too many are
+  /// open or this node stops.
+  std::optional<Ticket> IssueTicket();
+
+  /// True if this node may take requests.
+  bool Ready() const;
+
+  /// Attempts that this node has in flight at a VM, for any pool.
+  int InFlightOn(std::string_view aVm) const;
+
+  /// Wakes when an attempt ended at a VM that this node no longer uses.
+  Event& Idle() { return mIdle; }
+
+  std::vector<PoolFigures> Figures() const;
+
+  std::size_t ActiveRequests() const { return mActive; }
+
+private:
+  /// An attempt of a non-idempotent request that runs here.
+  struct RunningAttempt
+  {
+    explicit RunningAttempt(asio::io_context& aContext)
+      : mDone(aContext)
+    {
+    }
+
+    std::optional<Outcome> mOutcome;
+    Event mDone;
+  };
+
+  /// How one attempt ended, before any retry.
+  struct AttemptResult
+  {
+    Outcome mOutcome;
+    ServerIndex mServer = 0;
+    /// The server refused it or could not be reached, so that another server
+    /// may be tried at once.
+    bool mTryElsewhere = false;
+  };
+
+  /// A request on its way, as the steps of Serve see it.
+  struct Serving
+  {
+    const Request& mRequest;
+    CallerState& mCaller;
+    RequestOrigin mOrigin;
+    PoolRuntime& mPool;
+    Lane mLane;
+    std::vector<ServerIndex> mTried;
+  };
+
+  Task<Outcome> ServeHere(const Request& aRequest,
+                          CallerState& aCaller,
+                          RequestOrigin aOrigin);
+  Task<Outcome> ServeRepeatable(Serving& aServing);
+  Task<Outcome> ServeOnce(Serving& aServing);
+  Task<Outcome> ServeTicket(Serving& aServing, Ticket aTicket);
+  Task<Outcome> RunClaimed(Serving& aServing, ClaimStore aStore);
+  Task<std::optional<Outcome>> StartClaimed(Serving& aServing,
+                                            ClaimStore aStore,
+                                            HeldClaim& aHeld);
+  Task<std::optional<Outcome>> SettleOther(Serving& aServing,
+                                           ClaimStore aStore,
+                                           HeldClaim& aHeld);
+  Task<Outcome> Join(AttemptId aAttempt, TimePoint aDeadline);
+  Task<AttemptResult> RunAttempt(Serving& aServing,
+                                 Slot& aSlot,
+                                 AttemptId aAttempt);
+  Task<Claim> Settle(Claim aClaim, Endpoint aServer, TimePoint aDeadline);
+  Task<Outcome> ForwardTo(std::string aNode, const Request& aRequest);
+  Task<void> FinishClaim(ClaimStore aStore,
+                         std::string aKey,
+                         StoredClaim aClaim,
+                         Revision aAt);
+  Task<void> CancelAttempt(Endpoint aServer, AttemptId aAttempt);
+
+  Task<void> FollowConfig();
+  Task<void> FollowOwnership();
+  Task<void> FollowMembers();
+  Task<void> Housekeep();
+  Task<void> Probe(std::string aPool, ServerIndex aServer);
+  void LoadOwnership();
+  void ShareSlots();
+  Lane LaneOf(const PoolRuntime& aPool, const Request& aRequest) const;
+  Repeatable RepeatableOf(const PoolRuntime& aPool,
+                          const Request& aRequest) const;
+  bool OverQuota(std::string_view aTeam) const;
+  Endpoint EndpointOf(std::string_view aVm) const;
+  AttemptId NewAttempt();
+  void RecordSpan(const Request& aRequest,
+                  std::string_view aName,
+                  TimePoint aFrom,
+                  std::string_view aNote);
+
+  Kernel& mKernel;
+  Backends mBackends;
+  TableService* mTable = nullptr;
+  ConfigService* mConfig = nullptr;
+  MemberService* mMembers = nullptr;
+  PeerService* mPeers = nullptr;
+  std::unique_ptr<TableClaims> mTableClaims;
+  std::unique_ptr<TicketClaims> mTicketClaims;
+  std::map<std::string, std::unique_ptr<PoolRuntime>, std::less<>> mPools;
+  std::map<AttemptId, std::shared_ptr<RunningAttempt>> mRunning;
+  std::map<std::string, int, std::less<>> mTeamActive;
+  std::uint64_t mNextAttempt = 1;
+  std::size_t mActive = 0;
+  int mLiveNodes = 1;
+  bool mStopping = false;
+  Event mIdle;
+  Event mActiveChanged;
+  TaskGroup mTasks;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/services/front_service.cpp
@@ -0,0 +1,429 @@
+#include "services/front_service.h"
+
+#include "kernel/log.h"
+#include "services/config_service.h"
+#include "services/control_service.h"
+#include "services/dispatch_service.h"
+#include "services/member_service.h"
+#include "services/peer_service.h"
+#include "services/table_service.h"
+#include "wire/api_codec.h"
+#include "wire/peer_codec.h"
+
+#include <algorithm>
+#include <array>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr std::string_view kPart = "front";
+constexpr Duration kDefaultDeadline = std::chrono::seconds(10);
+constexpr Duration kOperatorTimeout = std::chrono::seconds(5);
+constexpr Duration kTraceTimeout = std::chrono::seconds(1);
+
+/// Time that the balancer takes to notice that this node isn't healthy.
+constexpr Duration kBalancerNotices = std::chrono::seconds(1);
+
+constexpr int kStatusOk = 200;
+constexpr int kStatusAccepted = 202;
+constexpr int kStatusUnavailable = 503;
+constexpr Duration kTicketRetryAfter = std::chrono::seconds(2);
+
+HttpReply
+JsonReply(const Json& aJson, int aStatus = kStatusOk)
+{
+  return MakeReply(aStatus, kJsonType, aJson.dump());
+}
+
+} // namespace
+
+/// A path of the interface; "*" stands for any one part.
+struct FrontService::Route
+{
+  std::string_view mMethod;
+  std::string_view mPattern;
+  Task<HttpReply> (FrontService::*mHandler)(const HttpRequest&, CallerState&);
+};
+
+FrontService::FrontService(Kernel& aKernel, Endpoint aListen)
+  : mKernel(aKernel)
+  , mListen(std::move(aListen))
+{
+}
+
+FrontService::~FrontService() = default;
+
+std::span<const FrontService::Route>
+FrontService::Routes()
+{
+  static constexpr std::array<Route, 9> kRoutes = { {
+    { "POST", "/v1/pools/*/operations/*", &FrontService::ServeRequest },
+    { "POST", "/v1/tickets", &FrontService::IssueTicket },
+    { "GET", "/healthz", &FrontService::Health },
+    { "GET", "/metrics", &FrontService::ShowMetrics },
+    { "GET", "/v1/status", &FrontService::ShowStatus },
+    { "GET", "/v1/traces/*", &FrontService::ShowTrace },
+    { "GET", "/v1/config", &FrontService::ShowConfig },
+    { "POST", "/v1/config", &FrontService::ApplyConfig },
+    { "POST", "/v1/vms/*/move", &FrontService::MoveVm },
+  } };
+  return kRoutes;
+}
+
+leaf::result<void>
+FrontService::Start()
+{
+  BOOST_LEAF_ASSIGN(mDispatch,
+                    mKernel.Find<DispatchService>(DispatchService::kName));
+  BOOST_LEAF_ASSIGN(mConfig, mKernel.Find<ConfigService>(ConfigService::kName));
+  BOOST_LEAF_ASSIGN(mControl,
+                    mKernel.Find<ControlService>(ControlService::kName));
+  BOOST_LEAF_ASSIGN(mMembers,
+                    mKernel.Find<MemberService>(MemberService::kName));
+  BOOST_LEAF_ASSIGN(mPeers, mKernel.Find<PeerService>(PeerService::kName));
+  BOOST_LEAF_ASSIGN(mTable, mKernel.Find<TableService>(TableService::kName));
+  mServer = std::make_unique<HttpServer>(
+    mKernel.Context(),
+    mKernel.GetClock(),
+    kPart,
+    HttpLimits{},
+    [this](const HttpRequest& aRequest, CallerState& aCaller) {
+      return Answer(aRequest, aCaller);
+    });
+  BOOST_LEAF_CHECK(mServer->Listen(mListen));
+  LogInfo(kPart, "listens on port {}", mServer->Port());
+  return {};
+}
+
+std::uint16_t
+FrontService::Port() const
+{
+  return mServer->Port();
+}
+
+Task<void>
+FrontService::Stop()
+{
+  mStopping = true;
+  co_await mKernel.GetClock().Sleep(kBalancerNotices);
+  mServer->StopAccepting();
+  co_await mServer->Drained();
+}
+
+TimePoint
+FrontService::OperatorDeadline()
+{
+  return mKernel.GetClock().Now() + kOperatorTimeout;
+}
+
+namespace {
+
+bool
+Matches(std::string_view aPattern, std::string_view aPath)
+{
+  while (!aPattern.empty() && !aPath.empty()) {
+    if (aPattern.front() == '*') {
+      aPattern.remove_prefix(1);
+      std::size_t end = std::min(aPath.find('/'), aPath.size());
+      if (end == 0) {
+        return false;
+      }
+      aPath.remove_prefix(end);
+    } else if (aPattern.front() == aPath.front()) {
+      aPattern.remove_prefix(1);
+      aPath.remove_prefix(1);
+    } else {
+      return false;
+    }
+  }
+  return aPattern.empty() && aPath.empty();
+}
+
+} // namespace
+
+Task<HttpReply>
+FrontService::Answer(const HttpRequest& aRequest, CallerState& aCaller)
+{
+  std::string_view path = TargetPath(aRequest.mTarget);
+  for (const Route& route : Routes()) {
+    if (route.mMethod == aRequest.mMethod && Matches(route.mPattern, path)) {
+      HttpReply reply = co_await (this->*route.mHandler)(aRequest, aCaller);
+      co_return reply;
+    }
+  }
+  co_return EncodeError(
+    Failure(NotFound{ aRequest.mMethod + " " + std::string(path) }));
+}
+
+Task<HttpReply>
+FrontService::ServeRequest(const HttpRequest& aRequest, CallerState& aCaller)
+{
+  auto decoded =
+    ToExpected<Request>([&] { return DecodeCallerRequest(aRequest); });
+  if (!Ok(decoded)) {
+    co_return EncodeError(std::get<Failure>(decoded));
+  }
+  auto allowed = ToExpected<Duration>([&] { return DecodeDeadline(aRequest); });
+  if (!Ok(allowed)) {
+    co_return EncodeError(std::get<Failure>(allowed));
+  }
+  Request request = std::get<Request>(std::move(decoded));
+  Tracer& tracer = mKernel.GetTracer();
+  request.mTrace = ParseId(FindField(aRequest.mFields, kTraceField));
+  if (request.mTrace == 0) {
+    request.mTrace = tracer.NewId();
+  }
+  request.mSpan = tracer.NewId();
+
+  Duration allowance = std::get<Duration>(allowed);
+  if (allowance == Duration::zero()) {
+    allowance = DefaultDeadline(request);
+  }
+  TimePoint from = mKernel.GetClock().Now();
+  request.mDeadline = from + allowance;
+  Outcome outcome = NotRun{ NotRunReason::NoCapacity, kTicketRetryAfter };
+  // A request without a key gets a ticket, by which its caller can ask again.
+  if (request.mKey.empty()) {
+    std::optional<Ticket> ticket = mDispatch->IssueTicket();
+    request.mKey = ticket ? ToString(*ticket) : std::string();
+  }
+  if (!request.mKey.empty()) {
+    outcome =
+      co_await mDispatch->Serve(request, aCaller, RequestOrigin::Caller);
+  }
+  Duration length = mKernel.GetClock().Now() - from;
+  mKernel.GetMetrics().GetHistogram("request").Record(length);
+  WallTime start{ mKernel.GetClock().WallNow().mMillis - ToMillis(length) };
+  std::string note = request.mPool + "/" + request.mOperation;
+  tracer.Record(
+    { request.mTrace, request.mSpan, 0, "front", {}, start, length, note });
+  HttpReply reply = EncodeOutcome(outcome);
+  reply.mFields.emplace_back(kTraceField, FormatId(request.mTrace));
+  reply.mFields.emplace_back(kKeyField, request.mKey);
+  co_return reply;
+}
+
+Duration
+FrontService::DefaultDeadline(const Request& aRequest) const
+{
+  if (!mConfig->Current()) {
+    return kDefaultDeadline;
+  }
+  const auto& pools = mConfig->Current()->mPools;
+  auto pool = pools.find(aRequest.mPool);
+  if (pool == pools.end()) {
+    return kDefaultDeadline;
+  }
+  auto operation = pool->second.mOperations.find(aRequest.mOperation);
+  bool known = operation != pool->second.mOperations.end();
+  return known ? operation->second.mDeadline : kDefaultDeadline;
+}
+
+Task<HttpReply>
+FrontService::IssueTicket(const HttpRequest&, CallerState&)
+{
+  std::optional<Ticket> ticket = mDispatch->IssueTicket();
+  if (!ticket) {
+    co_return EncodeOutcome(
+      NotRun{ NotRunReason::Stopping, kTicketRetryAfter });
+  }
+  co_return JsonReply({ { "ticket", ToString(*ticket) } });
+}
+
+Task<HttpReply>
+FrontService::Health(const HttpRequest&, CallerState&)
+{
+  bool healthy = !mStopping && mDispatch->Ready();
+  co_return JsonReply({ { "ready", healthy } },
+                      healthy ? kStatusOk : kStatusUnavailable);
+}
+
+Task<HttpReply>
+FrontService::ShowMetrics(const HttpRequest&, CallerState&)
+{
+  co_return MakeReply(
+    kStatusOk, "text/plain; version=0.0.4", mKernel.GetMetrics().Render());
+}
+
+namespace {
+
+Json
+PoolsToJson(std::span<const PoolFigures> aPools)
+{
+  Json pools = Json::object();
+  for (const PoolFigures& pool : aPools) {
+    pools[pool.mPool] = {
+      { "vms", pool.mServers },       { "usable", pool.mUsable },
+      { "waiting", pool.mWaiting },   { "in_flight", pool.mInFlight },
+      { "long", pool.mLongInFlight }, { "slots", pool.mSlots }
+    };
+  }
+  return pools;
+}
+
+Json
+StandingsToJson(std::span<const PoolStanding> aStandings)
+{
+  Json standings = Json::object();
+  for (const PoolStanding& standing : aStandings) {
+    standings[standing.mPool] = { { "needed", standing.mNeeded },
+                                  { "serving", standing.mServing },
+                                  { "worst_loss", standing.mWorstLoss },
+                                  { "arriving", standing.mArriving },
+                                  { "margin", standing.Margin() } };
+  }
+  return standings;
+}
+
+Json
+PeersToJson(std::span<const PeerStatus> aPeers)
+{
+  Json peers = Json::array();
+  for (const PeerStatus& peer : aPeers) {
+    peers.push_back({ { "node", peer.mNode },
+                      { "data_centre", peer.mDataCentre },
+                      { "silent_ms", ToMillis(peer.mSilentFor) },
+                      { "table_revision", ToNumber(peer.mPosition) } });
+  }
+  return peers;
+}
+
+Json
+VmsToJson(std::span<const FleetVm> aFleet)
+{
+  Json vms = Json::object();
+  for (const FleetVm& vm : aFleet) {
+    vms[vm.mListing.mVm] = {
+      { "rack", vm.mListing.mRack },
+      { "pool", vm.mRow.mPool },
+      { "state", vm.mOwned ? ToString(vm.mRow.mState) : "unowned" },
+      { "next_pool", vm.mRow.mNextPool },
+      { "epoch", ToNumber(vm.mRow.mEpoch) },
+      { "since_ms", vm.mRow.mSince.mMillis }
+    };
+  }
+  return vms;
+}
+
+} // namespace
+
+Task<HttpReply>
+FrontService::ShowStatus(const HttpRequest&, CallerState&)
+{
+  const NodeIdentity& self = mMembers->Self();
+  const std::optional<SiteConfig>& config = mConfig->Current();
+  Json status{ { "node", self.mNode },
+               { "data_centre", self.mDataCentre },
+               { "incarnation", FormatId(ToNumber(self.mIncarnation)) },
+               { "ready", mDispatch->Ready() },
+               { "registered", mMembers->Registered() },
+               { "platform_reachable", mTable->PlatformReachable() },
+               { "table_revision", ToNumber(mTable->View().Position()) },
+               { "leads", mControl->Leading() },
+               { "active_requests", mDispatch->ActiveRequests() },
+               { "config_version", config ? ToNumber(config->mVersion) : 0 },
+               { "config_since_ms", mConfig->InForceSince().mMillis } };
+  status["pools"] = PoolsToJson(mDispatch->Figures());
+  status["budgets"] = StandingsToJson(mControl->Standings());
+  status["vms"] = VmsToJson(mControl->Fleet());
+  status["peers"] = PeersToJson(mPeers->Status());
+  co_return JsonReply(status);
+}
+
+Task<HttpReply>
+FrontService::ShowTrace(const HttpRequest& aRequest, CallerState&)
+{
+  std::uint64_t trace = ParseId(SplitPath(TargetPath(aRequest.mTarget)).back());
+  if (trace == 0) {
+    co_return EncodeError(
+      Failure(MessageFailure{ MessageFault::Malformed, "trace" }));
+  }
+  TimePoint deadline = mKernel.GetClock().Now() + kTraceTimeout;
+  std::vector<Span> spans = co_await mPeers->CollectSpans(trace, deadline);
+  for (Span& span : mKernel.GetTracer().Find(trace)) {
+    spans.push_back(std::move(span));
+  }
+  std::stable_sort(
+    spans.begin(), spans.end(), [](const Span& aOne, const Span& aTwo) {
+      return aOne.mStart < aTwo.mStart;
+    });
+  co_return JsonReply(
+    { { "trace", FormatId(trace) }, { "spans", SpansToJson(spans) } });
+}
+
+Task<HttpReply>
+FrontService::ShowConfig(const HttpRequest&, CallerState&)
+{
+  const std::optional<SiteConfig>& config = mConfig->Current();
+  if (!config) {
+    co_return JsonReply({ { "version", 0 } });
+  }
+  Json json = ConfigSourceToJson(mConfig->Source());
+  json["version"] = ToNumber(config->mVersion);
+  co_return JsonReply(json);
+}
+
+namespace {
+
+struct ApplyRequest
+{
+  ConfigSource mSource;
+  ConfigVersion mParent{};
+};
+
+leaf::result<ApplyRequest>
+DecodeApply(std::string_view aBody)
+{
+  ApplyRequest apply;
+  BOOST_LEAF_AUTO(json, ParseJson(aBody));
+  BOOST_LEAF_AUTO(parent, ReadNumber(json, "parent"));
+  apply.mParent = ConfigVersion(parent);
+  BOOST_LEAF_ASSIGN(apply.mSource, ConfigSourceFromJson(json));
+  return apply;
+}
+
+} // namespace
+
+Task<HttpReply>
+FrontService::ApplyConfig(const HttpRequest& aRequest, CallerState&)
+{
+  auto apply =
+    ToExpected<ApplyRequest>([&] { return DecodeApply(aRequest.mBody); });
+  if (!Ok(apply)) {
+    co_return EncodeError(std::get<Failure>(apply));
+  }
+  ApplyRequest wanted = std::get<ApplyRequest>(std::move(apply));
+  auto version = co_await mConfig->Accept(
+    std::move(wanted.mSource), wanted.mParent, OperatorDeadline());
+  if (!Ok(version)) {
+    co_return EncodeError(std::get<Failure>(version));
+  }
+  co_return JsonReply(
+    { { "version", ToNumber(std::get<ConfigVersion>(version)) } });
+}
+
+Task<HttpReply>
+FrontService::MoveVm(const HttpRequest& aRequest, CallerState&)
+{
+  constexpr std::size_t kVmPart = 2;
+  std::string vm = SplitPath(TargetPath(aRequest.mTarget))[kVmPart];
+  std::string pool = QueryValue(aRequest.mTarget, "pool");
+  if (pool.empty()) {
+    co_return EncodeError(
+      Failure(MessageFailure{ MessageFault::MissingField, "pool" }));
+  }
+  auto row =
+    co_await mControl->Move(std::move(vm), std::move(pool), OperatorDeadline());
+  if (!Ok(row)) {
+    co_return EncodeError(std::get<Failure>(row));
+  }
+  const VmOwnership& moved = std::get<VmOwnership>(row);
+  co_return JsonReply({ { "vm", moved.mVm },
+                        { "pool", moved.mPool },
+                        { "next_pool", moved.mNextPool },
+                        { "epoch", ToNumber(moved.mEpoch) } },
+                      kStatusAccepted);
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/services/table_service.cpp
@@ -0,0 +1,244 @@
+#include "services/table_service.h"
+
+#include "kernel/log.h"
+#include "wire/row_codec.h"
+
+#include <algorithm>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr std::string_view kPart = "table";
+constexpr Duration kReadInterval = std::chrono::seconds(1);
+constexpr Duration kLongestReadInterval = std::chrono::seconds(5);
+constexpr Duration kReadTimeout = std::chrono::seconds(2);
+constexpr Duration kSettlePause = std::chrono::milliseconds(50);
+constexpr Duration kLongestSettlePause = std::chrono::seconds(1);
+
+/// Part of an interval by which it varies, so that nodes don't call together.
+constexpr std::uint64_t kJitterPercent = 20;
+
+Duration
+Jittered(Duration aInterval, std::uint64_t aRandom)
+{
+  return aInterval -
+         aInterval * static_cast<std::int64_t>(aRandom % kJitterPercent) / 100;
+}
+
+} // namespace
+
+RowWatch::RowWatch(asio::io_context& aContext, std::string_view aPrefix)
+  : mPrefix(aPrefix)
+  , mChanged(aContext)
+{
+}
+
+Task<void>
+RowWatch::Next()
+{
+  while (!mDirty) {
+    co_await mChanged.Wait();
+  }
+  mDirty = false;
+}
+
+TableService::TableService(Kernel& aKernel, Platform aPlatform)
+  : mKernel(aKernel)
+  , mPlatform(std::move(aPlatform))
+  , mWake(aKernel.Context())
+  , mTasks(aKernel.Context(), &aKernel.Groups())
+{
+}
+
+leaf::result<void>
+TableService::Start()
+{
+  mTasks.Spawn("table follow", Follow());
+  return {};
+}
+
+Task<void>
+TableService::Stop()
+{
+  mStopping = true;
+  mTasks.CancelAll();
+  co_await mTasks.Drained();
+}
+
+std::shared_ptr<RowWatch>
+TableService::Watch(std::string_view aPrefix)
+{
+  auto watch = std::make_shared<RowWatch>(mKernel.Context(), aPrefix);
+  mWatches.push_back(watch);
+  return watch;
+}
+
+void
+TableService::Merge(const RowBatch& aBatch)
+{
+  std::vector<std::string> changed = mView.Merge(aBatch);
+  if (changed.empty()) {
+    return;
+  }
+  std::erase_if(mWatches, [](const auto& aWatch) { return aWatch.expired(); });
+  for (const auto& held : mWatches) {
+    std::shared_ptr<RowWatch> watch = held.lock();
+    bool concerned =
+      std::any_of(changed.begin(), changed.end(), [&](std::string_view aKey) {
+        return aKey.starts_with(watch->mPrefix);
+      });
+    if (concerned) {
+      watch->mDirty = true;
+      watch->mChanged.NotifyAll();
+    }
+  }
+}
+
+void
+TableService::Hurry()
+{
+  mHurry = true;
+  mWake.NotifyAll();
+}
+
+// Reads what changed since the last turn. While the platform doesn't answer,
+// the interval doubles up to a limit; peers may bring rows meanwhile.
+Task<void>
+TableService::Follow()
+{
+  Clock& clock = mKernel.GetClock();
+  Duration interval = kReadInterval;
+  while (!mStopping) {
+    mHurry = false;
+    TimePoint deadline = clock.Now() + kReadTimeout;
+    auto batch = co_await ReadPrefix(
+      std::string(kControlPrefix), mView.Position(), deadline);
+    if (Ok(batch)) {
+      Merge(std::get<RowBatch>(batch));
+      interval = kReadInterval;
+    } else {
+      interval = std::min(interval * 2, kLongestReadInterval);
+    }
+    TimePoint next = clock.Now() + Jittered(interval, mKernel.Random());
+    Watchdog due(clock, next, [this] { Hurry(); });
+    while (!mHurry && !mStopping) {
+      co_await mWake.Wait();
+    }
+  }
+}
+
+Task<Expected<PlatformReply>>
+TableService::Call(PlatformCall aCall, TimePoint aDeadline)
+{
+  mKernel.GetMetrics().GetCounter("platform_calls_total").Add();
+  auto reply = co_await CallPlatform(mPlatform, std::move(aCall), aDeadline);
+  bool answered =
+    Ok(reply) ||
+    std::holds_alternative<CommitConflict>(std::get<Failure>(reply)) ||
+    std::holds_alternative<NotFound>(std::get<Failure>(reply));
+  if (answered != mReachable) {
+    LogInfo(kPart,
+            answered ? "platform is reachable" : "platform is not reachable");
+  }
+  if (!answered) {
+    mKernel.GetMetrics().GetCounter("platform_failures_total").Add();
+  }
+  mReachable = answered;
+  co_return reply;
+}
+
+Task<Expected<RowBatch>>
+TableService::ReadPrefix(std::string aPrefix,
+                         Revision aAfter,
+                         TimePoint aDeadline)
+{
+  PlatformCall call = ReadRows{ std::move(aPrefix), aAfter };
+  auto reply = co_await Call(std::move(call), aDeadline);
+  if (!Ok(reply)) {
+    co_return std::get<Failure>(std::move(reply));
+  }
+  co_return std::get<RowBatch>(std::get<PlatformReply>(std::move(reply)));
+}
+
+Task<Expected<RowRead>>
+TableService::Read(std::string aKey, TimePoint aDeadline)
+{
+  PlatformCall call = ReadRow{ std::move(aKey) };
+  auto reply = co_await Call(std::move(call), aDeadline);
+  if (!Ok(reply)) {
+    co_return std::get<Failure>(std::move(reply));
+  }
+  co_return std::get<RowRead>(std::get<PlatformReply>(std::move(reply)));
+}
+
+Task<Expected<VmList>>
+TableService::List(TimePoint aDeadline)
+{
+  PlatformCall call = ListVms{};
+  auto reply = co_await Call(std::move(call), aDeadline);
+  if (!Ok(reply)) {
+    co_return std::get<Failure>(std::move(reply));
+  }
+  co_return std::get<VmList>(std::get<PlatformReply>(std::move(reply)));
+}
+
+Task<Expected<Revision>>
+TableService::Commit(CommitRows aCommit, TimePoint aDeadline)
+{
+  mKernel.GetMetrics().GetCounter("platform_commits_total").Add();
+  PlatformCall call = aCommit;
+  auto reply = co_await Call(std::move(call), aDeadline);
+  if (Ok(reply)) {
+    Hurry();
+    co_return std::get<Committed>(std::get<PlatformReply>(reply)).mRevision;
+  }
+  Failure failure = std::get<Failure>(std::move(reply));
+  bool stated = std::holds_alternative<CommitConflict>(failure) ||
+                std::holds_alternative<StoreUnavailable>(failure);
+  if (stated) {
+    co_return failure;
+  }
+  auto settled = co_await Settle(std::move(aCommit), aDeadline);
+  co_return settled;
+}
+
+// The answer of a commit was lost. The first row tells what became of it: it
+// holds the value that was to be written, or still has the revision from
+// before, in which case the same commit may safely be sent again, or another
+// writer has changed it since.
+Task<Expected<Revision>>
+TableService::Settle(CommitRows aCommit, TimePoint aDeadline)
+{
+  Clock& clock = mKernel.GetClock();
+  mKernel.GetMetrics().GetCounter("platform_commits_settled_total").Add();
+  const RowWrite first = aCommit.mWrites.front();
+  Duration pause = kSettlePause;
+  while (clock.Now() + pause < aDeadline) {
+    co_await clock.Sleep(pause);
+    pause = std::min(pause * 2, kLongestSettlePause);
+    auto read = co_await Read(first.mKey, aDeadline);
+    if (!Ok(read)) {
+      continue;
+    }
+    const std::optional<Row>& row = std::get<RowRead>(read).mRow;
+    Revision revision = row ? row->mRevision : Revision{};
+    bool written = first.mDelete ? !row : row && row->mValue == first.mValue;
+    if (written) {
+      Hurry();
+      co_return revision;
+    }
+    if (revision != first.mExpected) {
+      co_return Failure(CommitUnsettled{});
+    }
+    PlatformCall call = aCommit;
+    auto reply = co_await Call(std::move(call), aDeadline);
+    if (Ok(reply)) {
+      Hurry();
+      co_return std::get<Committed>(std::get<PlatformReply>(reply)).mRevision;
+    }
+  }
+  co_return Failure(CommitUnsettled{});
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/services/table_service.h
@@ -0,0 +1,87 @@
+#ifndef BUCKTHORNSHUNT_SERVICES_TABLE_SERVICE_H
+#define BUCKTHORNSHUNT_SERVICES_TABLE_SERVICE_H
+
+#include "kernel/kernel.h"
+#include "ports/platform.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornshunt {
+
+/// Tells one service of changes under one prefix of the control rows.
+class RowWatch
+{
+public:
+  RowWatch(asio::io_context& aContext, std::string_view aPrefix);
+
+  /// Returns once a row under the prefix has changed since the last return.
+  Task<void> Next();
+
+private:
+  friend class TableService;
+
+  std::string mPrefix;
+  bool mDirty = true;
+  Event mChanged;
+};
+
+/// This node's copy of the control rows, and its way to the platform.
+class TableService
+{
+public:
+  static constexpr std::string_view kName = "table";
+
+  TableService(Kernel& aKernel, Platform aPlatform);
+
+  leaf::result<void> Start();
+  Task<void> Stop();
+
+  const TableView& View() const { return mView; }
+
+  /// True while the last call to the platform got an answer.
+  bool PlatformReachable() const { return mReachable; }
+
+  /// Takes over rows that a peer sent.
+  void Merge(const RowBatch& aBatch);
+
+  /// Reads new rows at once instead of at the next turn.
+  void Hurry();
+
+  /// A watch lives as long as the pointer that this returns.
+  std::shared_ptr<RowWatch> Watch(std::string_view aPrefix);
+
+  /// Writes rows. A lost answer is settled by reading; CommitUnsettled says
+  /// that the rows don't tell. StoreUnavailable says that nothing was written.
+  Task<Expected<Revision>> Commit(CommitRows aCommit, TimePoint aDeadline);
+
+  /// Reads one row from the platform; no value if it doesn't exist.
+  Task<Expected<RowRead>> Read(std::string aKey, TimePoint aDeadline);
+
+  Task<Expected<RowBatch>> ReadPrefix(std::string aPrefix,
+                                      Revision aAfter,
+                                      TimePoint aDeadline);
+
+  Task<Expected<VmList>> List(TimePoint aDeadline);
+
+private:
+  Task<void> Follow();
+  Task<Expected<PlatformReply>> Call(PlatformCall aCall, TimePoint aDeadline);
+  Task<Expected<Revision>> Settle(CommitRows aCommit, TimePoint aDeadline);
+
+  Kernel& mKernel;
+  Platform mPlatform;
+  TableView mView;
+  bool mReachable = false;
+  bool mStopping = false;
+  bool mHurry = false;
+  Event mWake;
+  std::vector<std::weak_ptr<RowWatch>> mWatches;
+  TaskGroup mTasks;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/wire/config_codec.cpp
@@ -0,0 +1,494 @@
+#include "wire/config_codec.h"
+
+#include "decide/config_merge.h"
+#include "wire/config_schema.h"
+
+#include <valijson/adapters/nlohmann_json_adapter.hpp>
+#include <valijson/schema.hpp>
+#include <valijson/schema_parser.hpp>
+#include <valijson/validation_results.hpp>
+#include <valijson/validator.hpp>
+
+#include <algorithm>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr std::uintmax_t kMostFileBytes = 8ULL * 1024 * 1024;
+
+/// Finds the first key that stands twice in an object, and its pointer.
+class DuplicateFinder
+{
+public:
+  using number_integer_t = Json::number_integer_t;
+  using number_unsigned_t = Json::number_unsigned_t;
+  using number_float_t = Json::number_float_t;
+  using string_t = Json::string_t;
+  using binary_t = Json::binary_t;
+
+  bool null() { return true; }
+  bool boolean(bool) { return true; }
+  bool number_integer(number_integer_t) { return true; }
+  bool number_unsigned(number_unsigned_t) { return true; }
+  bool number_float(number_float_t, const string_t&) { return true; }
+  bool string(string_t&) { return true; }
+  bool binary(binary_t&) { return true; }
+  bool start_object(std::size_t) { return Enter(); }
+  bool start_array(std::size_t) { return Enter(); }
+  bool end_object() { return Leave(); }
+  bool end_array() { return Leave(); }
+  bool parse_error(std::size_t aAt,
+                   const std::string&,
+                   const Json::exception& aError)
+  {
+    mError = aError.what();
+    mErrorAt = aAt;
+    return false;
+  }
+  bool key(string_t& aKey)
+  {
+    Level& level = mLevels.back();
+    level.mKey = aKey;
+    if (level.mSeen.insert(aKey).second) {
+      return true;
+    }
+    mDuplicate = Pointer();
+    return false;
+  }
+
+  const std::string& Duplicate() const { return mDuplicate; }
+  const std::string& Error() const { return mError; }
+  bool TooDeep() const { return mTooDeep; }
+
+private:
+  struct Level
+  {
+    std::string mKey;
+    std::set<std::string> mSeen;
+  };
+
+  bool Enter()
+  {
+    mLevels.emplace_back();
+    mTooDeep = mLevels.size() > kMostJsonDepth;
+    return !mTooDeep;
+  }
+  bool Leave()
+  {
+    mLevels.pop_back();
+    return true;
+  }
+  std::string Pointer() const
+  {
+    std::string pointer;
+    for (const Level& level : mLevels) {
+      pointer += "/" + level.mKey;
+    }
+    return pointer;
+  }
+
+  std::vector<Level> mLevels;
+  std::string mDuplicate;
+  std::string mError;
+  std::size_t mErrorAt = 0;
+  bool mTooDeep = false;
+};
+
+// The validator names a place as <root>[pools][quoting]; operators know JSON
+// pointers.
+std::string
+ToPointer(const std::vector<std::string>& aContext)
+{
+  std::string pointer;
+  for (const std::string& part : aContext) {
+    if (part.size() > 2 && part.front() == '[') {
+      std::string name = part.substr(1, part.size() - 2);
+      name.erase(std::remove(name.begin(), name.end(), '"'), name.end());
+      pointer += "/" + name;
+    }
+  }
+  return pointer;
+}
+
+leaf::error_id
+FailConfig(ConfigFault aFault,
+           std::string_view aFile,
+           std::string aPointer,
+           std::string aDetail)
+{
+  return Fail(ConfigFailure{
+    aFault, std::string(aFile), std::move(aPointer), std::move(aDetail) });
+}
+
+} // namespace
+
+leaf::result<Json>
+ParseDocument(std::string_view aFile, std::string_view aText)
+{
+  DuplicateFinder finder;
+  if (!Json::sax_parse(aText, &finder)) {
+    if (!finder.Duplicate().empty()) {
+      return FailConfig(
+        ConfigFault::DuplicateKey, aFile, finder.Duplicate(), "stands twice");
+    }
+    std::string detail =
+      finder.TooDeep() ? "nested too deeply" : finder.Error();
+    return FailConfig(ConfigFault::Syntax, aFile, {}, std::move(detail));
+  }
+  return Json::parse(aText);
+}
+
+leaf::result<Json>
+ReadDocument(const std::filesystem::path& aFile)
+{
+  std::error_code ec;
+  std::uintmax_t size = std::filesystem::file_size(aFile, ec);
+  if (ec) {
+    return FailConfig(
+      ConfigFault::FileUnreadable, aFile.string(), {}, ec.message());
+  }
+  if (size > kMostFileBytes) {
+    return FailConfig(
+      ConfigFault::FileTooLarge, aFile.string(), {}, "over 8 MiB");
+  }
+  std::ifstream in(aFile, std::ios::binary);
+  std::ostringstream text;
+  text << in.rdbuf();
+  if (!in) {
+    return FailConfig(
+      ConfigFault::FileUnreadable, aFile.string(), {}, "can't be read");
+  }
+  return ParseDocument(aFile.string(), text.view());
+}
+
+leaf::result<ConfigSource>
+ReadConfigSource(const std::filesystem::path& aDirectory)
+{
+  ConfigSource source;
+  std::filesystem::path base = aDirectory / "base.json";
+  source.mBase.mFile = base.string();
+  BOOST_LEAF_ASSIGN(source.mBase.mJson, ReadDocument(base));
+
+  std::error_code ec;
+  std::vector<std::filesystem::path> files;
+  for (const auto& entry :
+       std::filesystem::directory_iterator(aDirectory / "overlays", ec)) {
+    if (entry.path().extension() == ".json") {
+      files.push_back(entry.path());
+    }
+  }
+  std::sort(files.begin(), files.end());
+  for (const std::filesystem::path& file : files) {
+    BOOST_LEAF_AUTO(json, ReadDocument(file));
+    source.mOverlays.push_back({ file.string(), std::move(json) });
+  }
+  return source;
+}
+
+leaf::result<void>
+CheckSchema(const Document& aDocument, std::string_view aSchema)
+{
+  Json schemaJson = Json::parse(aSchema);
+  valijson::Schema schema;
+  valijson::SchemaParser parser;
+  valijson::adapters::NlohmannJsonAdapter schemaAdapter(schemaJson);
+  parser.populateSchema(schemaAdapter, schema);
+
+  valijson::Validator validator;
+  valijson::ValidationResults results;
+  valijson::adapters::NlohmannJsonAdapter target(aDocument.mJson);
+  if (validator.validate(schema, target, &results)) {
+    return {};
+  }
+  // The deepest error names the value at fault; the others only follow.
+  valijson::ValidationResults::Error error;
+  valijson::ValidationResults::Error deepest;
+  while (results.popError(error)) {
+    if (error.context.size() >= deepest.context.size()) {
+      deepest = error;
+    }
+  }
+  return FailConfig(ConfigFault::Schema,
+                    aDocument.mFile,
+                    ToPointer(deepest.context),
+                    deepest.description);
+}
+
+namespace {
+
+OperationConfig
+OperationFromJson(const Json& aJson)
+{
+  OperationConfig operation;
+  bool idempotent = aJson.value("idempotent", false);
+  operation.mRepeatable =
+    idempotent ? Repeatable::Idempotent : Repeatable::NonIdempotent;
+  std::int64_t deadline =
+    aJson.value("deadline_ms", ToMillis(operation.mDeadline));
+  operation.mDeadline = std::chrono::milliseconds(deadline);
+  operation.mUrgent = aJson.value("urgent", operation.mUrgent);
+  return operation;
+}
+
+PoolConfig
+PoolFromJson(const Json& aJson)
+{
+  PoolConfig pool;
+  pool.mVms = aJson.value("vms", pool.mVms);
+  pool.mSpareVms = aJson.value("spare_vms", pool.mSpareVms);
+  pool.mSlotsPerVm = aJson.value("slots_per_vm", pool.mSlotsPerVm);
+  pool.mConnectionsPerVm =
+    aJson.value("connections_per_vm", pool.mConnectionsPerVm);
+  pool.mQueueLimit = aJson.value("queue_limit", pool.mQueueLimit);
+  pool.mLongAfter = std::chrono::milliseconds(
+    aJson.value("long_after_ms", ToMillis(pool.mLongAfter)));
+  pool.mCentsPerVmHour = aJson.value("cents_per_vm_hour", pool.mCentsPerVmHour);
+  Json availability = aJson.value("availability", Json::object());
+  pool.mAvailability.mVms = availability.value("vms", 0);
+  pool.mAvailability.mRacks = availability.value("racks", 0);
+  Json operations = aJson.value("operations", Json::object());
+  for (const auto& [name, operation] : operations.items()) {
+    pool.mOperations.emplace(name, OperationFromJson(operation));
+  }
+  return pool;
+}
+
+BaseConfig
+BaseFromJson(const Json& aJson)
+{
+  BaseConfig base;
+  base.mSparePool = aJson.at("spare_pool").get<std::string>();
+  Json maintenance = aJson.value("maintenance", Json::object());
+  MaintenanceConfig& plan = base.mMaintenance;
+  plan.mPeriodDays = maintenance.value("period_days", plan.mPeriodDays);
+  plan.mRacksAtOnce = maintenance.value("racks_at_once", plan.mRacksAtOnce);
+  for (const auto& [name, site] : aJson.at("sites").items()) {
+    InventoryConfig inventory;
+    inventory.mVms = site.value("vms", 0);
+    inventory.mVmsPerRack = site.value("vms_per_rack", inventory.mVmsPerRack);
+    base.mSites.emplace(name, inventory);
+  }
+  for (const auto& [name, pool] : aJson.at("pools").items()) {
+    base.mPools.emplace(name, PoolFromJson(pool));
+  }
+  Json teams = aJson.value("teams", Json::object());
+  for (const auto& [name, team] : teams.items()) {
+    base.mTeams.emplace(name, TeamConfig{ team.at("slots").get<int>() });
+  }
+  return base;
+}
+
+template<class Value>
+void
+ReadOptional(const Json& aJson, const char* aName, std::optional<Value>& aTo)
+{
+  auto it = aJson.find(aName);
+  if (it != aJson.end()) {
+    aTo = it->get<Value>();
+  }
+}
+
+SiteOverlay
+OverlayFromJson(const Json& aJson)
+{
+  SiteOverlay overlay;
+  overlay.mSite = aJson.at("site").get<std::string>();
+  Json pools = aJson.value("pools", Json::object());
+  for (const auto& [name, json] : pools.items()) {
+    PoolOverlay pool;
+    ReadOptional(json, "vms", pool.mVms);
+    ReadOptional(json, "spare_vms", pool.mSpareVms);
+    ReadOptional(json, "queue_limit", pool.mQueueLimit);
+    ReadOptional(json, "cents_per_vm_hour", pool.mCentsPerVmHour);
+    Json availability = json.value("availability", Json::object());
+    ReadOptional(availability, "vms", pool.mAvailabilityVms);
+    ReadOptional(availability, "racks", pool.mAvailabilityRacks);
+    overlay.mPools.emplace(name, pool);
+  }
+  Json teams = aJson.value("teams", Json::object());
+  for (const auto& [name, team] : teams.items()) {
+    overlay.mTeamSlots.emplace(name, team.at("slots").get<int>());
+  }
+  Json maintenance = aJson.value("maintenance", Json::object());
+  ReadOptional(maintenance, "racks_at_once", overlay.mRacksAtOnce);
+  return overlay;
+}
+
+// Adds the file's name to the faults from aFrom on.
+void
+NameFile(std::vector<ConfigFailure>& aFaults,
+         std::size_t aFrom,
+         std::string_view aFile)
+{
+  for (std::size_t i = aFrom; i < aFaults.size(); ++i) {
+    aFaults[i].mFile = aFile;
+  }
+}
+
+bool
+SchemaHolds(const Document& aDocument,
+            std::string_view aSchema,
+            std::vector<ConfigFailure>& aFaults)
+{
+  auto checked =
+    ToExpected<std::monostate>([&]() -> leaf::result<std::monostate> {
+      BOOST_LEAF_CHECK(CheckSchema(aDocument, aSchema));
+      return std::monostate{};
+    });
+  if (Ok(checked)) {
+    return true;
+  }
+  if (const auto* fault =
+        std::get_if<ConfigFailure>(&std::get<Failure>(checked))) {
+    aFaults.push_back(*fault);
+  }
+  return false;
+}
+
+} // namespace
+
+FleetConfig
+CheckConfig(const ConfigSource& aSource, std::vector<ConfigFailure>& aFaults)
+{
+  FleetConfig fleet;
+  if (!SchemaHolds(aSource.mBase, kBaseSchema, aFaults)) {
+    return fleet;
+  }
+  fleet.mBase = BaseFromJson(aSource.mBase.mJson);
+  std::size_t from = aFaults.size();
+  CheckBase(fleet.mBase, aFaults);
+  NameFile(aFaults, from, aSource.mBase.mFile);
+
+  NameMap<std::string> fileOfSite;
+  for (const Document& document : aSource.mOverlays) {
+    from = aFaults.size();
+    if (!SchemaHolds(document, kOverlaySchema, aFaults)) {
+      continue;
+    }
+    SiteOverlay overlay = OverlayFromJson(document.mJson);
+    SiteConfig site = MergeSite(fleet.mBase, overlay, aFaults);
+    if (!fileOfSite.emplace(overlay.mSite, document.mFile).second) {
+      aFaults.push_back({ ConfigFault::DuplicateKey,
+                          {},
+                          "/site",
+                          "the site has another overlay" });
+    }
+    NameFile(aFaults, from, document.mFile);
+    fleet.mSites[overlay.mSite] = std::move(site);
+  }
+  for (const auto& [name, inventory] : fleet.mBase.mSites) {
+    from = aFaults.size();
+    auto [it, added] = fleet.mSites.try_emplace(name);
+    if (added) {
+      it->second = MergeSite(fleet.mBase, name);
+    }
+    CheckFeasible(it->second, aFaults);
+    auto file = fileOfSite.find(name);
+    NameFile(aFaults,
+             from,
+             file == fileOfSite.end() ? aSource.mBase.mFile : file->second);
+  }
+  return fleet;
+}
+
+namespace {
+
+// Objects that are cut further, one row for each member.
+const std::set<std::string> kSplitMembers = { "pools", "teams" };
+
+void
+SplitDocument(const Json& aJson,
+              std::string_view aPrefix,
+              NameMap<std::string>& aSections)
+{
+  Json rest = Json::object();
+  for (const auto& [name, value] : aJson.items()) {
+    if (!kSplitMembers.contains(name)) {
+      rest[name] = value;
+      continue;
+    }
+    std::string prefix = std::string(aPrefix) + name + "/";
+    for (const auto& [member, section] : value.items()) {
+      aSections[prefix + member] = section.dump();
+    }
+  }
+  aSections[std::string(aPrefix) + "fleet"] = rest.dump();
+}
+
+constexpr std::string_view kBaseSection = "base/";
+constexpr std::string_view kSiteSection = "site/";
+
+void
+PutSection(Json& aJson, std::string_view aKey, const Json& aSection)
+{
+  if (aKey == "fleet") {
+    aJson.update(aSection);
+    return;
+  }
+  std::size_t slash = aKey.find('/');
+  aJson[std::string(aKey.substr(0, slash))]
+       [std::string(aKey.substr(slash + 1))] = aSection;
+}
+
+} // namespace
+
+NameMap<std::string>
+SplitConfig(const ConfigSource& aSource)
+{
+  NameMap<std::string> sections;
+  SplitDocument(aSource.mBase.mJson, kBaseSection, sections);
+  for (const Document& overlay : aSource.mOverlays) {
+    std::string site = overlay.mJson.at("site").get<std::string>();
+    SplitDocument(
+      overlay.mJson, std::string(kSiteSection) + site + "/", sections);
+  }
+  return sections;
+}
+
+ConfigSource
+JoinConfig(const NameMap<std::string>& aSections)
+{
+  ConfigSource source;
+  source.mBase.mFile = "base.json";
+  NameMap<Json> sites;
+  for (const auto& [key, text] : aSections) {
+    std::string_view rest = key;
+    Json section = Json::parse(text);
+    if (rest.starts_with(kBaseSection)) {
+      PutSection(source.mBase.mJson, rest.substr(kBaseSection.size()), section);
+      continue;
+    }
+    if (rest.starts_with(kSiteSection)) {
+      rest.remove_prefix(kSiteSection.size());
+      std::size_t slash = rest.find('/');
+      PutSection(sites[std::string(rest.substr(0, slash))],
+                 rest.substr(slash + 1),
+                 section);
+    }
+  }
+  for (auto& [name, json] : sites) {
+    source.mOverlays.push_back(
+      { "overlays/" + name + ".json", std::move(json) });
+  }
+  return source;
+}
+
+std::string
+EncodeConfigHead(ConfigVersion aVersion)
+{
+  return Json{ { "version", ToNumber(aVersion) } }.dump();
+}
+
+leaf::result<ConfigVersion>
+DecodeConfigHead(std::string_view aText)
+{
+  BOOST_LEAF_AUTO(json, ParseJson(aText));
+  BOOST_LEAF_AUTO(version, ReadNumber(json, "version"));
+  return ConfigVersion(version);
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/wire/row_codec.cpp
@@ -0,0 +1,362 @@
+#include "wire/row_codec.h"
+
+#include <charconv>
+
+namespace buckthornshunt {
+
+namespace {
+
+std::string
+Join(std::string_view aOne, std::string_view aTwo, std::string_view aThree = {})
+{
+  std::string key(aOne);
+  key += aTwo;
+  if (!aThree.empty()) {
+    key += '/';
+    key += aThree;
+  }
+  return key;
+}
+
+constexpr std::string_view kVmRows = "c/vm/";
+constexpr std::string_view kNodeRows = "c/node/";
+constexpr std::string_view kAckRows = "c/ack/";
+// Rows below aren't followed by every node: they change often and concern few.
+constexpr std::string_view kRoleRows = "r/";
+constexpr std::string_view kClaimRows = "k/";
+constexpr std::string_view kLedgerRows = "l/";
+
+} // namespace
+
+std::string
+VmKey(std::string_view aDataCentre, std::string_view aVm)
+{
+  return Join(kVmRows, aDataCentre, aVm);
+}
+
+std::string
+VmPrefix(std::string_view aDataCentre)
+{
+  return Join(kVmRows, aDataCentre) + "/";
+}
+
+std::string
+NodeKey(std::string_view aDataCentre, std::string_view aNode)
+{
+  return Join(kNodeRows, aDataCentre, aNode);
+}
+
+std::string
+NodePrefix(std::string_view aDataCentre)
+{
+  return Join(kNodeRows, aDataCentre) + "/";
+}
+
+std::string
+AckPrefix(std::string_view aDataCentre, std::string_view aVm)
+{
+  return Join(kAckRows, aDataCentre, aVm) + "/";
+}
+
+std::string
+AckKey(std::string_view aDataCentre,
+       std::string_view aVm,
+       std::string_view aNode)
+{
+  return AckPrefix(aDataCentre, aVm) + std::string(aNode);
+}
+
+std::string
+RoleKey(std::string_view aDataCentre)
+{
+  return Join(kRoleRows, aDataCentre);
+}
+
+std::string
+ClaimKey(std::string_view aKey)
+{
+  return Join(kClaimRows, aKey);
+}
+
+std::string
+LedgerKey(std::string_view aDataCentre, const VmOwnership& aRow)
+{
+  return Join(kLedgerRows, aDataCentre, aRow.mVm) + "/" +
+         std::to_string(ToNumber(aRow.mEpoch));
+}
+
+std::string
+LedgerPrefix(std::string_view aDataCentre)
+{
+  return aDataCentre.empty() ? std::string(kLedgerRows)
+                             : Join(kLedgerRows, aDataCentre) + "/";
+}
+
+std::string
+EncodeVm(const VmOwnership& aRow)
+{
+  return Json{
+    { "vm", aRow.mVm },
+    { "pool", aRow.mPool },
+    { "next_pool", aRow.mNextPool },
+    { "epoch", ToNumber(aRow.mEpoch) },
+    { "state", ToString(aRow.mState) },
+    { "since", aRow.mSince.mMillis },
+    { "rack", aRow.mRack },
+    { "endpoint", EndpointToJson(aRow.mEndpoint) }
+  }.dump();
+}
+
+leaf::result<VmOwnership>
+DecodeVm(std::string_view aText)
+{
+  BOOST_LEAF_AUTO(json, ParseJson(aText));
+  VmOwnership row;
+  BOOST_LEAF_ASSIGN(row.mVm, ReadString(json, "vm"));
+  BOOST_LEAF_ASSIGN(row.mPool, ReadString(json, "pool"));
+  BOOST_LEAF_ASSIGN(row.mNextPool, ReadString(json, "next_pool"));
+  BOOST_LEAF_AUTO(epoch, ReadNumber(json, "epoch"));
+  row.mEpoch = Epoch(epoch);
+  BOOST_LEAF_AUTO(state, ReadString(json, "state"));
+  if (!ParseVmState(state, row.mState)) {
+    return Fail(MessageFailure{ MessageFault::WrongType, "state" });
+  }
+  BOOST_LEAF_ASSIGN(row.mSince.mMillis, ReadSigned(json, "since"));
+  BOOST_LEAF_ASSIGN(row.mRack, ReadString(json, "rack"));
+  BOOST_LEAF_AUTO(endpoint, Member(json, "endpoint"));
+  BOOST_LEAF_ASSIGN(row.mEndpoint, EndpointFromJson(*endpoint));
+  return row;
+}
+
+std::string
+EncodeNode(const NodeRecord& aNode)
+{
+  return Json{
+    { "node", aNode.mNode },
+    { "data_centre", aNode.mDataCentre },
+    { "incarnation", ToNumber(aNode.mIncarnation) },
+    { "peer", EndpointToJson(aNode.mPeerEndpoint) },
+    { "since", aNode.mSince.mMillis }
+  }.dump();
+}
+
+leaf::result<NodeRecord>
+DecodeNode(std::string_view aText)
+{
+  BOOST_LEAF_AUTO(json, ParseJson(aText));
+  NodeRecord node;
+  BOOST_LEAF_ASSIGN(node.mNode, ReadString(json, "node"));
+  BOOST_LEAF_ASSIGN(node.mDataCentre, ReadString(json, "data_centre"));
+  BOOST_LEAF_AUTO(incarnation, ReadNumber(json, "incarnation"));
+  node.mIncarnation = Incarnation(incarnation);
+  BOOST_LEAF_AUTO(peer, Member(json, "peer"));
+  BOOST_LEAF_ASSIGN(node.mPeerEndpoint, EndpointFromJson(*peer));
+  BOOST_LEAF_ASSIGN(node.mSince.mMillis, ReadSigned(json, "since"));
+  return node;
+}
+
+std::string
+EncodeAck(const LeaveAck& aAck)
+{
+  return Json{
+    { "vm", aAck.mVm },
+    { "node", aAck.mNode },
+    { "incarnation", ToNumber(aAck.mIncarnation) },
+    { "epoch", ToNumber(aAck.mEpoch) }
+  }.dump();
+}
+
+leaf::result<LeaveAck>
+DecodeAck(std::string_view aText)
+{
+  BOOST_LEAF_AUTO(json, ParseJson(aText));
+  LeaveAck ack;
+  BOOST_LEAF_ASSIGN(ack.mVm, ReadString(json, "vm"));
+  BOOST_LEAF_ASSIGN(ack.mNode, ReadString(json, "node"));
+  BOOST_LEAF_AUTO(incarnation, ReadNumber(json, "incarnation"));
+  ack.mIncarnation = Incarnation(incarnation);
+  BOOST_LEAF_AUTO(epoch, ReadNumber(json, "epoch"));
+  ack.mEpoch = Epoch(epoch);
+  return ack;
+}
+
+namespace {
+
+constexpr std::string_view kStarted = "started";
+constexpr std::string_view kFinished = "finished";
+constexpr std::string_view kReleased = "released";
+
+std::string_view
+ClaimStateName(ClaimState aState)
+{
+  switch (aState) {
+    case ClaimState::Started:
+      return kStarted;
+    case ClaimState::Finished:
+      return kFinished;
+    case ClaimState::Released:
+      break;
+  }
+  return kReleased;
+}
+
+leaf::result<ClaimState>
+ParseClaimState(std::string_view aText)
+{
+  if (aText == kStarted) {
+    return ClaimState::Started;
+  }
+  if (aText == kFinished) {
+    return ClaimState::Finished;
+  }
+  if (aText == kReleased) {
+    return ClaimState::Released;
+  }
+  return Fail(MessageFailure{ MessageFault::WrongType, "state" });
+}
+
+} // namespace
+
+// Answers are the backend's bytes and needn't be text, so a claim is CBOR.
+std::string
+EncodeClaim(const StoredClaim& aClaim)
+{
+  const Claim& claim = aClaim.mClaim;
+  return ToCbor(Json{ { "dc", aClaim.mDataCentre },
+                      { "state", ClaimStateName(claim.mState) },
+                      { "attempt", ToString(claim.mAttempt) },
+                      { "vm", claim.mVm },
+                      { "boot", claim.mServerBoot },
+                      { "failed", claim.mFailed },
+                      { "answer", BytesToJson(claim.mAnswer) } });
+}
+
+leaf::result<StoredClaim>
+DecodeClaim(std::string_view aText)
+{
+  BOOST_LEAF_AUTO(json, ParseCbor(aText));
+  StoredClaim stored;
+  Claim& claim = stored.mClaim;
+  BOOST_LEAF_ASSIGN(stored.mDataCentre, ReadString(json, "dc"));
+  BOOST_LEAF_AUTO(state, ReadString(json, "state"));
+  BOOST_LEAF_ASSIGN(claim.mState, ParseClaimState(state));
+  BOOST_LEAF_AUTO(attempt, ReadString(json, "attempt"));
+  if (!ParseAttemptId(attempt, claim.mAttempt)) {
+    return Fail(MessageFailure{ MessageFault::WrongType, "attempt" });
+  }
+  BOOST_LEAF_ASSIGN(claim.mVm, ReadString(json, "vm"));
+  BOOST_LEAF_ASSIGN(claim.mServerBoot, ReadNumber(json, "boot"));
+  BOOST_LEAF_ASSIGN(claim.mFailed, ReadBool(json, "failed"));
+  BOOST_LEAF_ASSIGN(claim.mAnswer, ReadBytes(json, "answer"));
+  return stored;
+}
+
+std::string
+EncodeRole(const RoleLease& aRole)
+{
+  return Json{
+    { "node", aRole.mNode },
+    { "incarnation", ToNumber(aRole.mIncarnation) },
+    { "renewals", aRole.mRenewals }
+  }.dump();
+}
+
+leaf::result<RoleLease>
+DecodeRole(std::string_view aText)
+{
+  BOOST_LEAF_AUTO(json, ParseJson(aText));
+  RoleLease role;
+  BOOST_LEAF_ASSIGN(role.mNode, ReadString(json, "node"));
+  BOOST_LEAF_AUTO(incarnation, ReadNumber(json, "incarnation"));
+  role.mIncarnation = Incarnation(incarnation);
+  BOOST_LEAF_ASSIGN(role.mRenewals, ReadNumber(json, "renewals"));
+  return role;
+}
+
+// A row's value may be any bytes; JSON can't hold them, so it travels as
+// binary in CBOR on both sides of the platform's interface.
+Json
+RowToJson(const Row& aRow)
+{
+  return { { "key", aRow.mKey },
+           { "value", BytesToJson(aRow.mValue) },
+           { "revision", ToNumber(aRow.mRevision) },
+           { "committed", aRow.mCommitted.mMillis },
+           { "deleted", aRow.mDeleted } };
+}
+
+leaf::result<Row>
+RowFromJson(const Json& aJson)
+{
+  Row row;
+  BOOST_LEAF_ASSIGN(row.mKey, ReadString(aJson, "key"));
+  BOOST_LEAF_ASSIGN(row.mValue, ReadBytes(aJson, "value"));
+  BOOST_LEAF_AUTO(revision, ReadNumber(aJson, "revision"));
+  row.mRevision = Revision(revision);
+  BOOST_LEAF_ASSIGN(row.mCommitted.mMillis, ReadSigned(aJson, "committed"));
+  BOOST_LEAF_ASSIGN(row.mDeleted, ReadBool(aJson, "deleted"));
+  return row;
+}
+
+Json
+BatchToJson(const RowBatch& aBatch)
+{
+  Json rows = Json::array();
+  for (const Row& row : aBatch.mRows) {
+    rows.push_back(RowToJson(row));
+  }
+  return { { "after", ToNumber(aBatch.mAfter) },
+           { "up_to", ToNumber(aBatch.mUpTo) },
+           { "rows", std::move(rows) } };
+}
+
+leaf::result<RowBatch>
+BatchFromJson(const Json& aJson)
+{
+  RowBatch batch;
+  BOOST_LEAF_AUTO(after, ReadNumber(aJson, "after"));
+  batch.mAfter = Revision(after);
+  BOOST_LEAF_AUTO(upTo, ReadNumber(aJson, "up_to"));
+  batch.mUpTo = Revision(upTo);
+  BOOST_LEAF_AUTO(rows, ReadArray(aJson, "rows"));
+  for (const Json& entry : *rows) {
+    BOOST_LEAF_AUTO(row, RowFromJson(entry));
+    batch.mRows.push_back(std::move(row));
+  }
+  return batch;
+}
+
+Json
+EndpointToJson(const Endpoint& aEndpoint)
+{
+  return ToString(aEndpoint);
+}
+
+leaf::result<Endpoint>
+EndpointFromJson(const Json& aJson)
+{
+  if (!aJson.is_string()) {
+    return Fail(MessageFailure{ MessageFault::WrongType, "endpoint" });
+  }
+  return ParseEndpoint(aJson.get_ref<const std::string&>());
+}
+
+leaf::result<Endpoint>
+ParseEndpoint(std::string_view aText)
+{
+  std::size_t colon = aText.rfind(':');
+  if (colon == std::string_view::npos || colon == 0) {
+    return Fail(MessageFailure{ MessageFault::Malformed, "endpoint" });
+  }
+  Endpoint endpoint;
+  endpoint.mHost = aText.substr(0, colon);
+  std::string_view port = aText.substr(colon + 1);
+  const char* end = port.data() + port.size();
+  auto [at, ec] = std::from_chars(port.data(), end, endpoint.mPort);
+  if (ec != std::errc{} || at != end) {
+    return Fail(MessageFailure{ MessageFault::Malformed, "endpoint" });
+  }
+  return endpoint;
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/wire/row_codec.h
@@ -0,0 +1,117 @@
+#ifndef BUCKTHORNSHUNT_WIRE_ROW_CODEC_H
+#define BUCKTHORNSHUNT_WIRE_ROW_CODEC_H
+
+#include "decide/claim.h"
+#include "decide/ownership.h"
+#include "decide/table_view.h"
+#include "wire/json_fields.h"
+
+#include <string>
+#include <string_view>
+
+namespace buckthornshunt {
+
+/// Prefix of the rows that every node follows.
+constexpr std::string_view kControlPrefix = "c/";
+constexpr std::string_view kConfigPrefix = "c/config/";
+constexpr std::string_view kConfigHeadKey = "c/config/head";
+
+std::string
+VmKey(std::string_view aDataCentre, std::string_view aVm);
+
+/// Prefix of a data centre's ownership rows.
+std::string
+VmPrefix(std::string_view aDataCentre);
+
+std::string
+NodeKey(std::string_view aDataCentre, std::string_view aNode);
+
+std::string
+NodePrefix(std::string_view aDataCentre);
+
+std::string
+AckKey(std::string_view aDataCentre,
+       std::string_view aVm,
+       std::string_view aNode);
+
+std::string
+AckPrefix(std::string_view aDataCentre, std::string_view aVm);
+
+std::string
+RoleKey(std::string_view aDataCentre);
+
+std::string
+ClaimKey(std::string_view aKey);
+
+/// Key of the ledger's copy of an ownership row; the ledger keeps one for each
+/// epoch.
+std::string
+LedgerKey(std::string_view aDataCentre, const VmOwnership& aRow);
+
+/// Prefix of a data centre's ledger rows; of all if the name is empty.
+std::string
+LedgerPrefix(std::string_view aDataCentre);
+
+std::string
+EncodeVm(const VmOwnership& aRow);
+leaf::result<VmOwnership>
+DecodeVm(std::string_view aText);
+
+std::string
+EncodeNode(const NodeRecord& aNode);
+leaf::result<NodeRecord>
+DecodeNode(std::string_view aText);
+
+std::string
+EncodeAck(const LeaveAck& aAck);
+leaf::result<LeaveAck>
+DecodeAck(std::string_view aText);
+
+/// A claim as the table keeps it, with the data centre of its server.
+struct StoredClaim
+{
+  std::string mDataCentre;
+  Claim mClaim;
+};
+
+std::string
+EncodeClaim(const StoredClaim& aClaim);
+leaf::result<StoredClaim>
+DecodeClaim(std::string_view aText);
+
+/// The controller of a data centre, until its lease ends.
+struct RoleLease
+{
+  std::string mNode;
+  Incarnation mIncarnation{};
+  /// Counts the renewals; a holder is gone once the count stands still.
+  std::uint64_t mRenewals = 0;
+};
+
+std::string
+EncodeRole(const RoleLease& aRole);
+leaf::result<RoleLease>
+DecodeRole(std::string_view aText);
+
+Json
+RowToJson(const Row& aRow);
+leaf::result<Row>
+RowFromJson(const Json& aJson);
+
+Json
+BatchToJson(const RowBatch& aBatch);
+leaf::result<RowBatch>
+BatchFromJson(const Json& aJson);
+
+Json
+EndpointToJson(const Endpoint& aEndpoint);
+leaf::result<Endpoint>
+EndpointFromJson(const Json& aJson);
+
+/// Reads "host:port".
+leaf::result<Endpoint>
+ParseEndpoint(std::string_view aText);
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/tests/serving_test.cpp
@@ -0,0 +1,298 @@
+#include "cluster.h"
+
+#include <doctest/doctest.h>
+
+using namespace buckthornshunt;
+using namespace buckthornshunt::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Two data centres; "a" has two nodes and four VMs, "b" one node and two VMs.
+void
+StartTwoSites(Cluster& aCluster)
+{
+  for (int i = 1; i <= 4; ++i) {
+    aCluster.AddWorker("a" + std::to_string(i), "a", "r" + std::to_string(i));
+  }
+  aCluster.AddWorker("b1", "b", "r1");
+  aCluster.AddWorker("b2", "b", "r2");
+  aCluster.StartNode("n1", "a");
+  aCluster.StartNode("n2", "a");
+  aCluster.StartNode("n3", "b");
+  REQUIRE(Ok(aCluster.Apply("n1", BaseText(2, 0))));
+  aCluster.Settle();
+}
+
+std::string_view
+NameOf(const CallPtr& aCall)
+{
+  return aCall->mOutcome ? OutcomeName(*aCall->mOutcome) : "pending";
+}
+
+} // namespace
+
+TEST_CASE("a request is answered by its own result")
+{
+  Cluster cluster;
+  StartTwoSites(cluster);
+  CallPtr call = cluster.Send("n1", MakeRequest("short", "t1", 30), 2s);
+  cluster.Advance(1s);
+  REQUIRE(NameOf(call) == "completed");
+  CHECK(std::get<Completed>(*call->mOutcome).mBody == "answer to t1");
+  CHECK(cluster.RunsOf("t1") == 1);
+}
+
+TEST_CASE("a repeat of a non-idempotent key at another node runs nothing")
+{
+  Cluster cluster;
+  StartTwoSites(cluster);
+  CallPtr first = cluster.Send("n1", MakeRequest("invoice", "t1", 30), 2s);
+  cluster.Advance(1s);
+  REQUIRE(NameOf(first) == "completed");
+  SUBCASE("in the same data centre")
+  {
+    CallPtr again = cluster.Send("n2", MakeRequest("invoice", "t1", 30), 2s);
+    cluster.Advance(1s);
+    REQUIRE(NameOf(again) == "completed");
+    CHECK(std::get<Completed>(*again->mOutcome).mBody == "answer to t1");
+  }
+  SUBCASE("in another data centre")
+  {
+    CallPtr again = cluster.Send("n3", MakeRequest("invoice", "t1", 30), 2s);
+    cluster.Advance(1s);
+    REQUIRE(NameOf(again) == "completed");
+  }
+  SUBCASE("in parallel with the first")
+  {
+    CallPtr one = cluster.Send("n1", MakeRequest("invoice", "t2", 300), 2s);
+    CallPtr two = cluster.Send("n2", MakeRequest("invoice", "t2", 300), 2s);
+    cluster.Advance(3s);
+    CHECK(NameOf(one) == "completed");
+    CHECK(NameOf(two) == "completed");
+    CHECK(cluster.RunsOf("t2") == 1);
+  }
+  CHECK(cluster.RunsOf("t1") == 1);
+}
+
+TEST_CASE("a non-idempotent key survives the death of its first node")
+{
+  Cluster cluster;
+  StartTwoSites(cluster);
+  CallPtr first = cluster.Send("n1", MakeRequest("invoice", "t1", 500), 5s);
+  cluster.Advance(200ms);
+  cluster.KillNode("n1");
+  CallPtr again = cluster.Send("n2", MakeRequest("invoice", "t1", 500), 5s);
+  cluster.Advance(3s);
+  REQUIRE(NameOf(again) == "completed");
+  CHECK(std::get<Completed>(*again->mOutcome).mBody == "answer to t1");
+  CHECK(cluster.RunsOf("t1") == 1);
+}
+
+TEST_CASE(
+  "a lost answer to a non-idempotent request is asked for, not run again")
+{
+  Cluster cluster;
+  StartTwoSites(cluster);
+  for (const char* vm : { "a1", "a2", "a3", "a4" }) {
+    cluster.Server(vm).Faults().mLoseAnswers = 1;
+  }
+  CallPtr call = cluster.Send("n1", MakeRequest("invoice", "t1", 30), 3s);
+  cluster.Advance(2s);
+  REQUIRE(NameOf(call) == "completed");
+  CHECK(cluster.RunsOf("t1") == 1);
+}
+
+TEST_CASE("a server that restarts in the middle leaves the outcome unknown")
+{
+  Cluster cluster;
+  StartTwoSites(cluster);
+  CallPtr call = cluster.Send("n1", MakeRequest("invoice", "t1", 500), 3s);
+  cluster.Advance(200ms);
+  for (const char* vm : { "a1", "a2", "a3", "a4" }) {
+    cluster.Server(vm).Restart();
+  }
+  cluster.Advance(5s);
+  CHECK(NameOf(call) == "unknown");
+  CHECK(cluster.RunsOf("t1") == 1);
+}
+
+TEST_CASE("the store's lost answer to a claim does not run the work twice")
+{
+  Cluster cluster;
+  StartTwoSites(cluster);
+  cluster.Platform().Faults().mLoseAnswers = 1;
+  CallPtr call = cluster.Send("n1", MakeRequest("invoice", "t1", 30), 3s);
+  cluster.Advance(4s);
+  CHECK(NameOf(call) == "completed");
+  CHECK(cluster.RunsOf("t1") == 1);
+}
+
+TEST_CASE("without the platform a key is not claimed and a ticket still works")
+{
+  Cluster cluster;
+  StartTwoSites(cluster);
+  cluster.CutPlatform("a", true);
+  cluster.Advance(2s);
+  CallPtr plain = cluster.Send("n1", MakeRequest("invoice", "t1", 30), 2s);
+  cluster.Advance(3s);
+  CHECK(NameOf(plain) == "unknown");
+  CHECK(cluster.RunsOf("t1") == 0);
+
+  auto ticket = cluster.Get<DispatchService>("n1").IssueTicket();
+  REQUIRE(ticket);
+  Request request = MakeRequest("invoice", "t2", 30);
+  request.mKey = ToString(*ticket);
+  CallPtr first = cluster.Send("n2", request, 2s);
+  cluster.Advance(1s);
+  CHECK(NameOf(first) == "completed");
+  CallPtr again = cluster.Send("n1", request, 2s);
+  cluster.Advance(1s);
+  CHECK(NameOf(again) == "completed");
+  CHECK(cluster.RunsOf("t2") == 1);
+
+  SUBCASE("a ticket of a node that is gone is unknown")
+  {
+    cluster.KillNode("n1");
+    CallPtr lost = cluster.Send("n2", request, 2s);
+    cluster.Advance(3s);
+    CHECK(NameOf(lost) == "unknown");
+    CHECK(cluster.RunsOf("t2") == 1);
+  }
+  SUBCASE("idempotent work is served as before")
+  {
+    CallPtr call = cluster.Send("n1", MakeRequest("short", "t3", 30), 2s);
+    cluster.Advance(1s);
+    CHECK(NameOf(call) == "completed");
+  }
+}
+
+TEST_CASE("idempotent work moves on from a dead server")
+{
+  Cluster cluster;
+  StartTwoSites(cluster);
+  cluster.Server("a1").Faults().mDead = true;
+  std::vector<CallPtr> calls;
+  for (int i = 0; i < 40; ++i) {
+    calls.push_back(
+      cluster.Send(i % 2 == 0 ? "n1" : "n2",
+                   MakeRequest("short", "t" + std::to_string(i), 10),
+                   2s));
+    cluster.Advance(20ms);
+  }
+  cluster.Advance(2s);
+  for (const CallPtr& call : calls) {
+    CHECK(NameOf(call) == "completed");
+  }
+}
+
+TEST_CASE("a worker that fails every task loses its work to the others")
+{
+  Cluster cluster;
+  StartTwoSites(cluster);
+  cluster.Server("a2").Faults().mFailAll = true;
+  int failed = 0;
+  for (int i = 0; i < 100; ++i) {
+    CallPtr call =
+      cluster.Send("n1", MakeRequest("short", "t" + std::to_string(i), 5), 2s);
+    cluster.Advance(30ms);
+    failed += NameOf(call) != "completed" ? 1 : 0;
+  }
+  CHECK(failed == 0);
+}
+
+TEST_CASE("work that fails everywhere is given up and ejects nobody")
+{
+  Cluster cluster;
+  StartTwoSites(cluster);
+  for (int i = 0; i < 20; ++i) {
+    Request request = MakeRequest("short", "bad", 5);
+    request.mBody = R"({"token":"bad","run_ms":5,"fail":true})";
+    CallPtr call = cluster.Send("n1", std::move(request), 2s);
+    cluster.Advance(50ms);
+    CHECK(NameOf(call) == "failed");
+    CallPtr good = cluster.Send("n1", MakeRequest("short", "good", 5), 2s);
+    cluster.Advance(50ms);
+    CHECK(NameOf(good) == "completed");
+  }
+}
+
+TEST_CASE("a full queue refuses without running, and the refusals are true")
+{
+  Cluster cluster;
+  StartTwoSites(cluster);
+  std::vector<CallPtr> calls;
+  for (int i = 0; i < 600; ++i) {
+    calls.push_back(cluster.Send(
+      "n1", MakeRequest("short", "t" + std::to_string(i), 200), 2s));
+  }
+  cluster.Advance(5s);
+  int completed = 0;
+  for (const CallPtr& call : calls) {
+    REQUIRE(call->mOutcome);
+    if (const auto* refused = std::get_if<NotRun>(&*call->mOutcome)) {
+      const std::string& body = call->mRequest.mBody;
+      CHECK(cluster.RunsOf(standins::ParseWorkOrder(body).mToken) == 0);
+      CHECK(refused->mRetryAfter > Duration::zero());
+    } else {
+      ++completed;
+    }
+  }
+  CHECK(completed > 100);
+}
+
+TEST_CASE("a pool without servers here is served by another data centre")
+{
+  Cluster cluster;
+  StartTwoSites(cluster);
+  for (const char* vm : { "a1", "a2", "a3", "a4" }) {
+    cluster.Server(vm).Drain();
+  }
+  // The nodes learn of the draining from refusals.
+  for (int i = 0; i < 20; ++i) {
+    cluster.Send("n1", MakeRequest("short", "warm", 5), 1s);
+    cluster.Advance(100ms);
+  }
+  CallPtr call = cluster.Send("n1", MakeRequest("short", "t1", 30), 2s);
+  CallPtr once = cluster.Send("n1", MakeRequest("invoice", "t2", 30), 2s);
+  cluster.Advance(2s);
+  CHECK(NameOf(call) == "completed");
+  CHECK(NameOf(once) == "completed");
+  CHECK(cluster.RunsOf("t2") == 1);
+}
+
+TEST_CASE("a graceful stop cuts off nothing in flight")
+{
+  Cluster cluster;
+  StartTwoSites(cluster);
+  std::vector<CallPtr> calls;
+  for (int i = 0; i < 40; ++i) {
+    std::string_view operation = i % 2 == 0 ? "short" : "invoice";
+    calls.push_back(cluster.Send(
+      "n1", MakeRequest(operation, "t" + std::to_string(i), 400), 5s));
+  }
+  cluster.Advance(100ms);
+  cluster.StopNode("n1");
+  cluster.Advance(4s);
+  CHECK(cluster.Stopped("n1"));
+  for (const CallPtr& call : calls) {
+    CHECK(NameOf(call) == "completed");
+  }
+  CallPtr late = cluster.Send("n1", MakeRequest("short", "late", 5), 1s);
+  cluster.Advance(1s);
+  CHECK(NameOf(late) == "not_run");
+}
+
+TEST_CASE("a fresh node without the platform serves through its neighbours")
+{
+  Cluster cluster;
+  StartTwoSites(cluster);
+  cluster.CutPlatform("a", true);
+  cluster.StartNode("n9", "a");
+  cluster.Advance(3s);
+  CHECK_FALSE(cluster.Get<DispatchService>("n9").Ready());
+  REQUIRE(cluster.Get<ConfigService>("n9").Current());
+  CallPtr call = cluster.Send("n9", MakeRequest("short", "t1", 30), 2s);
+  cluster.Advance(1s);
+  CHECK(NameOf(call) == "completed");
+}
