--- /dev/null
+++ b/bench/relay.cpp
@@ -0,0 +1,11 @@
+#include "bench/report.h"
+namespace buckthornshunt::bench {
+void
+MeasureRelay(Report&)
+{
+}
+void
+MeasureControl(Report&)
+{
+}
+} // namespace buckthornshunt::bench
