Keep slots for the demand of short work and bound the delay of long work

Long work was promised half of the slots, although short work needs 48 of 80 at its peak. A kind of long work was known only when its first run ended, so the first peak let it in as short. And long work took every slot that short work left for a moment, and held it 40 times longer.

Change: an operation counts as long as soon as a run passes the bound; a declared size counts until the first run was seen; the mean recent demand of short work (0.3 s) is kept from long work; long work that has waited twice as long as it would in the order of arrival goes first while it holds less than half of the slots and no short work has waited 20 ms. The wait in the order of arrival comes from a virtual FIFO with the learnt means.

--- a/include/buckthornshunt/types.h
+++ b/include/buckthornshunt/types.h
@@ -141,6 +141,8 @@
   std::string mKey;
   Repeatable mRepeatable = Repeatable::NonIdempotent;
   TimePoint mDeadline;
+  /// Run time that the caller expects; zero if it gave none.
+  Duration mDeclared{};
   std::string mBody;
   std::uint64_t mTrace = 0;
   std::uint64_t mSpan = 0;
--- a/src/decide/pool_queue.cpp
+++ b/src/decide/pool_queue.cpp
@@ -1,28 +1,55 @@
 #include "decide/pool_queue.h"
 
 #include <algorithm>
+#include <cmath>
+#include <iterator>
 
 namespace buckthornshunt {
 
 namespace {
 
-// Part of the slots that waiting long work gets before short work, in
-// percent; it keeps long work from starving.
-constexpr int kLongFloorPercent = 50;
+/// Slots that long work may take whatever short work needs, in percent.
+constexpr int kLongFloorPercent = 20;
+
+/// Time over which the demand of short work is averaged.
+constexpr double kDemandMemorySeconds = 0.3;
+
+/// Slots up to which long work that is due goes before short work, in percent.
+constexpr int kDueLongPercent = 50;
+
+/// Wait after which short work goes before long work that is due.
+constexpr Duration kShortPatience = std::chrono::milliseconds(20);
+
+/// How much longer than in the order of arrival long work may wait.
+constexpr int kLongPatience = 2;
 
 constexpr Duration kShortestRetryAfter = std::chrono::milliseconds(100);
 constexpr Duration kLongestRetryAfter = std::chrono::seconds(30);
 
 } // namespace
 
+void
+ShortDemand::Update(int aSlots, TimePoint aNow)
+{
+  double weight = 1 - std::exp(-ToSeconds(aNow - mAt) / kDemandMemorySeconds);
+  mMean += weight * (aSlots - mMean);
+  mAt = aNow;
+}
+
+int
+ShortDemand::Reserve() const
+{
+  return static_cast<int>(std::lround(mMean));
+}
+
 bool
-PoolQueue::Push(WaitId aId, Lane aLane)
+PoolQueue::Push(WaitId aId, Lane aLane, TimePoint aDue)
 {
   if (mPlaces.size() >= mLimit) {
     return false;
   }
-  std::list<WaitId>& lane = mLanes[static_cast<std::size_t>(aLane)];
-  lane.push_back(aId);
+  List& lane = LaneOf(aLane);
+  lane.push_back({ aId, aDue });
   mPlaces.emplace(aId, Place{ aLane, std::prev(lane.end()) });
   return true;
 }
@@ -34,33 +61,48 @@
   if (it == mPlaces.end()) {
     return;
   }
-  mLanes[static_cast<std::size_t>(it->second.mLane)].erase(it->second.mAt);
+  LaneOf(it->second.mLane).erase(it->second.mAt);
   mPlaces.erase(it);
 }
 
+bool
+PoolQueue::IsDue(Lane aLane, TimePoint aNow) const
+{
+  const List& lane = LaneOf(aLane);
+  return !lane.empty() && lane.front().mDue <= aNow;
+}
+
+// Long work takes what short work is unlikely to need soon. A slot that it
+// took in a short lull would be missing for a long time. Long work that is
+// due is served first, so that it can't starve.
 std::optional<Lane>
-PoolQueue::NextLane(const PoolServers& aServers) const
+PoolQueue::NextLane(const PoolServers& aServers, const LongLimit& aLimit) const
 {
   bool shortRoom = aServers.HasRoom(WorkClass::Short);
   if (Size(Lane::Urgent) > 0 && shortRoom) {
     return Lane::Urgent;
   }
   bool longReady = Size(Lane::Long) > 0 && aServers.HasRoom(WorkClass::Long);
-  int floor = aServers.TotalSlots() * kLongFloorPercent / 100;
-  if (longReady && aServers.LongInFlight() < floor) {
+  int dueLimit = aServers.TotalSlots() * kDueLongPercent / 100;
+  bool longDue = longReady && IsDue(Lane::Long, aLimit.mNow);
+  if (longDue && !IsDue(Lane::Short, aLimit.mNow) &&
+      aServers.LongInFlight() < dueLimit) {
     return Lane::Long;
   }
   if (Size(Lane::Short) > 0 && shortRoom) {
     return Lane::Short;
   }
-  return longReady ? std::optional(Lane::Long) : std::nullopt;
+  int limit = aServers.TotalSlots() - aLimit.mReserve;
+  int floor = (aServers.TotalSlots() * kLongFloorPercent + 99) / 100;
+  bool allowed = aServers.LongInFlight() < std::max(limit, floor);
+  return longReady && allowed ? std::optional(Lane::Long) : std::nullopt;
 }
 
 WaitId
 PoolQueue::Pop(Lane aLane)
 {
-  std::list<WaitId>& lane = mLanes[static_cast<std::size_t>(aLane)];
-  WaitId id = lane.front();
+  List& lane = LaneOf(aLane);
+  WaitId id = lane.front().mId;
   lane.pop_front();
   mPlaces.erase(id);
   return id;
@@ -76,6 +118,18 @@
          aLoad.mSlots;
 }
 
+TimePoint
+DueOfShort(TimePoint aNow)
+{
+  return aNow + kShortPatience;
+}
+
+TimePoint
+DueOfLong(TimePoint aNow, Duration aWait, Duration aLongAfter)
+{
+  return aNow + kLongPatience * aWait + aLongAfter;
+}
+
 Duration
 RetryAfter(Duration aWait, double aRandom)
 {
--- a/src/decide/pool_queue.h
+++ b/src/decide/pool_queue.h
@@ -24,6 +24,30 @@
 
 constexpr std::size_t kLanes = 3;
 
+/// Slots that short work is likely to need soon: the mean of those that it and
+/// its queue took lately.
+class ShortDemand
+{
+public:
+  /// Tells how many slots short work takes and waits for now.
+  void Update(int aSlots, TimePoint aNow);
+
+  /// Slots to be kept from long work.
+  int Reserve() const;
+
+private:
+  double mMean = 0;
+  TimePoint mAt;
+};
+
+/// What long work may take now.
+struct LongLimit
+{
+  /// Slots to be kept from it.
+  int mReserve = 0;
+  TimePoint mNow;
+};
+
 /// Requests of one pool that wait for a slot at this node.
 class PoolQueue
 {
@@ -33,35 +57,49 @@
   {
   }
 
-  /// Appends to a lane; false if the queue is full.
-  bool Push(WaitId aId, Lane aLane);
+  /// Appends to a lane; false if the queue is full. Long work that waits
+  /// beyond aDue goes before short work that doesn't.
+  bool Push(WaitId aId, Lane aLane, TimePoint aDue);
 
   /// Takes a request out, wherever it waits, in constant time.
   void Remove(WaitId aId);
 
   /// Lane to serve next, given the room at the servers; none if nothing that
   /// waits fits.
-  std::optional<Lane> NextLane(const PoolServers& aServers) const;
+  std::optional<Lane> NextLane(const PoolServers& aServers,
+                               const LongLimit& aLimit) const;
 
   /// First request of a lane; the lane must not be empty.
   WaitId Pop(Lane aLane);
 
   std::size_t Size() const { return mPlaces.size(); }
-  std::size_t Size(Lane aLane) const
-  {
-    return mLanes[static_cast<std::size_t>(aLane)].size();
-  }
+  std::size_t Size(Lane aLane) const { return LaneOf(aLane).size(); }
   void SetLimit(std::size_t aLimit) { mLimit = aLimit; }
 
 private:
+  struct Waiting
+  {
+    WaitId mId;
+    TimePoint mDue;
+  };
+
+  using List = std::list<Waiting>;
+
   struct Place
   {
     Lane mLane;
-    std::list<WaitId>::iterator mAt;
+    List::iterator mAt;
   };
 
+  bool IsDue(Lane aLane, TimePoint aNow) const;
+  List& LaneOf(Lane aLane) { return mLanes[static_cast<std::size_t>(aLane)]; }
+  const List& LaneOf(Lane aLane) const
+  {
+    return mLanes[static_cast<std::size_t>(aLane)];
+  }
+
   std::size_t mLimit;
-  std::array<std::list<WaitId>, kLanes> mLanes;
+  std::array<List, kLanes> mLanes;
   std::unordered_map<WaitId, Place> mPlaces;
 };
 
@@ -77,6 +115,15 @@
 Duration
 EstimateWait(const LoadEstimate& aLoad);
 
+/// Time by which a short request should have a slot.
+TimePoint
+DueOfShort(TimePoint aNow);
+
+/// Time by which a long request must have a slot: twice the wait that it would
+/// have if all were served in the order of arrival, and a little more.
+TimePoint
+DueOfLong(TimePoint aNow, Duration aWait, Duration aLongAfter);
+
 /// Time after which a refused caller should come back: the estimated wait,
 /// spread by aRandom of 0 to 1 so that callers don't return together.
 Duration
--- a/src/decide/run_times.cpp
+++ b/src/decide/run_times.cpp
@@ -1,5 +1,7 @@
 #include "decide/run_times.h"
 
+#include <algorithm>
+
 namespace buckthornshunt {
 
 namespace {
@@ -17,30 +19,45 @@
 } // namespace
 
 WorkClass
-RunTimes::Classify(std::string_view aOperation) const
+RunTimes::Classify(std::string_view aOperation, Duration aDeclared) const
 {
   auto it = mOperations.find(aOperation);
   if (it == mOperations.end()) {
-    return WorkClass::Short;
+    return aDeclared > mLongAfter ? WorkClass::Long : WorkClass::Short;
   }
   const Shares& seen = it->second;
   bool isLong = seen.mLong > kLongShare * (seen.mShort + seen.mLong);
   return isLong ? WorkClass::Long : WorkClass::Short;
 }
 
-void
-RunTimes::Record(std::string_view aOperation, Duration aRan)
+// Earlier runs fade, so that an operation whose nature changes is learnt anew.
+RunTimes::Shares&
+RunTimes::Seen(std::string_view aOperation)
 {
   auto it = mOperations.find(aOperation);
   if (it == mOperations.end()) {
     it = mOperations.emplace(std::string(aOperation), Shares{}).first;
   }
-  Shares& seen = it->second;
-  seen.mShort *= kKeep;
-  seen.mLong *= kKeep;
-  bool isLong = aRan > mLongAfter;
-  (isLong ? seen.mLong : seen.mShort) += 1;
+  it->second.mShort *= kKeep;
+  it->second.mLong *= kKeep;
+  return it->second;
+}
 
+// A run is known to be long as soon as it has gone on for long enough; to
+// wait for its end would let more of its kind in among the short work.
+void
+RunTimes::RecordAged(std::string_view aOperation)
+{
+  Seen(aOperation).mLong += 1;
+}
+
+void
+RunTimes::Record(std::string_view aOperation, Duration aRan)
+{
+  bool isLong = aRan > mLongAfter;
+  if (!isLong) {
+    Seen(aOperation).mShort += 1;
+  }
   double& mean = mMeanSeconds[isLong ? 1 : 0];
   double ran = ToSeconds(aRan);
   mean = mean == 0 ? ran : mean + kMeanWeight * (ran - mean);
@@ -50,6 +67,9 @@
 RunTimes::Mean(WorkClass aClass) const
 {
   double seconds = mMeanSeconds[static_cast<std::size_t>(aClass)];
+  if (aClass == WorkClass::Long) {
+    seconds = std::max(seconds, ToSeconds(mLongAfter));
+  }
   return std::chrono::duration_cast<Duration>(
     std::chrono::duration<double>(seconds));
 }
--- a/src/decide/run_times.h
+++ b/src/decide/run_times.h
@@ -9,7 +9,8 @@
 namespace buckthornshunt {
 
 /// Learns run times by operation and tells long work from short. Declared
-/// sizes play no part, since they are often far from the truth.
+/// sizes are often far from the truth; they count only until the first run of
+/// an operation was seen.
 class RunTimes
 {
 public:
@@ -18,12 +19,16 @@
   {
   }
 
-  /// Class of the next run; an operation not seen before counts as short.
-  WorkClass Classify(std::string_view aOperation) const;
+  /// Class of the next run. aDeclared is the caller's word, zero if it gave
+  /// none.
+  WorkClass Classify(std::string_view aOperation, Duration aDeclared) const;
 
   /// Adds the run time of a finished run.
   void Record(std::string_view aOperation, Duration aRan);
 
+  /// Adds a run that goes on beyond LongAfter(); Record still follows.
+  void RecordAged(std::string_view aOperation);
+
   /// Mean run time of the class; zero before the first run.
   Duration Mean(WorkClass aClass) const;
 
@@ -36,6 +41,8 @@
     double mLong = 0;
   };
 
+  Shares& Seen(std::string_view aOperation);
+
   Duration mLongAfter;
   NameMap<Shares> mOperations;
   std::array<double, kWorkClasses> mMeanSeconds{};
--- /dev/null
+++ b/src/decide/virtual_fifo.cpp
@@ -0,0 +1,31 @@
+#include "decide/virtual_fifo.h"
+
+#include <algorithm>
+#include <functional>
+
+namespace buckthornshunt {
+
+// Slots that go are those that get free last, so that what is left is never
+// thought busier than it is.
+void
+VirtualFifo::Resize(std::size_t aSlots, TimePoint aNow)
+{
+  std::sort(mFree.begin(), mFree.end());
+  mFree.resize(aSlots, aNow);
+  std::make_heap(mFree.begin(), mFree.end(), std::greater<>());
+}
+
+Duration
+VirtualFifo::Arrive(TimePoint aNow, Duration aRun)
+{
+  if (mFree.empty()) {
+    return Duration::zero();
+  }
+  std::pop_heap(mFree.begin(), mFree.end(), std::greater<>());
+  TimePoint start = std::max(aNow, mFree.back());
+  mFree.back() = start + aRun;
+  std::push_heap(mFree.begin(), mFree.end(), std::greater<>());
+  return start - aNow;
+}
+
+} // namespace buckthornshunt
--- a/src/services/dispatch_attempts.cpp
+++ b/src/services/dispatch_attempts.cpp
@@ -49,7 +49,7 @@
                 request.mBody };
   BackendCall call = std::move(task);
   Watchdog aging(
-    clock, from + pool.LongAfter(), [&aSlot] { aSlot.MarkLong(); });
+    clock, from + pool.LongAfter(), [&] { aSlot.MarkLong(request.mOperation); });
   auto reply = co_await CallBackend(
     mBackends, endpoint, std::move(call), request.mDeadline);
   RecordSpan(request, "backend", from, vm);
--- a/src/services/dispatch_service.cpp
+++ b/src/services/dispatch_service.cpp
@@ -233,7 +233,7 @@
   if (it != aPool.Config().mOperations.end() && it->second.mUrgent) {
     return Lane::Urgent;
   }
-  bool isLong = aPool.Classify(aRequest.mOperation) == WorkClass::Long;
+  bool isLong = aPool.Classify(aRequest.mOperation, aRequest.mDeclared) == WorkClass::Long;
   return isLong ? Lane::Long : Lane::Short;
 }
 
--- a/src/services/pool_runtime.cpp
+++ b/src/services/pool_runtime.cpp
@@ -64,9 +64,13 @@
 }
 
 void
-Slot::MarkLong()
+Slot::MarkLong(std::string_view aOperation)
 {
-  if (mPool != nullptr && mClass == WorkClass::Short) {
+  if (mPool == nullptr) {
+    return;
+  }
+  mPool->mRunTimes.RecordAged(aOperation);
+  if (mClass == WorkClass::Short) {
     mClass = WorkClass::Long;
     mPool->mServers.Reclassify(mServer);
   }
@@ -160,6 +164,8 @@
   for (ServerIndex i = 0; i < mEntries.size(); ++i) {
     UpdateShare(i);
   }
+  mFifo.Resize(static_cast<std::size_t>(mServers.TotalSlots()),
+               mKernel.GetClock().Now());
   Pump();
 }
 
@@ -222,7 +228,13 @@
   Waiter waiter(mKernel.Context());
   waiter.mTried.assign(aRequest.mTried.begin(), aRequest.mTried.end());
   WaitId id = mNextWait++;
-  if (!mQueue.Push(id, aRequest.mLane)) {
+  WorkClass workClass =
+    aRequest.mLane == Lane::Long ? WorkClass::Long : WorkClass::Short;
+  Duration inOrder = mFifo.Arrive(from, mRunTimes.Mean(workClass));
+  TimePoint due = workClass == WorkClass::Long
+                    ? DueOfLong(from, inOrder, LongAfter())
+                    : DueOfShort(from);
+  if (!mQueue.Push(id, aRequest.mLane, due)) {
     co_return Refuse(NotRunReason::QueueFull, aRequest.mLane);
   }
   mWaiters.emplace(id, &waiter);
@@ -233,9 +245,9 @@
   };
   std::unique_ptr<void, decltype(leave)> guard(this, leave);
   Pump();
-  Watchdog due(
+  Watchdog late(
     clock, aRequest.mDeadline, [&waiter] { waiter.mGranted.NotifyAll(); });
-  while (!waiter.mSlot && !due.Fired() && !aCaller.Gone()) {
+  while (!waiter.mSlot && !late.Fired() && !aCaller.Gone()) {
     co_await waiter.mGranted.Wait();
   }
   mWaits.Record(clock.Now() - from);
@@ -256,8 +268,7 @@
     return;
   }
   mPumping = true;
-  for (auto lane = mQueue.NextLane(mServers); lane;
-       lane = mQueue.NextLane(mServers)) {
+  for (auto lane = NextLane(); lane; lane = NextLane()) {
     if (!Grant(*lane)) {
       break;
     }
@@ -265,6 +276,17 @@
   mPumping = false;
 }
 
+std::optional<Lane>
+PoolRuntime::NextLane()
+{
+  TimePoint now = mKernel.GetClock().Now();
+  int running = mServers.TotalInFlight() - mServers.LongInFlight();
+  auto waiting =
+    static_cast<int>(mQueue.Size(Lane::Urgent) + mQueue.Size(Lane::Short));
+  mDemand.Update(running + waiting, now);
+  return mQueue.NextLane(mServers, { mDemand.Reserve(), now });
+}
+
 bool
 PoolRuntime::Grant(Lane aLane)
 {
--- a/src/services/pool_runtime.h
+++ b/src/services/pool_runtime.h
@@ -8,6 +8,7 @@
 #include "decide/pool_queue.h"
 #include "decide/retry_budget.h"
 #include "decide/run_times.h"
+#include "decide/virtual_fifo.h"
 #include "kernel/caller_state.h"
 #include "kernel/kernel.h"
 #include "ports/backend_calls.h"
@@ -50,8 +51,8 @@
 
   ServerIndex Server() const { return mServer; }
 
-  /// Counts the work as long from now on.
-  void MarkLong();
+  /// Counts the work, and its operation, as long from now on.
+  void MarkLong(std::string_view aOperation);
 
 private:
   void Release();
@@ -126,9 +127,9 @@
   /// Attempts that this node has at a VM for this pool.
   int InFlightOn(std::string_view aVm) const;
 
-  WorkClass Classify(std::string_view aOperation) const
+  WorkClass Classify(std::string_view aOperation, Duration aDeclared) const
   {
-    return mRunTimes.Classify(aOperation);
+    return mRunTimes.Classify(aOperation, aDeclared);
   }
   Duration LongAfter() const { return mRunTimes.LongAfter(); }
   RetryBudget& Retries() { return mRetries; }
@@ -165,6 +166,7 @@
   void UpdateUsable(ServerIndex aServer);
   void UpdateShare(ServerIndex aServer);
   void Pump();
+  std::optional<Lane> NextLane();
   bool Grant(Lane aLane);
   NotRun Refuse(NotRunReason aReason, Lane aLane);
   void EndAttempt(ServerIndex aServer, WorkClass aClass);
@@ -180,6 +182,8 @@
   std::vector<ServerIndex> mBorrowing;
   PoolServers mServers;
   PoolQueue mQueue;
+  ShortDemand mDemand;
+  VirtualFifo mFifo;
   RunTimes mRunTimes;
   OutlierEjection mEjection;
   RetryBudget mRetries;
--- a/src/wire/api_codec.cpp
+++ b/src/wire/api_codec.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::size_t kMostNameBytes = 128;
 constexpr std::size_t kMostKeyBytes = 256;
-constexpr std::int64_t kMostDeadlineMillis = 7LL * 24 * 3600 * 1000;
+constexpr std::int64_t kMostMillis = 7LL * 24 * 3600 * 1000;
 
 leaf::result<std::string>
 ReadName(std::string_view aText, const char* aField, std::size_t aMost)
@@ -37,6 +37,21 @@
   return !aText.empty() && ec == std::errc{} && at == end;
 }
 
+// A number of milliseconds above 0; zero if the field is absent.
+leaf::result<Duration>
+ReadMillis(const HttpRequest& aRequest, std::string_view aField)
+{
+  std::string_view text = FindField(aRequest.mFields, aField);
+  if (text.empty()) {
+    return Duration::zero();
+  }
+  std::int64_t millis = 0;
+  if (!ParseMillis(text, millis) || millis <= 0 || millis > kMostMillis) {
+    return Fail(MessageFailure{ MessageFault::WrongType, std::string(aField) });
+  }
+  return Duration(std::chrono::milliseconds(millis));
+}
+
 } // namespace
 
 leaf::result<Request>
@@ -69,6 +84,7 @@
   bool repeatable = idempotent != "false";
   request.mRepeatable =
     repeatable ? Repeatable::Idempotent : Repeatable::NonIdempotent;
+  BOOST_LEAF_ASSIGN(request.mDeclared, ReadMillis(aRequest, kDeclaredField));
   request.mBody = aRequest.mBody;
   return request;
 }
@@ -76,17 +92,7 @@
 leaf::result<Duration>
 DecodeDeadline(const HttpRequest& aRequest)
 {
-  std::string_view text = FindField(aRequest.mFields, kDeadlineField);
-  if (text.empty()) {
-    return Duration::zero();
-  }
-  std::int64_t millis = 0;
-  if (!ParseMillis(text, millis) || millis <= 0 ||
-      millis > kMostDeadlineMillis) {
-    return Fail(
-      MessageFailure{ MessageFault::WrongType, std::string(kDeadlineField) });
-  }
-  return Duration(std::chrono::milliseconds(millis));
+  return ReadMillis(aRequest, kDeadlineField);
 }
 
 namespace {
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -29,6 +29,7 @@
            { "key", aRequest.mKey },
            { "idempotent", aRequest.mRepeatable == Repeatable::Idempotent },
            { "body", BytesToJson(aRequest.mBody) },
+           { "declared", aRequest.mDeclared.count() },
            { "trace", aRequest.mTrace },
            { "span", aRequest.mSpan } };
 }
@@ -45,6 +46,8 @@
   request.mRepeatable =
     idempotent ? Repeatable::Idempotent : Repeatable::NonIdempotent;
   BOOST_LEAF_ASSIGN(request.mBody, ReadBytes(aJson, "body"));
+  BOOST_LEAF_AUTO(declared, ReadSigned(aJson, "declared"));
+  request.mDeclared = Duration(declared);
   BOOST_LEAF_ASSIGN(request.mTrace, ReadNumber(aJson, "trace"));
   BOOST_LEAF_ASSIGN(request.mSpan, ReadNumber(aJson, "span"));
   return request;
