--- a/src/ports/platform_calls.h
+++ b/src/ports/platform_calls.h
@@ -41,9 +41,13 @@
   std::vector<RowWrite> mWrites;
 };
 
-/// Asks for the lagging list of VMs.
+/// Asks for the lagging list of the VMs of a data centre, unless the list
+/// still has the tag of an earlier answer.
 struct ListVms
-{};
+{
+  std::string mDataCentre;
+  std::string mKnownTag;
+};
 
 struct PutObject
 {
@@ -73,6 +77,9 @@
 /// VMs as the platform saw them some time ago.
 struct VmList
 {
+  std::string mTag;
+  /// The list equals the one of the known tag; nothing else is filled in.
+  bool mUnchanged = false;
   std::vector<VmListing> mWorkers;
   /// Names of the entry VMs that have not ended.
   std::vector<std::string> mEntryVms;
--- a/src/services/claim_store.cpp
+++ b/src/services/claim_store.cpp
@@ -8,7 +8,7 @@
 
 constexpr std::string_view kTicketPrefix = "t~";
 constexpr Duration kTicketLife = std::chrono::minutes(15);
-constexpr std::size_t kMostTickets = 20000;
+constexpr std::size_t kMostTickets = 40000;
 constexpr std::size_t kMostAnswerBytes = 16ULL * 1024 * 1024;
 
 } // namespace
@@ -86,14 +86,29 @@
 {
 }
 
+void
+TicketClaims::Drop(Entries::iterator aAt)
+{
+  const HeldClaim& held = aAt->second.mHeld;
+  mAnswerBytes -= held.mClaim ? held.mClaim->mClaim.mAnswer.size() : 0;
+  mEntries.erase(aAt);
+}
+
 void
 TicketClaims::DropExpired()
 {
   TimePoint now = mClock.Now();
   while (!mEntries.empty() && mEntries.begin()->second.mExpires <= now) {
-    const HeldClaim& held = mEntries.begin()->second.mHeld;
-    mAnswerBytes -= held.mClaim ? held.mClaim->mClaim.mAnswer.size() : 0;
-    mEntries.erase(mEntries.begin());
+    Drop(mEntries.begin());
+  }
+}
+
+void
+TicketClaims::Forget(std::string_view aKey)
+{
+  auto it = Find(aKey);
+  if (it != mEntries.end()) {
+    Drop(it);
   }
 }
 
@@ -109,27 +124,26 @@
   return Ticket{ mNode, mIncarnation, sequence };
 }
 
-TicketClaims::Entry*
+TicketClaims::Entries::iterator
 TicketClaims::Find(std::string_view aKey)
 {
   std::optional<Ticket> ticket = ParseTicket(aKey);
   if (!ticket || ticket->mNode != mNode ||
       ticket->mIncarnation != mIncarnation) {
-    return nullptr;
+    return mEntries.end();
   }
-  auto it = mEntries.find(ticket->mSequence);
-  return it == mEntries.end() ? nullptr : &it->second;
+  return mEntries.find(ticket->mSequence);
 }
 
 Task<Expected<HeldClaim>>
 TicketClaims::Load(std::string aKey, TimePoint)
 {
   DropExpired();
-  const Entry* entry = Find(aKey);
-  if (entry == nullptr) {
+  auto it = Find(aKey);
+  if (it == mEntries.end()) {
     co_return Failure(NotFound{ std::move(aKey) });
   }
-  co_return entry->mHeld;
+  co_return it->second.mHeld;
 }
 
 Task<Expected<Revision>>
@@ -138,11 +152,11 @@
                    Revision aExpected,
                    TimePoint)
 {
-  Entry* entry = Find(aKey);
-  if (entry == nullptr) {
+  auto it = Find(aKey);
+  if (it == mEntries.end()) {
     co_return Failure(NotFound{ std::move(aKey) });
   }
-  HeldClaim& held = entry->mHeld;
+  HeldClaim& held = it->second.mHeld;
   if (held.mRevision != aExpected) {
     co_return Failure(CommitConflict{ std::move(aKey), held.mRevision });
   }
--- a/src/services/claim_store.h
+++ b/src/services/claim_store.h
@@ -73,6 +73,9 @@
                                 Revision aExpected,
                                 TimePoint aDeadline);
 
+  /// Drops a ticket before it expires.
+  void Forget(std::string_view aKey);
+
   std::size_t Open() const { return mEntries.size(); }
 
 private:
@@ -82,8 +85,11 @@
     HeldClaim mHeld;
   };
 
+  using Entries = std::map<std::uint64_t, Entry>;
+
   void DropExpired();
-  Entry* Find(std::string_view aKey);
+  void Drop(Entries::iterator aAt);
+  Entries::iterator Find(std::string_view aKey);
 
   Clock& mClock;
   std::string mNode;
@@ -91,7 +97,7 @@
   std::uint64_t mNextSequence = 1;
   std::size_t mAnswerBytes = 0;
   /// Sequence numbers ascend with expiry times.
-  std::map<std::uint64_t, Entry> mEntries;
+  Entries mEntries;
 };
 
 using ClaimStore = std::variant<TableClaims*, TicketClaims*>;
--- a/src/services/control_service.cpp
+++ b/src/services/control_service.cpp
@@ -259,11 +259,15 @@
   if (mList && clock.Now() - mListAt < kListInterval) {
     co_return;
   }
-  auto list = co_await mTable->List(CallDeadline());
+  std::string tag = mList ? mList->mTag : std::string();
+  auto list =
+    co_await mTable->List(mDataCentre, std::move(tag), CallDeadline());
   if (!Ok(list)) {
     co_return;
   }
-  mList = std::get<VmList>(std::move(list));
+  if (!std::get<VmList>(list).mUnchanged) {
+    mList = std::get<VmList>(std::move(list));
+  }
   mListAt = clock.Now();
   const auto& entry = mList->mEntryVms;
   for (const NodeRecord& node : mMembers->NodesOf(mDataCentre)) {
--- a/src/services/dispatch_attempts.cpp
+++ b/src/services/dispatch_attempts.cpp
@@ -48,8 +48,9 @@
                 request.mDeadline - from,
                 request.mBody };
   BackendCall call = std::move(task);
-  Watchdog aging(
-    clock, from + pool.LongAfter(), [&] { aSlot.MarkLong(request.mOperation); });
+  Watchdog aging(clock, from + pool.LongAfter(), [&] {
+    aSlot.MarkLong(request.mOperation);
+  });
   auto reply = co_await CallBackend(
     mBackends, endpoint, std::move(call), request.mDeadline);
   RecordSpan(request, "backend", from, vm);
--- a/src/services/dispatch_service.cpp
+++ b/src/services/dispatch_service.cpp
@@ -188,6 +188,20 @@
   return mStopping ? std::nullopt : mTicketClaims->Issue();
 }
 
+void
+DispatchService::ForgetTicket(std::string_view aKey)
+{
+  mTicketClaims->Forget(aKey);
+}
+
+bool
+DispatchService::RunsOnce(const Request& aRequest) const
+{
+  auto it = mPools.find(aRequest.mPool);
+  return it == mPools.end() ||
+         RepeatableOf(*it->second, aRequest) == Repeatable::NonIdempotent;
+}
+
 int
 DispatchService::InFlightOn(std::string_view aVm) const
 {
@@ -233,7 +247,8 @@
   if (it != aPool.Config().mOperations.end() && it->second.mUrgent) {
     return Lane::Urgent;
   }
-  bool isLong = aPool.Classify(aRequest.mOperation, aRequest.mDeclared) == WorkClass::Long;
+  bool isLong =
+    aPool.Classify(aRequest.mOperation, aRequest.mDeclared) == WorkClass::Long;
   return isLong ? Lane::Long : Lane::Short;
 }
 
--- a/src/services/dispatch_service.h
+++ b/src/services/dispatch_service.h
@@ -51,6 +51,12 @@
   /// open or this node stops.
   std::optional<Ticket> IssueTicket();
 
+  /// Drops a ticket whose request ended with nothing left to ask about.
+  void ForgetTicket(std::string_view aKey);
+
+  /// True if a request must not run twice, by its caller or its configuration.
+  bool RunsOnce(const Request& aRequest) const;
+
   /// True if this node may take requests.
   bool Ready() const;
 
--- a/src/services/front_service.cpp
+++ b/src/services/front_service.cpp
@@ -183,15 +183,20 @@
   TimePoint from = mKernel.GetClock().Now();
   request.mDeadline = from + allowance;
   Outcome outcome = NotRun{ NotRunReason::NoCapacity, kTicketRetryAfter };
-  // A request without a key gets a ticket, by which its caller can ask again.
-  if (request.mKey.empty()) {
+  // Work that must not run twice and has no key gets a ticket, by which its
+  // caller can ask again if the outcome stays unknown.
+  bool ownTicket = request.mKey.empty() && mDispatch->RunsOnce(request);
+  if (ownTicket) {
     std::optional<Ticket> ticket = mDispatch->IssueTicket();
     request.mKey = ticket ? ToString(*ticket) : std::string();
   }
-  if (!request.mKey.empty()) {
+  if (!ownTicket || !request.mKey.empty()) {
     outcome =
       co_await mDispatch->Serve(request, aCaller, RequestOrigin::Caller);
   }
+  if (ownTicket && !std::holds_alternative<Unknown>(outcome)) {
+    mDispatch->ForgetTicket(request.mKey);
+  }
   Duration length = mKernel.GetClock().Now() - from;
   mKernel.GetMetrics().GetHistogram("request").Record(length);
   WallTime start{ mKernel.GetClock().WallNow().mMillis - ToMillis(length) };
--- a/src/services/table_service.cpp
+++ b/src/services/table_service.cpp
@@ -19,6 +19,45 @@
 /// Part of an interval by which it varies, so that nodes don't call together.
 constexpr std::uint64_t kJitterPercent = 20;
 
+/// Bytes of a row besides its key and value, as it travels.
+constexpr std::size_t kRowOverhead = 60;
+
+// Bytes of the rows that a call carries; the frame around them is alike for
+// every call.
+std::int64_t
+SizeOf(const PlatformCall& aCall)
+{
+  std::size_t n = 0;
+  if (const auto* commit = std::get_if<CommitRows>(&aCall)) {
+    for (const RowWrite& write : commit->mWrites) {
+      n += kRowOverhead + write.mKey.size() + write.mValue.size();
+    }
+  }
+  return static_cast<std::int64_t>(n);
+}
+
+std::int64_t
+SizeOf(const Expected<PlatformReply>& aReply)
+{
+  const auto* reply = std::get_if<PlatformReply>(&aReply);
+  if (reply == nullptr) {
+    return 0;
+  }
+  std::size_t n = 0;
+  if (const auto* batch = std::get_if<RowBatch>(reply)) {
+    for (const Row& row : batch->mRows) {
+      n += kRowOverhead + row.mKey.size() + row.mValue.size();
+    }
+  }
+  if (const auto* list = std::get_if<VmList>(reply)) {
+    for (const VmListing& vm : list->mWorkers) {
+      n += kRowOverhead + vm.mVm.size() + vm.mDataCentre.size() +
+           vm.mRack.size() + vm.mEndpoint.mHost.size();
+    }
+  }
+  return static_cast<std::int64_t>(n);
+}
+
 Duration
 Jittered(Duration aInterval, std::uint64_t aRandom)
 {
@@ -131,8 +170,11 @@
 Task<Expected<PlatformReply>>
 TableService::Call(PlatformCall aCall, TimePoint aDeadline)
 {
-  mKernel.GetMetrics().GetCounter("platform_calls_total").Add();
+  Metrics& metrics = mKernel.GetMetrics();
+  metrics.GetCounter("platform_calls_total").Add();
+  metrics.GetCounter("platform_bytes_total").Add(SizeOf(aCall));
   auto reply = co_await CallPlatform(mPlatform, std::move(aCall), aDeadline);
+  metrics.GetCounter("platform_bytes_total").Add(SizeOf(reply));
   bool answered =
     Ok(reply) ||
     std::holds_alternative<CommitConflict>(std::get<Failure>(reply)) ||
@@ -173,9 +215,11 @@
 }
 
 Task<Expected<VmList>>
-TableService::List(TimePoint aDeadline)
+TableService::List(std::string aDataCentre,
+                   std::string aKnownTag,
+                   TimePoint aDeadline)
 {
-  PlatformCall call = ListVms{};
+  PlatformCall call = ListVms{ std::move(aDataCentre), std::move(aKnownTag) };
   auto reply = co_await Call(std::move(call), aDeadline);
   if (!Ok(reply)) {
     co_return std::get<Failure>(std::move(reply));
--- a/src/services/table_service.h
+++ b/src/services/table_service.h
@@ -64,7 +64,10 @@
                                       Revision aAfter,
                                       TimePoint aDeadline);
 
-  Task<Expected<VmList>> List(TimePoint aDeadline);
+  /// The VMs of a data centre; unchanged if they still have the known tag.
+  Task<Expected<VmList>> List(std::string aDataCentre,
+                              std::string aKnownTag,
+                              TimePoint aDeadline);
 
 private:
   Task<void> Follow();
--- a/src/wire/platform_codec.cpp
+++ b/src/wire/platform_codec.cpp
@@ -12,6 +12,10 @@
 constexpr int kStatusConflict = 409;
 constexpr int kStatusUnavailable = 503;
 
+constexpr int kStatusNotModified = 304;
+constexpr std::string_view kTagField = "ETag";
+constexpr std::string_view kKnownTagField = "If-None-Match";
+
 constexpr std::string_view kTablePath = "/table";
 constexpr std::string_view kRowPath = "/row";
 constexpr std::string_view kCommitPath = "/commit";
@@ -58,9 +62,14 @@
                        std::string(kCommitPath),
                        ToCbor(Json{ { "writes", std::move(writes) } }));
   }
-  HttpRequest operator()(const ListVms&) const
+  HttpRequest operator()(const ListVms& aCall) const
   {
-    return MakeRequest("GET", std::string(kVmsPath));
+    HttpRequest request = MakeRequest(
+      "GET", std::string(kVmsPath) + "?dc=" + EncodeUrl(aCall.mDataCentre));
+    if (!aCall.mKnownTag.empty()) {
+      request.mFields.emplace_back(kKnownTagField, aCall.mKnownTag);
+    }
+    return request;
   }
   HttpRequest operator()(const PutObject& aCall) const
   {
@@ -129,7 +138,9 @@
     return DecodeCommit(aRequest.mBody);
   }
   if (path == kVmsPath) {
-    return PlatformCall(ListVms{});
+    std::string tag(FindField(aRequest.mFields, kKnownTagField));
+    return PlatformCall(
+      ListVms{ QueryValue(aRequest.mTarget, "dc"), std::move(tag) });
   }
   if (path.starts_with(kObjectPath)) {
     std::string name = DecodeUrl(path.substr(kObjectPath.size()));
@@ -183,12 +194,17 @@
   }
   HttpReply operator()(const VmList& aReply) const
   {
+    if (aReply.mUnchanged) {
+      return MakeReply(kStatusNotModified, kCborType, {});
+    }
     Json workers = Json::array();
     for (const VmListing& vm : aReply.mWorkers) {
       workers.push_back(ListingToJson(vm));
     }
-    return Cbor(
+    HttpReply reply = Cbor(
       Json{ { "workers", std::move(workers) }, { "entry", aReply.mEntryVms } });
+    reply.mFields.emplace_back(kTagField, aReply.mTag);
+    return reply;
   }
   HttpReply operator()(const ObjectStored&) const
   {
@@ -245,6 +261,7 @@
 struct ReplyDecoder
 {
   std::string_view mBody;
+  std::string_view mTag;
 
   leaf::result<PlatformReply> operator()(const ReadRows&) const
   {
@@ -273,6 +290,7 @@
   {
     BOOST_LEAF_AUTO(json, ParseCbor(mBody));
     BOOST_LEAF_AUTO(list, VmListFromJson(json));
+    list.mTag = mTag;
     return PlatformReply(std::move(list));
   }
   leaf::result<PlatformReply> operator()(const PutObject&) const
@@ -319,12 +337,20 @@
   if (aReply.mStatus == kStatusNotFound) {
     return Failure(NotFound{});
   }
+  if (aReply.mStatus == kStatusNotModified) {
+    VmList unchanged;
+    unchanged.mUnchanged = true;
+    return PlatformReply(std::move(unchanged));
+  }
   // An error status may come from a gateway after the store did the work.
   if (aReply.mStatus != kStatusOk) {
     return Failure(ProtocolFailure{});
   }
-  auto decoded = ToExpected<PlatformReply>(
-    [&] { return std::visit(ReplyDecoder{ aReply.mBody }, aCall); });
+  auto decoded = ToExpected<PlatformReply>([&] {
+    return std::visit(
+      ReplyDecoder{ aReply.mBody, FindField(aReply.mFields, kTagField) },
+      aCall);
+  });
   return Ok(decoded) ? decoded : Failure(ProtocolFailure{});
 }
 
--- a/standins/platform_state.cpp
+++ b/standins/platform_state.cpp
@@ -1,9 +1,30 @@
 #include "standins/platform_state.h"
 
+#include "kernel/trace.h"
+#include "wire/digest.h"
+
 #include <algorithm>
 
 namespace buckthornshunt::standins {
 
+namespace {
+
+std::string
+TagOf(const VmList& aList)
+{
+  std::string text;
+  for (const VmListing& vm : aList.mWorkers) {
+    text += vm.mVm + "/" + vm.mRack + "/" + ToString(vm.mEndpoint) +
+            (vm.mLeaving ? "-;" : "+;");
+  }
+  for (const std::string& name : aList.mEntryVms) {
+    text += name + ";";
+  }
+  return "\"" + FormatId(BodyDigest(text)) + "\"";
+}
+
+} // namespace
+
 // A stale read shows each row as the log had it at an earlier revision.
 Revision
 PlatformState::VisibleRevision() const
@@ -95,9 +116,22 @@
   {
     return mState.Commit(aCall, mNow);
   }
-  Expected<PlatformReply> operator()(const ListVms&) const
+  Expected<PlatformReply> operator()(const ListVms& aCall) const
   {
-    return PlatformReply(mState.mVms);
+    VmList list;
+    for (const VmListing& vm : mState.mVms.mWorkers) {
+      if (vm.mDataCentre == aCall.mDataCentre) {
+        list.mWorkers.push_back(vm);
+      }
+    }
+    list.mEntryVms = mState.mVms.mEntryVms;
+    list.mTag = TagOf(list);
+    if (list.mTag == aCall.mKnownTag) {
+      list.mUnchanged = true;
+      list.mWorkers.clear();
+      list.mEntryVms.clear();
+    }
+    return PlatformReply(std::move(list));
   }
   Expected<PlatformReply> operator()(const PutObject& aCall) const
   {
--- /dev/null
+++ b/tests/bad_input_test.cpp
@@ -0,0 +1,301 @@
+#include "wire/api_codec.h"
+#include "wire/backend_codec.h"
+#include "wire/config_codec.h"
+#include "wire/peer_codec.h"
+#include "wire/platform_codec.h"
+#include "wire/row_codec.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace buckthornshunt;
+
+namespace {
+
+std::optional<Failure>
+FailureOf(const std::function<leaf::result<void>()>& aRead)
+{
+  auto result =
+    ToExpected<std::monostate>([&]() -> leaf::result<std::monostate> {
+      BOOST_LEAF_CHECK(aRead());
+      return std::monostate{};
+    });
+  if (Ok(result)) {
+    return std::nullopt;
+  }
+  return std::get<Failure>(result);
+}
+
+template<class Read>
+bool
+Refused(Read aRead)
+{
+  return FailureOf([&]() -> leaf::result<void> {
+           BOOST_LEAF_CHECK(aRead());
+           return {};
+         })
+    .has_value();
+}
+
+ConfigSource
+Kiirtee()
+{
+  return ReadConfigSource("examples/kiirtee").value();
+}
+
+std::vector<ConfigFailure>
+FaultsOf(const ConfigSource& aSource)
+{
+  std::vector<ConfigFailure> faults;
+  CheckConfig(aSource, faults);
+  return faults;
+}
+
+} // namespace
+
+TEST_CASE("the examples are valid")
+{
+  for (const char* name : { "examples/kiirtee", "examples/akustika" }) {
+    ConfigSource source = ReadConfigSource(name).value();
+    for (const ConfigFailure& fault : FaultsOf(source)) {
+      FAIL_CHECK(Describe(Failure(fault)));
+    }
+  }
+}
+
+TEST_CASE("each fault of a configuration names its file and its place")
+{
+  ConfigSource source = Kiirtee();
+  Json& overlay = source.mOverlays[2].mJson;
+  REQUIRE(overlay["site"] == "tallinn-b");
+  Json& base = source.mBase.mJson;
+
+  auto expect =
+    [&](ConfigFault aFault, std::string_view aFile, std::string_view aPointer) {
+      auto faults = FaultsOf(source);
+      REQUIRE(faults.size() == 1);
+      CHECK(faults[0].mFault == aFault);
+      CHECK(faults[0].mFile.ends_with(aFile));
+      CHECK(faults[0].mPointer == aPointer);
+    };
+  SUBCASE("an unknown key")
+  {
+    overlay["pools"]["survey"]["vmz"] = 3;
+    expect(ConfigFault::Schema, "tallinn-b.json", "/pools/survey");
+  }
+  SUBCASE("a wrong type")
+  {
+    base["pools"]["survey"]["vms"] = "three";
+    expect(ConfigFault::Schema, "base.json", "/pools/survey/vms");
+  }
+  SUBCASE("an overlay that states no difference")
+  {
+    overlay["pools"]["survey"]["vms"] = base["pools"]["survey"]["vms"];
+    expect(ConfigFault::NoDifference, "tallinn-b.json", "/pools/survey/vms");
+  }
+  SUBCASE("an overlay of a pool that doesn't exist")
+  {
+    overlay["pools"]["surveys"]["vms"] = 3;
+    expect(ConfigFault::UnknownName, "tallinn-b.json", "/pools/surveys");
+  }
+  SUBCASE("an overlay of a site that doesn't exist")
+  {
+    overlay["site"] = "tartu";
+    auto faults = FaultsOf(source);
+    REQUIRE_FALSE(faults.empty());
+    CHECK(faults[0].mFault == ConfigFault::UnknownName);
+    CHECK(faults[0].mPointer == "/site");
+  }
+  SUBCASE("a budget that the spare VMs can't meet")
+  {
+    overlay["pools"]["survey"]["spare_vms"] = 0;
+    expect(
+      ConfigFault::Infeasible, "tallinn-b.json", "/pools/survey/spare_vms");
+  }
+  SUBCASE("more VMs than the site has")
+  {
+    overlay["pools"]["survey"]["vms"] = 14;
+    overlay["pools"]["survey"]["spare_vms"] = 14;
+    expect(ConfigFault::Infeasible, "tallinn-b.json", "/pools");
+  }
+  SUBCASE("a spare pool that doesn't exist")
+  {
+    base["spare_pool"] = "attic";
+    auto faults = FaultsOf(source);
+    REQUIRE_FALSE(faults.empty());
+    CHECK(faults[0].mPointer == "/spare_pool");
+  }
+}
+
+TEST_CASE("a duplicate key is a fault, with its place")
+{
+  auto failure = FailureOf([]() -> leaf::result<void> {
+    BOOST_LEAF_CHECK(
+      ParseDocument("base.json", R"({"pools": {"a": {"vms": 1, "vms": 2}}})"));
+    return {};
+  });
+  REQUIRE(failure);
+  const auto& fault = std::get<ConfigFailure>(*failure);
+  CHECK(fault.mFault == ConfigFault::DuplicateKey);
+  CHECK(fault.mPointer == "/pools/a/vms");
+}
+
+TEST_CASE("a configuration survives being cut into rows and joined")
+{
+  for (const char* name : { "examples/kiirtee", "examples/akustika" }) {
+    ConfigSource source = ReadConfigSource(name).value();
+    ConfigSource joined = JoinConfig(SplitConfig(source));
+    CHECK(joined.mBase.mJson == source.mBase.mJson);
+    CHECK(SplitConfig(joined) == SplitConfig(source));
+    CHECK(FaultsOf(joined).empty());
+  }
+}
+
+TEST_CASE("deeply nested input is refused before it is built")
+{
+  std::string cbor(200000, '\x81');
+  CHECK(Refused([&] { return ParseCbor(cbor); }));
+  std::string json(200000, '[');
+  CHECK(Refused([&] { return ParseJson(json); }));
+  CHECK(Refused([&] { return ParseDocument("base.json", json); }));
+}
+
+TEST_CASE("callers' headers are checked")
+{
+  HttpRequest request;
+  request.mMethod = "POST";
+  request.mTarget = "/v1/pools/billing/operations/invoice";
+  CHECK_FALSE(Refused([&] { return DecodeCallerRequest(request); }));
+  SUBCASE("deadline")
+  {
+    for (const char* text : { "0", "-5", "soon", "1e9", "99999999999999" }) {
+      request.mFields = { { "X-Deadline-Ms", text } };
+      CHECK(Refused([&] { return DecodeDeadline(request); }));
+    }
+  }
+  SUBCASE("idempotent")
+  {
+    request.mFields = { { "X-Idempotent", "maybe" } };
+    CHECK(Refused([&] { return DecodeCallerRequest(request); }));
+  }
+  SUBCASE("length of the key")
+  {
+    request.mFields = { { "Idempotency-Key", std::string(1000, 'k') } };
+    CHECK(Refused([&] { return DecodeCallerRequest(request); }));
+  }
+  SUBCASE("path")
+  {
+    request.mTarget = "/v1/pools/billing/operations";
+    CHECK(Refused([&] { return DecodeCallerRequest(request); }));
+  }
+}
+
+TEST_CASE("a truncated or mixed-up answer of a server is no answer")
+{
+  AttemptId attempt{ Incarnation{ 7 }, 9 };
+  RunTask task{ attempt, "work", "op", std::chrono::seconds(1), "body" };
+  Endpoint server{ "127.0.0.1", 80 };
+  TaskEnded ended{ attempt, false, "the whole answer", { 1, 4 } };
+  HttpReply reply = EncodeBackendReply(ended);
+  CHECK(Ok(DecodeBackendReply(task, server, reply)));
+  SUBCASE("truncated")
+  {
+    reply.mBody.resize(5);
+  }
+  SUBCASE("of another attempt")
+  {
+    task.mAttempt.mSequence = 10;
+  }
+  SUBCASE("without a digest")
+  {
+    reply.mFields.clear();
+  }
+  auto decoded = DecodeBackendReply(task, server, reply);
+  REQUIRE_FALSE(Ok(decoded));
+  CHECK(std::holds_alternative<ProtocolFailure>(std::get<Failure>(decoded)));
+}
+
+TEST_CASE("peer messages survive the wire")
+{
+  Request request;
+  request.mPool = "work";
+  request.mBody = std::string("\0\xff raw", 6);
+  request.mDeclared = std::chrono::seconds(3);
+  RowBatch batch{ Revision{ 1 }, Revision{ 5 }, {} };
+  batch.mRows.push_back(
+    { "c/x", std::string("\x80\x00", 2), Revision{ 4 }, WallTime{ 9 }, false });
+  std::vector<PeerMessage> messages = {
+    Hello{ "n", "dc", Incarnation{ 4 }, { "127.0.0.1", 9 } },
+    Ping{ Revision{ 4 } },
+    FeedRows{ batch },
+    PoolRoom{ "work", true },
+    ForwardRequest{ 3, request, std::chrono::seconds(2) },
+    ForwardAnswer{ 3, NotRun{ NotRunReason::QueueFull, Duration(5) } },
+    ForwardAnswer{ 3, Completed{ request.mBody, { Incarnation{ 1 }, 2 } } },
+    ForwardAnswer{ 3, Unknown{ { Incarnation{ 1 }, 2 } } },
+    ForwardCancel{ 8 },
+    TraceAsk{ 1, 2 },
+    TraceAnswer{ 1, { Span{} } },
+    Goodbye{}
+  };
+  for (const PeerMessage& message : messages) {
+    std::string bytes = EncodePeerMessage(message);
+    PeerMessage decoded = DecodePeerMessage(bytes).value();
+    CHECK(decoded.index() == message.index());
+    CHECK(EncodePeerMessage(decoded) == bytes);
+  }
+}
+
+// Bounded and seeded: every decoder that takes bytes from outside must refuse
+// or accept damaged input without a crash.
+TEST_CASE("damaged bytes are refused or read, never worse")
+{
+  constexpr int kRounds = 3000;
+  std::mt19937 rng(20261204);
+  Request request;
+  request.mPool = "work";
+  request.mBody = "body";
+  StoredClaim claim{ "a", { ClaimState::Finished, {}, "vm", 1, false, "x" } };
+  VmOwnership vm{ "vm", "work", "", Epoch{ 3 }, VmState::Serving, {}, "r", {} };
+  vm.mEndpoint = { "127.0.0.1", 1 };
+  std::vector<std::string> corpus = {
+    EncodePeerMessage(ForwardRequest{ 3, request, std::chrono::seconds(2) }),
+    EncodePeerMessage(Hello{ "n", "dc", {}, { "127.0.0.1", 9 } }),
+    EncodeClaim(claim),
+    EncodeVm(vm),
+    SplitConfig(Kiirtee()).begin()->second
+  };
+  for (int i = 0; i < kRounds; ++i) {
+    std::string bytes = corpus[rng() % corpus.size()];
+    for (std::size_t n = rng() % 4 + 1; n > 0 && !bytes.empty(); --n) {
+      std::size_t at = rng() % bytes.size();
+      switch (rng() % 3) {
+        case 0:
+          bytes[at] = static_cast<char>(rng());
+          break;
+        case 1:
+          bytes.resize(at);
+          break;
+        default:
+          bytes.insert(at, 1, static_cast<char>(rng()));
+          break;
+      }
+    }
+    Refused([&] { return DecodePeerMessage(bytes); });
+    Refused([&] { return DecodeClaim(bytes); });
+    Refused([&] { return DecodeVm(bytes); });
+    Refused([&] { return DecodeNode(bytes); });
+    Refused([&] { return ParseDocument("base.json", bytes); });
+    HttpRequest commit;
+    commit.mTarget = "/commit";
+    commit.mBody = bytes;
+    Refused([&] { return DecodePlatformCall(commit); });
+    HttpReply reply;
+    reply.mBody = bytes;
+    DecodePlatformReply(ReadRows{}, reply);
+    DecodePlatformReply(ListVms{}, reply);
+    DecodeBackendReply(SealTask{}, { "127.0.0.1", 1 }, reply);
+    DecodeBackendReply(ProbeServer{}, { "127.0.0.1", 1 }, reply);
+  }
+}
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -17,7 +17,7 @@
   aCluster.StartNode("n1", "a");
   aCluster.StartNode("n2", "a");
   REQUIRE(Ok(aCluster.Apply("n1", BaseText(2, 2))));
-  aCluster.Settle();
+  REQUIRE(aCluster.Settle());
 }
 
 // A VM of a pool, by the newest rows.
@@ -92,7 +92,7 @@
   std::string vm = VmOf(cluster, "spare");
   // Only one node's way is cut: it must not be outvoted.
   cluster.StartNode("n3", "a");
-  cluster.Settle();
+  REQUIRE(cluster.Settle());
   cluster.KillNode("n3");
   REQUIRE(Ok(Move(cluster, "n1", vm, "work")));
   cluster.Advance(10s);
@@ -174,7 +174,7 @@
   Cluster cluster;
   StartOneSite(cluster);
   cluster.StartNode("n3", "a");
-  cluster.Settle();
+  REQUIRE(cluster.Settle());
   std::string vm = VmOf(cluster, "work");
   for (VmListing& listed : cluster.Platform().Vms().mWorkers) {
     listed.mLeaving = listed.mVm == vm || listed.mLeaving;
--- a/tests/serving_test.cpp
+++ b/tests/serving_test.cpp
@@ -21,7 +21,7 @@
   aCluster.StartNode("n2", "a");
   aCluster.StartNode("n3", "b");
   REQUIRE(Ok(aCluster.Apply("n1", BaseText(2, 0))));
-  aCluster.Settle();
+  REQUIRE(aCluster.Settle());
 }
 
 std::string_view
