--- a/include/buckthornshunt/types.h
+++ b/include/buckthornshunt/types.h
@@ -100,13 +100,17 @@
 {
   std::string mVm;
   std::string mPool;
-  /// Pool that the VM moves to; empty unless mState is Leaving.
+  /// Pool that a leaving VM moves to; empty if it leaves for maintenance.
   std::string mNextPool;
   Epoch mEpoch{};
   VmState mState = VmState::Serving;
   WallTime mSince;
   std::string mRack;
   Endpoint mEndpoint;
+  /// Last maintenance; the first ownership if there was none.
+  WallTime mMaintained;
+  /// Out for maintenance, or lost while it was.
+  bool mInMaintenance = false;
 
   friend bool operator==(const VmOwnership&, const VmOwnership&) = default;
 };
--- a/src/cli/cli.h
+++ b/src/cli/cli.h
@@ -79,6 +79,10 @@
 int
 RunStatus(std::span<const char*> aArguments);
 int
+RunCost(std::span<const char*> aArguments);
+int
+RunMaintenance(std::span<const char*> aArguments);
+int
 RunMove(std::span<const char*> aArguments);
 int
 RunSubmit(std::span<const char*> aArguments);
--- a/src/cli/fleet_commands.cpp
+++ b/src/cli/fleet_commands.cpp
@@ -1,5 +1,6 @@
 #include "cli/cli.h"
 
+#include <algorithm>
 #include <iomanip>
 #include <iostream>
 
@@ -74,6 +75,116 @@
   return kExitOk;
 }
 
+namespace {
+
+constexpr int kBarWidth = 30;
+
+// A table with a bar for each line, so that large uses stand out.
+void
+PrintCost(const Json& aCost)
+{
+  double most = 1;
+  double total = 0;
+  for (const Json& line : aCost["lines"]) {
+    most = std::max(most, line.value("vm_seconds", 0.0));
+    total += line.value("vm_seconds", 0.0);
+  }
+  std::cout << "site " << aCost.value("site", "") << "\n";
+  for (const Json& line : aCost["lines"]) {
+    double seconds = line.value("vm_seconds", 0.0);
+    auto width = static_cast<std::size_t>(kBarWidth * seconds / most);
+    std::cout << std::left << std::setw(20) << line.value("pool", "")
+              << std::setw(17) << line.value("use", "") << std::right
+              << std::fixed << std::setprecision(0) << std::setw(12) << seconds
+              << " VM-s" << std::setprecision(2) << std::setw(12)
+              << line.value("cents", 0.0) / 100 << "  "
+              << std::string(width, '#') << "\n";
+  }
+  std::cout << std::setprecision(0) << "total " << total << " VM-s\n";
+}
+
+void
+PrintCostCsv(const Json& aCost)
+{
+  std::cout << "site,pool,use,vm_seconds,cents\n";
+  for (const Json& line : aCost["lines"]) {
+    std::cout << aCost.value("site", "") << "," << line.value("pool", "") << ","
+              << line.value("use", "") << "," << line.value("vm_seconds", 0.0)
+              << "," << line.value("cents", 0.0) << "\n";
+  }
+}
+
+} // namespace
+
+int
+RunCost(std::span<const char*> aArguments)
+{
+  CommandLine line;
+  TextOption options[] = {
+    { "from", "start, in ms since 1970; default: a day before the end", "MS" },
+    { "to", "end, in ms since 1970; default: now", "MS" },
+    { "format", "table (default) or csv", "FORMAT" },
+  };
+  if (!ParseCommandLine("cost", "[options]", aArguments, options, line)) {
+    return kExitInvalid;
+  }
+  HttpRequest request;
+  request.mMethod = "GET";
+  request.mTarget = "/v1/cost?from=" + EncodeUrl(options[0].mValue) +
+                    "&to=" + EncodeUrl(options[1].mValue);
+  Json cost;
+  int exit = kExitOk;
+  if (!CallForJson(line, std::move(request), cost, exit)) {
+    return exit;
+  }
+  if (line.mJson) {
+    std::cout << cost.dump() << "\n";
+  } else if (options[2].mValue == "csv") {
+    PrintCostCsv(cost);
+  } else {
+    PrintCost(cost);
+  }
+  return kExitOk;
+}
+
+int
+RunMaintenance(std::span<const char*> aArguments)
+{
+  CommandLine line;
+  if (!ParseCommandLine(
+        "maintenance", "[options] status|start|pause", aArguments, {}, line)) {
+    return kExitInvalid;
+  }
+  std::string verb = line.mArguments.size() == 1 ? line.mArguments[0] : "";
+  if (verb != "status" && verb != "start" && verb != "pause") {
+    std::cerr << "buckthornshunt maintenance: say status, start or pause\n";
+    return kExitInvalid;
+  }
+  HttpRequest request;
+  request.mMethod = verb == "status" ? "GET" : "POST";
+  request.mTarget = "/v1/maintenance" + (verb == "status" ? "" : "/" + verb);
+  Json answer;
+  int exit = kExitOk;
+  if (!CallForJson(line, std::move(request), answer, exit)) {
+    return exit;
+  }
+  if (line.mJson) {
+    std::cout << answer.dump() << "\n";
+    return kExitOk;
+  }
+  std::cout << "wave " << answer.value("wave", 0) << " is "
+            << answer.value("state", "");
+  std::string reason = answer.value("reason", "");
+  std::cout << (reason.empty() ? "" : ": " + reason) << "\n";
+  if (verb == "status") {
+    std::cout << answer.value("done", 0) << " VMs done, "
+              << answer.value("under_way", 0) << " under way, "
+              << answer.value("to_do", 0) << " to do; first overdue in "
+              << answer.value("days_until_overdue", 0.0) << " days\n";
+  }
+  return kExitOk;
+}
+
 int
 RunMove(std::span<const char*> aArguments)
 {
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -20,6 +20,8 @@
   { "diff", RunDiff, "show what apply would change" },
   { "apply", RunApply, "put a configuration in force" },
   { "status", RunStatus, "show what a daemon knows" },
+  { "cost", RunCost, "show what VMs were paid for, by pool and use" },
+  { "maintenance", RunMaintenance, "start, pause or show a maintenance wave" },
   { "move", RunMove, "move a VM to another pool" },
   { "submit", RunSubmit, "send a request to a pool" },
   { "trace", RunTrace, "show the hops of a request" },
@@ -30,7 +32,7 @@
 {
   aOut << "usage: buckthornshunt COMMAND [options]\n\n";
   for (const Command& command : kCommands) {
-    aOut << "  " << command.mName << std::string(10 - command.mName.size(), ' ')
+    aOut << "  " << command.mName << std::string(13 - command.mName.size(), ' ')
          << command.mHelp << "\n";
   }
   aOut << "\nbuckthornshunt COMMAND --help shows a command's options.\n"
--- a/src/daemon/assembly.cpp
+++ b/src/daemon/assembly.cpp
@@ -7,6 +7,7 @@
 #include "services/front_service.h"
 #include "services/job_service.h"
 #include "services/table_service.h"
+#include "services/wave_service.h"
 
 namespace buckthornshunt {
 
@@ -20,10 +21,10 @@
   aKernel.Add<MemberService>(MemberService::kName, std::move(aParts.mSelf));
   aKernel.Add<PeerService>(PeerService::kName, std::move(aParts.mPeers));
   aKernel.Add<FenceService>(FenceService::kName);
-  aKernel.Add<DispatchService>(DispatchService::kName,
-                               std::move(aParts.mBackends));
+  aKernel.Add<DispatchService>(DispatchService::kName, aParts.mBackends);
   aKernel.Add<JobService>(JobService::kName);
   aKernel.Add<ControlService>(ControlService::kName);
+  aKernel.Add<WaveService>(WaveService::kName, std::move(aParts.mBackends));
   if (aParts.mWithFront) {
     aKernel.Add<FrontService>(FrontService::kName, aParts.mCallers);
   }
--- a/src/decide/virtual_fifo.cpp
+++ b/src/decide/arrival_order.cpp
@@ -1,4 +1,4 @@
-#include "decide/virtual_fifo.h"
+#include "decide/arrival_order.h"
 
 #include <algorithm>
 #include <functional>
@@ -8,7 +8,7 @@
 // Slots that go are those that get free last, so that what is left is never
 // thought busier than it is.
 void
-VirtualFifo::Resize(std::size_t aSlots, TimePoint aNow)
+ArrivalOrder::Resize(std::size_t aSlots, TimePoint aNow)
 {
   std::sort(mFree.begin(), mFree.end());
   mFree.resize(aSlots, aNow);
@@ -16,7 +16,7 @@
 }
 
 Duration
-VirtualFifo::Arrive(TimePoint aNow, Duration aRun)
+ArrivalOrder::Arrive(TimePoint aNow, Duration aRun)
 {
   if (mFree.empty()) {
     return Duration::zero();
--- a/src/decide/virtual_fifo.h
+++ b/src/decide/arrival_order.h
@@ -1,5 +1,5 @@
-#ifndef BUCKTHORNSHUNT_DECIDE_VIRTUAL_FIFO_H
-#define BUCKTHORNSHUNT_DECIDE_VIRTUAL_FIFO_H
+#ifndef BUCKTHORNSHUNT_DECIDE_ARRIVAL_ORDER_H
+#define BUCKTHORNSHUNT_DECIDE_ARRIVAL_ORDER_H
 
 #include "buckthornshunt/time.h"
 
@@ -10,7 +10,7 @@
 
 /// Follows when requests would start if all were served in the order of
 /// arrival, so that no order of service may delay one far beyond that.
-class VirtualFifo
+class ArrivalOrder
 {
 public:
   /// Sets the number of slots.
--- /dev/null
+++ b/src/decide/cost.cpp
@@ -0,0 +1,164 @@
+#include "decide/cost.h"
+
+#include <algorithm>
+#include <array>
+#include <map>
+#include <tuple>
+#include <utility>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr double kMillisPerSecond = 1000;
+constexpr double kSecondsPerHour = 3600;
+
+constexpr std::array<std::string_view, 6> kUses = {
+  "serving", "held_for_budget", "held_as_spare",
+  "leaving", "maintenance",     "lost"
+};
+
+/// VMs of one pool at an instant, by what their rows say.
+struct Counts
+{
+  int mServing = 0;
+  int mLeaving = 0;
+  int mMaintenance = 0;
+  int mLost = 0;
+};
+
+int*
+CountOf(Counts& aCounts, VmState aState)
+{
+  switch (aState) {
+    case VmState::Serving:
+      return &aCounts.mServing;
+    case VmState::Leaving:
+    case VmState::Draining:
+      return &aCounts.mLeaving;
+    case VmState::Maintenance:
+      return &aCounts.mMaintenance;
+    case VmState::Lost:
+      return &aCounts.mLost;
+    case VmState::Retired:
+      break;
+  }
+  return nullptr;
+}
+
+/// Adds up the time that the fleet stays as it is, entry by entry.
+class Meter
+{
+public:
+  Meter(const SiteConfig& aSite, WallTime aFrom, WallTime aTo)
+    : mSite(aSite)
+    , mAt(aFrom)
+    , mTo(aTo)
+  {
+  }
+
+  void Take(const LedgerEntry& aEntry)
+  {
+    AdvanceTo(std::min(aEntry.mFrom, mTo));
+    auto [it, fresh] = mRows.try_emplace(aEntry.mRow.mVm, aEntry.mRow);
+    if (!fresh) {
+      Count(it->second, -1);
+      it->second = aEntry.mRow;
+    }
+    Count(it->second, 1);
+  }
+
+  std::vector<CostLine> Finish()
+  {
+    AdvanceTo(mTo);
+    std::vector<CostLine> lines;
+    for (const auto& [key, seconds] : mSeconds) {
+      auto pool = mSite.mPools.find(key.first);
+      bool known = pool != mSite.mPools.end();
+      double price = known ? pool->second.mCentsPerVmHour : 0;
+      lines.push_back(
+        { key.first, key.second, seconds, seconds * price / kSecondsPerHour });
+    }
+    return lines;
+  }
+
+private:
+  void Count(const VmOwnership& aRow, int aBy)
+  {
+    if (int* count = CountOf(mCounts[aRow.mPool], aRow.mState)) {
+      *count += aBy;
+    }
+  }
+
+  void Add(std::string_view aPool, CostUse aUse, int aVms, double aSeconds)
+  {
+    if (aVms > 0) {
+      mSeconds[{ std::string(aPool), aUse }] += aVms * aSeconds;
+    }
+  }
+
+  // VMs beyond those that the load needs are held back.
+  void AdvanceTo(WallTime aTime)
+  {
+    if (aTime <= mAt) {
+      return;
+    }
+    double seconds =
+      static_cast<double>(aTime.mMillis - mAt.mMillis) / kMillisPerSecond;
+    for (const auto& [name, counts] : mCounts) {
+      auto pool = mSite.mPools.find(name);
+      int needed = pool == mSite.mPools.end() ? 0 : pool->second.mVms;
+      int serving = std::min(counts.mServing, needed);
+      bool spare = name == mSite.mSparePool;
+      Add(name, CostUse::Serving, serving, seconds);
+      Add(name,
+          spare ? CostUse::HeldAsSpare : CostUse::HeldForBudget,
+          counts.mServing - serving,
+          seconds);
+      Add(name, CostUse::Leaving, counts.mLeaving, seconds);
+      Add(name, CostUse::Maintenance, counts.mMaintenance, seconds);
+      Add(name, CostUse::Lost, counts.mLost, seconds);
+    }
+    mAt = aTime;
+  }
+
+  const SiteConfig& mSite;
+  WallTime mAt;
+  WallTime mTo;
+  std::map<std::string, VmOwnership> mRows;
+  std::map<std::string, Counts> mCounts;
+  std::map<std::pair<std::string, CostUse>, double> mSeconds;
+};
+
+} // namespace
+
+std::string_view
+ToString(CostUse aUse)
+{
+  return kUses[static_cast<std::size_t>(aUse)];
+}
+
+std::vector<CostLine>
+ComputeCost(std::span<const LedgerEntry> aLedger,
+            const SiteConfig& aSite,
+            WallTime aFrom,
+            WallTime aTo)
+{
+  std::vector<const LedgerEntry*> ordered;
+  for (const LedgerEntry& entry : aLedger) {
+    ordered.push_back(&entry);
+  }
+  std::sort(ordered.begin(),
+            ordered.end(),
+            [](const LedgerEntry* aOne, const LedgerEntry* aTwo) {
+              return std::tie(aOne->mFrom, aOne->mRow.mEpoch) <
+                     std::tie(aTwo->mFrom, aTwo->mRow.mEpoch);
+            });
+  Meter meter(aSite, aFrom, aTo);
+  for (const LedgerEntry* entry : ordered) {
+    meter.Take(*entry);
+  }
+  return meter.Finish();
+}
+
+} // namespace buckthornshunt
--- a/src/decide/ownership.cpp
+++ b/src/decide/ownership.cpp
@@ -79,12 +79,37 @@
 VmOwnership
 FinishMove(const VmOwnership& aRow, WallTime aNow)
 {
+  if (aRow.mNextPool.empty()) {
+    return Changed(aRow, VmState::Maintenance, aNow);
+  }
   VmOwnership next = Changed(aRow, VmState::Serving, aNow);
   next.mPool = aRow.mNextPool;
   next.mNextPool.clear();
   return next;
 }
 
+leaf::result<VmOwnership>
+BeginMaintenance(const VmOwnership& aRow, WallTime aNow)
+{
+  if (aRow.mState != VmState::Serving) {
+    std::string state(ToString(aRow.mState));
+    return leaf::new_error(
+      Failure(StateConflict{ "VM " + aRow.mVm + " is " + state }));
+  }
+  VmOwnership next = Changed(aRow, VmState::Leaving, aNow);
+  next.mInMaintenance = true;
+  return next;
+}
+
+VmOwnership
+FinishMaintenance(const VmOwnership& aRow, WallTime aNow)
+{
+  VmOwnership next = Changed(aRow, VmState::Serving, aNow);
+  next.mMaintained = aNow;
+  next.mInMaintenance = false;
+  return next;
+}
+
 VmOwnership
 Adopt(const VmListing& aVm, std::string_view aPool, WallTime aNow)
 {
@@ -92,6 +117,7 @@
   row.mVm = aVm.mVm;
   row.mRack = aVm.mRack;
   row.mEndpoint = aVm.mEndpoint;
+  row.mMaintained = aNow;
   row.mPool = aPool;
   row.mEpoch = Epoch{ 1 };
   row.mSince = aNow;
@@ -131,7 +157,9 @@
   if (aRow.mState != VmState::Lost) {
     return aRow;
   }
-  VmOwnership next = Changed(aRow, VmState::Serving, aNow);
+  // A VM that got lost in maintenance is still to be verified.
+  VmState state = aRow.mInMaintenance ? VmState::Maintenance : VmState::Serving;
+  VmOwnership next = Changed(aRow, state, aNow);
   next.mNextPool.clear();
   return next;
 }
--- a/src/decide/ownership.h
+++ b/src/decide/ownership.h
@@ -58,10 +58,19 @@
            std::span<const LeaveAck> aAcks,
            std::span<const std::string> aGoneNodes);
 
-/// Last step of a move: the VM counts to the next pool, at the next epoch.
+/// Last step of a leave: the VM serves the next pool, or is out of service if
+/// it left for maintenance.
 VmOwnership
 FinishMove(const VmOwnership& aRow, WallTime aNow);
 
+/// First step of maintenance, fenced like a move.
+leaf::result<VmOwnership>
+BeginMaintenance(const VmOwnership& aRow, WallTime aNow);
+
+/// Row of a VM that is back in service after maintenance.
+VmOwnership
+FinishMaintenance(const VmOwnership& aRow, WallTime aNow);
+
 /// First ownership of a VM that no pool has owned.
 VmOwnership
 Adopt(const VmListing& aVm, std::string_view aPool, WallTime aNow);
--- a/src/decide/pool_plan.cpp
+++ b/src/decide/pool_plan.cpp
@@ -48,13 +48,16 @@
 std::string_view
 FuturePool(const VmOwnership& aRow)
 {
-  return aRow.mState == VmState::Leaving ? aRow.mNextPool : aRow.mPool;
+  bool moves = aRow.mState == VmState::Leaving && !aRow.mNextPool.empty();
+  return moves ? aRow.mNextPool : aRow.mPool;
 }
 
+// A VM in maintenance comes back, so its pool isn't refilled for it.
 bool
 CountsAsPresent(const VmOwnership& aRow)
 {
-  return aRow.mState == VmState::Serving || aRow.mState == VmState::Leaving;
+  return aRow.mState == VmState::Serving || aRow.mState == VmState::Leaving ||
+         aRow.mState == VmState::Maintenance;
 }
 
 void
--- a/src/ports/platform_calls.h
+++ b/src/ports/platform_calls.h
@@ -49,6 +49,12 @@
   std::string mKnownTag;
 };
 
+/// Asks to restart a worker VM. The answer comes when the restart has begun.
+struct RebootVm
+{
+  std::string mVm;
+};
+
 struct PutObject
 {
   std::string mName;
@@ -60,8 +66,13 @@
   std::string mName;
 };
 
-using PlatformCall =
-  std::variant<ReadRows, ReadRow, CommitRows, ListVms, PutObject, GetObject>;
+using PlatformCall = std::variant<ReadRows,
+                                  ReadRow,
+                                  CommitRows,
+                                  ListVms,
+                                  RebootVm,
+                                  PutObject,
+                                  GetObject>;
 
 /// The row asked for; none if it doesn't exist or was deleted.
 struct RowRead
@@ -85,6 +96,9 @@
   std::vector<std::string> mEntryVms;
 };
 
+struct RebootBegun
+{};
+
 struct ObjectStored
 {};
 
@@ -93,8 +107,13 @@
   std::string mBytes;
 };
 
-using PlatformReply =
-  std::variant<RowBatch, RowRead, Committed, VmList, ObjectStored, ObjectRead>;
+using PlatformReply = std::variant<RowBatch,
+                                   RowRead,
+                                   Committed,
+                                   VmList,
+                                   RebootBegun,
+                                   ObjectStored,
+                                   ObjectRead>;
 
 } // namespace buckthornshunt
 
--- a/src/services/control_service.cpp
+++ b/src/services/control_service.cpp
@@ -205,6 +205,25 @@
   return AssessPools(*mConfig->Current(), Fleet());
 }
 
+Task<Expected<std::vector<LedgerEntry>>>
+ControlService::ReadLedger(TimePoint aDeadline)
+{
+  auto batch = co_await mTable->ReadPrefix(
+    LedgerPrefix(mDataCentre), Revision{}, aDeadline);
+  if (!Ok(batch)) {
+    co_return std::get<Failure>(std::move(batch));
+  }
+  std::vector<LedgerEntry> ledger;
+  for (const Row& row : std::get<RowBatch>(batch).mRows) {
+    auto vm = ToExpected<VmOwnership>([&] { return DecodeVm(row.mValue); });
+    if (Ok(vm)) {
+      ledger.push_back(
+        { std::get<VmOwnership>(std::move(vm)), row.mCommitted });
+    }
+  }
+  co_return ledger;
+}
+
 // Writes an ownership row over the one it was derived from, and its copy in
 // the ledger, at once. The revision of the row guards the step; so does the
 // ledger, which takes each epoch of a VM once.
@@ -399,6 +418,43 @@
   co_return next;
 }
 
+Task<Expected<VmOwnership>>
+ControlService::TakeOut(std::string aVm, TimePoint aDeadline)
+{
+  std::optional<HeldVm> held = RowOf(aVm);
+  if (!held) {
+    co_return Failure(NotFound{ "VM " + aVm });
+  }
+  WallTime now = mKernel.GetClock().WallNow();
+  auto next =
+    ToExpected<VmOwnership>([&] { return BeginMaintenance(held->mRow, now); });
+  if (!Ok(next)) {
+    co_return next;
+  }
+  auto written = co_await WriteRow(
+    std::get<VmOwnership>(next), held->mRevision, {}, aDeadline);
+  if (!Ok(written)) {
+    co_return std::get<Failure>(std::move(written));
+  }
+  co_return next;
+}
+
+Task<Expected<VmOwnership>>
+ControlService::PutBack(std::string aVm, TimePoint aDeadline)
+{
+  std::optional<HeldVm> held = RowOf(aVm);
+  if (!held || held->mRow.mState != VmState::Maintenance) {
+    co_return Failure(NotFound{ "VM " + aVm + " in maintenance" });
+  }
+  VmOwnership next =
+    FinishMaintenance(held->mRow, mKernel.GetClock().WallNow());
+  auto written = co_await WriteRow(next, held->mRevision, {}, aDeadline);
+  if (!Ok(written)) {
+    co_return std::get<Failure>(std::move(written));
+  }
+  co_return next;
+}
+
 Task<void>
 ControlService::CarryOut(PoolAction aAction)
 {
--- a/src/services/control_service.h
+++ b/src/services/control_service.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNSHUNT_SERVICES_CONTROL_SERVICE_H
 #define BUCKTHORNSHUNT_SERVICES_CONTROL_SERVICE_H
 
+#include "decide/cost.h"
 #include "decide/ownership.h"
 #include "decide/pool_plan.h"
 #include "kernel/kernel.h"
@@ -47,11 +48,20 @@
                                    std::string aPool,
                                    TimePoint aDeadline);
 
+  /// Starts to take a VM out of service for maintenance.
+  Task<Expected<VmOwnership>> TakeOut(std::string aVm, TimePoint aDeadline);
+
+  /// Returns a VM from maintenance to its pool.
+  Task<Expected<VmOwnership>> PutBack(std::string aVm, TimePoint aDeadline);
+
   /// VMs of the data centre with their rows, as this node knows them.
   std::vector<FleetVm> Fleet() const;
 
   std::vector<PoolStanding> Standings() const;
 
+  /// The data centre's ledger, from the platform.
+  Task<Expected<std::vector<LedgerEntry>>> ReadLedger(TimePoint aDeadline);
+
 private:
   Task<void> Lead();
   Task<bool> HoldRole();
--- a/src/services/front_service.cpp
+++ b/src/services/front_service.cpp
@@ -8,6 +8,7 @@
 #include "services/member_service.h"
 #include "services/peer_service.h"
 #include "services/table_service.h"
+#include "services/wave_service.h"
 #include "wire/api_codec.h"
 #include "wire/peer_codec.h"
 
@@ -58,7 +59,7 @@
 std::span<const FrontService::Route>
 FrontService::Routes()
 {
-  static constexpr std::array<Route, 12> kRoutes = { {
+  static constexpr std::array<Route, 16> kRoutes = { {
     { "POST", "/v1/pools/*/operations/*", &FrontService::ServeRequest },
     { "POST", "/v1/pools/*/operations/*/jobs", &FrontService::SubmitJob },
     { "GET", "/v1/jobs/*/*", &FrontService::ShowJob },
@@ -68,8 +69,12 @@
     { "GET", "/metrics", &FrontService::ShowMetrics },
     { "GET", "/v1/status", &FrontService::ShowStatus },
     { "GET", "/v1/traces/*", &FrontService::ShowTrace },
+    { "GET", "/v1/cost", &FrontService::ShowCost },
     { "GET", "/v1/config", &FrontService::ShowConfig },
     { "POST", "/v1/config", &FrontService::ApplyConfig },
+    { "GET", "/v1/maintenance", &FrontService::ShowWave },
+    { "POST", "/v1/maintenance/start", &FrontService::StartWave },
+    { "POST", "/v1/maintenance/pause", &FrontService::PauseWave },
     { "POST", "/v1/vms/*/move", &FrontService::MoveVm },
   } };
   return kRoutes;
@@ -87,6 +92,7 @@
   BOOST_LEAF_ASSIGN(mMembers,
                     mKernel.Find<MemberService>(MemberService::kName));
   BOOST_LEAF_ASSIGN(mPeers, mKernel.Find<PeerService>(PeerService::kName));
+  BOOST_LEAF_ASSIGN(mWaves, mKernel.Find<WaveService>(WaveService::kName));
   BOOST_LEAF_ASSIGN(mTable, mKernel.Find<TableService>(TableService::kName));
   mServer = std::make_unique<HttpServer>(
     mKernel.Context(),
@@ -444,6 +450,63 @@
     { { "trace", FormatId(trace) }, { "spans", SpansToJson(spans) } });
 }
 
+namespace {
+
+// A time of the query, in milliseconds since the Unix epoch.
+leaf::result<WallTime>
+ReadTime(std::string_view aTarget, const char* aName, WallTime aDefault)
+{
+  std::string text = QueryValue(aTarget, aName);
+  if (text.empty()) {
+    return aDefault;
+  }
+  BOOST_LEAF_AUTO(json, ParseJson(text));
+  if (!json.is_number_integer()) {
+    return Fail(MessageFailure{ MessageFault::WrongType, aName });
+  }
+  return WallTime{ json.get<std::int64_t>() };
+}
+
+} // namespace
+
+Task<HttpReply>
+FrontService::ShowCost(const HttpRequest& aRequest, CallerState&)
+{
+  constexpr std::int64_t kDayMillis = 24LL * 3600 * 1000;
+  WallTime now = mKernel.GetClock().WallNow();
+  auto to =
+    ToExpected<WallTime>([&] { return ReadTime(aRequest.mTarget, "to", now); });
+  WallTime dayAgo{ now.mMillis - kDayMillis };
+  auto from = ToExpected<WallTime>(
+    [&] { return ReadTime(aRequest.mTarget, "from", dayAgo); });
+  if (!Ok(from) || !Ok(to)) {
+    co_return EncodeError(std::get<Failure>(Ok(from) ? to : from));
+  }
+  auto ledger = co_await mControl->ReadLedger(OperatorDeadline());
+  if (!Ok(ledger)) {
+    co_return EncodeError(std::get<Failure>(ledger));
+  }
+  const std::optional<SiteConfig>& config = mConfig->Current();
+  if (!config) {
+    co_return EncodeError(Failure(NotFound{ "configuration" }));
+  }
+  Json lines = Json::array();
+  for (const CostLine& line :
+       ComputeCost(std::get<std::vector<LedgerEntry>>(ledger),
+                   *config,
+                   std::get<WallTime>(from),
+                   std::get<WallTime>(to))) {
+    lines.push_back({ { "pool", line.mPool },
+                      { "use", ToString(line.mUse) },
+                      { "vm_seconds", line.mVmSeconds },
+                      { "cents", line.mCents } });
+  }
+  co_return JsonReply({ { "site", config->mSite },
+                        { "from_ms", std::get<WallTime>(from).mMillis },
+                        { "to_ms", std::get<WallTime>(to).mMillis },
+                        { "lines", std::move(lines) } });
+}
+
 Task<HttpReply>
 FrontService::ShowConfig(const HttpRequest&, CallerState&)
 {
@@ -495,6 +558,50 @@
     { { "version", ToNumber(std::get<ConfigVersion>(version)) } });
 }
 
+namespace {
+
+HttpReply
+WaveReply(const Expected<Wave>& aWave)
+{
+  if (!Ok(aWave)) {
+    return EncodeError(std::get<Failure>(aWave));
+  }
+  const Wave& wave = std::get<Wave>(aWave);
+  return JsonReply(
+    { { "wave", wave.mNumber }, { "state", ToString(wave.mState) } },
+    kStatusAccepted);
+}
+
+} // namespace
+
+Task<HttpReply>
+FrontService::ShowWave(const HttpRequest&, CallerState&)
+{
+  WaveView view = mWaves->View();
+  co_return JsonReply({ { "wave", view.mWave.mNumber },
+                        { "state", ToString(view.mWave.mState) },
+                        { "reason", view.mWave.mReason },
+                        { "started_ms", view.mWave.mStarted.mMillis },
+                        { "done", view.mDone },
+                        { "under_way", view.mUnderWay },
+                        { "to_do", view.mToDo },
+                        { "days_until_overdue", view.mDaysUntilOverdue } });
+}
+
+Task<HttpReply>
+FrontService::StartWave(const HttpRequest&, CallerState&)
+{
+  auto wave = co_await mWaves->Begin(OperatorDeadline());
+  co_return WaveReply(wave);
+}
+
+Task<HttpReply>
+FrontService::PauseWave(const HttpRequest&, CallerState&)
+{
+  auto wave = co_await mWaves->Pause(OperatorDeadline());
+  co_return WaveReply(wave);
+}
+
 Task<HttpReply>
 FrontService::MoveVm(const HttpRequest& aRequest, CallerState&)
 {
--- a/src/services/front_service.h
+++ b/src/services/front_service.h
@@ -19,6 +19,7 @@
 class MemberService;
 class PeerService;
 class TableService;
+class WaveService;
 
 /// The callers' and operators' HTTP interface.
 class FrontService
@@ -55,9 +56,13 @@
                               CallerState& aCaller);
   Task<HttpReply> ShowStatus(const HttpRequest& aRequest, CallerState& aCaller);
   Task<HttpReply> ShowTrace(const HttpRequest& aRequest, CallerState& aCaller);
+  Task<HttpReply> ShowCost(const HttpRequest& aRequest, CallerState& aCaller);
   Task<HttpReply> ShowConfig(const HttpRequest& aRequest, CallerState& aCaller);
   Task<HttpReply> ApplyConfig(const HttpRequest& aRequest,
                               CallerState& aCaller);
+  Task<HttpReply> ShowWave(const HttpRequest& aRequest, CallerState& aCaller);
+  Task<HttpReply> StartWave(const HttpRequest& aRequest, CallerState& aCaller);
+  Task<HttpReply> PauseWave(const HttpRequest& aRequest, CallerState& aCaller);
   Task<HttpReply> MoveVm(const HttpRequest& aRequest, CallerState& aCaller);
 
   TimePoint OperatorDeadline();
@@ -72,6 +77,7 @@
   MemberService* mMembers = nullptr;
   PeerService* mPeers = nullptr;
   TableService* mTable = nullptr;
+  WaveService* mWaves = nullptr;
   bool mStopping = false;
   std::unique_ptr<HttpServer> mServer;
 };
--- a/src/services/pool_runtime.h
+++ b/src/services/pool_runtime.h
@@ -3,12 +3,12 @@
 
 #include "buckthornshunt/config.h"
 #include "buckthornshunt/outcome.h"
+#include "decide/arrival_order.h"
 #include "decide/ejection.h"
 #include "decide/placement.h"
 #include "decide/pool_queue.h"
 #include "decide/retry_budget.h"
 #include "decide/run_times.h"
-#include "decide/virtual_fifo.h"
 #include "kernel/caller_state.h"
 #include "kernel/kernel.h"
 #include "ports/backend_calls.h"
@@ -190,7 +190,7 @@
   PoolServers mServers;
   PoolQueue mQueue;
   ShortDemand mDemand;
-  VirtualFifo mFifo;
+  ArrivalOrder mInOrder;
   RunTimes mRunTimes;
   OutlierEjection mEjection;
   RetryBudget mRetries;
--- a/src/services/table_service.cpp
+++ b/src/services/table_service.cpp
@@ -227,6 +227,17 @@
   co_return std::get<VmList>(std::get<PlatformReply>(std::move(reply)));
 }
 
+Task<Expected<std::monostate>>
+TableService::Reboot(std::string aVm, TimePoint aDeadline)
+{
+  PlatformCall call = RebootVm{ std::move(aVm) };
+  auto reply = co_await Call(std::move(call), aDeadline);
+  if (!Ok(reply)) {
+    co_return std::get<Failure>(std::move(reply));
+  }
+  co_return std::monostate{};
+}
+
 Task<Expected<std::monostate>>
 TableService::PutObjectBytes(std::string aName,
                              std::string aBytes,
--- a/src/services/table_service.h
+++ b/src/services/table_service.h
@@ -69,6 +69,9 @@
                               std::string aKnownTag,
                               TimePoint aDeadline);
 
+  /// Asks the platform to restart a worker VM.
+  Task<Expected<std::monostate>> Reboot(std::string aVm, TimePoint aDeadline);
+
   /// Writes and reads objects of the platform's object store.
   Task<Expected<std::monostate>> PutObjectBytes(std::string aName,
                                                 std::string aBytes,
--- /dev/null
+++ b/src/services/wave_service.cpp
@@ -0,0 +1,231 @@
+#include "services/wave_service.h"
+
+#include "kernel/log.h"
+#include "services/config_service.h"
+#include "services/control_service.h"
+#include "services/member_service.h"
+#include "services/table_service.h"
+#include "wire/row_codec.h"
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr std::string_view kPart = "waves";
+constexpr Duration kStepInterval = std::chrono::seconds(1);
+constexpr Duration kCallTimeout = std::chrono::seconds(2);
+/// Time after which a VM that doesn't answer is restarted once more.
+constexpr Duration kRestartAgainAfter = std::chrono::minutes(5);
+/// Time that a VM gets to come up before it is asked.
+constexpr Duration kComesUpAfter = std::chrono::seconds(2);
+
+} // namespace
+
+WaveService::WaveService(Kernel& aKernel, Backends aBackends)
+  : mKernel(aKernel)
+  , mBackends(std::move(aBackends))
+  , mTasks(aKernel.Context(), &aKernel.Groups())
+{
+}
+
+leaf::result<void>
+WaveService::Start()
+{
+  BOOST_LEAF_ASSIGN(mTable, mKernel.Find<TableService>(TableService::kName));
+  BOOST_LEAF_ASSIGN(mMembers,
+                    mKernel.Find<MemberService>(MemberService::kName));
+  BOOST_LEAF_ASSIGN(mConfig, mKernel.Find<ConfigService>(ConfigService::kName));
+  BOOST_LEAF_ASSIGN(mControl,
+                    mKernel.Find<ControlService>(ControlService::kName));
+  mTasks.Spawn("waves lead", Lead());
+  return {};
+}
+
+Task<void>
+WaveService::Stop()
+{
+  mTasks.CancelAll();
+  co_await mTasks.Drained();
+}
+
+Wave
+WaveService::Current() const
+{
+  const Row* row = mTable->View().Find(WaveKey(mMembers->Self().mDataCentre));
+  if (row == nullptr) {
+    return {};
+  }
+  auto wave = ToExpected<Wave>([&] { return DecodeWave(row->mValue); });
+  return Ok(wave) ? std::get<Wave>(wave) : Wave{};
+}
+
+// A leader that can't reach the platform takes nothing out of service: it can
+// neither write the step nor learn what else fails.
+Task<void>
+WaveService::Lead()
+{
+  while (true) {
+    co_await mKernel.GetClock().Sleep(kStepInterval);
+    bool may = mControl->Leading() && mTable->PlatformReachable() &&
+               mConfig->Current().has_value();
+    if (!may) {
+      continue;
+    }
+    for (FleetVm& vm : mControl->Fleet()) {
+      if (vm.mOwned && vm.mRow.mState == VmState::Maintenance) {
+        co_await Return(std::move(vm.mRow));
+      }
+    }
+    Wave wave = Current();
+    if (wave.mState == WaveState::Running) {
+      co_await Advance(std::move(wave));
+    }
+  }
+}
+
+/// Carries out one step of a wave.
+struct WaveService::StepTaker
+{
+  WaveService& mService;
+  Wave& mWave;
+
+  Task<void> operator()(const WaitForWave& aStep) const
+  {
+    if (!aStep.mPool.empty()) {
+      mService.mKernel.GetMetrics().GetCounter("wave_waits_total").Add();
+    }
+    co_return;
+  }
+  Task<void> operator()(const TakeRack& aStep) const
+  {
+    LogInfo(kPart, "wave {} takes rack {}", mWave.mNumber, aStep.mRack);
+    for (const std::string& vm : aStep.mVms) {
+      TimePoint deadline = mService.mKernel.GetClock().Now() + kCallTimeout;
+      co_await mService.mControl->TakeOut(vm, deadline);
+    }
+  }
+  Task<void> operator()(const PauseWave& aStep) const
+  {
+    LogWarn(kPart, "wave {} is paused: {}", mWave.mNumber, aStep.mReason);
+    mWave.mState = WaveState::Paused;
+    mWave.mReason = aStep.mReason;
+    TimePoint deadline = mService.mKernel.GetClock().Now() + kCallTimeout;
+    co_await mService.WriteWave(mWave, deadline);
+  }
+  Task<void> operator()(const FinishWave&) const
+  {
+    LogInfo(kPart, "wave {} is done", mWave.mNumber);
+    mWave.mState = WaveState::Done;
+    TimePoint deadline = mService.mKernel.GetClock().Now() + kCallTimeout;
+    co_await mService.WriteWave(mWave, deadline);
+  }
+};
+
+Task<void>
+WaveService::Advance(Wave aWave)
+{
+  WaveStep step = NextWaveStep(*mConfig->Current(), mControl->Fleet(), aWave);
+  StepTaker taker{ *this, aWave };
+  co_await std::visit(taker, step);
+}
+
+// Restarts a VM that is out of service, and returns it once its server says
+// that it runs anew. Another leader that takes over restarts it once more,
+// which does no harm: nothing runs there.
+Task<void>
+WaveService::Return(VmOwnership aRow)
+{
+  Clock& clock = mKernel.GetClock();
+  TimePoint deadline = clock.Now() + kCallTimeout;
+  auto it = mRestarted.find(aRow.mVm);
+  bool asked = it != mRestarted.end() && it->second.first == aRow.mEpoch &&
+               clock.Now() - it->second.second < kRestartAgainAfter;
+  if (!asked) {
+    auto begun = co_await mTable->Reboot(aRow.mVm, deadline);
+    if (Ok(begun)) {
+      mRestarted[aRow.mVm] = { aRow.mEpoch, clock.Now() };
+    }
+    co_return;
+  }
+  if (clock.Now() - it->second.second < kComesUpAfter) {
+    co_return;
+  }
+  BackendCall call = ProbeServer{};
+  auto reply =
+    co_await CallBackend(mBackends, aRow.mEndpoint, std::move(call), deadline);
+  bool healthy =
+    Ok(reply) &&
+    !std::get<ServerHealth>(std::get<BackendReply>(reply)).mDraining;
+  if (healthy) {
+    co_await mControl->PutBack(aRow.mVm, deadline);
+  }
+}
+
+Task<Expected<Wave>>
+WaveService::WriteWave(Wave aWave, TimePoint aDeadline)
+{
+  std::string key = WaveKey(mMembers->Self().mDataCentre);
+  const Row* row = mTable->View().Find(key);
+  CommitRows commit;
+  Revision expected = row != nullptr ? row->mRevision : Revision{};
+  commit.mWrites.push_back({ key, EncodeWave(aWave), expected, false });
+  auto written = co_await mTable->Commit(std::move(commit), aDeadline);
+  if (!Ok(written)) {
+    co_return std::get<Failure>(std::move(written));
+  }
+  co_return aWave;
+}
+
+Task<Expected<Wave>>
+WaveService::Begin(TimePoint aDeadline)
+{
+  Wave wave = Current();
+  if (wave.mState == WaveState::Running) {
+    co_return Failure(StateConflict{ "a wave is running" });
+  }
+  if (wave.mState == WaveState::Done) {
+    ++wave.mNumber;
+  }
+  // A resumed wave forgives the losses that it was paused for.
+  wave.mStarted = mKernel.GetClock().WallNow();
+  wave.mState = WaveState::Running;
+  wave.mReason.clear();
+  auto written = co_await WriteWave(std::move(wave), aDeadline);
+  co_return written;
+}
+
+Task<Expected<Wave>>
+WaveService::Pause(TimePoint aDeadline)
+{
+  Wave wave = Current();
+  if (wave.mState != WaveState::Running) {
+    co_return Failure(StateConflict{ "no wave is running" });
+  }
+  wave.mState = WaveState::Paused;
+  auto written = co_await WriteWave(std::move(wave), aDeadline);
+  co_return written;
+}
+
+WaveView
+WaveService::View() const
+{
+  WaveView view;
+  view.mWave = Current();
+  if (!mConfig->Current()) {
+    return view;
+  }
+  std::vector<FleetVm> fleet = mControl->Fleet();
+  for (const FleetVm& vm : fleet) {
+    if (!vm.mOwned) {
+      continue;
+    }
+    bool out = vm.mRow.mInMaintenance;
+    bool done = vm.mRow.mMaintained >= view.mWave.mStarted;
+    ++(out ? view.mUnderWay : done ? view.mDone : view.mToDo);
+  }
+  view.mDaysUntilOverdue =
+    DaysUntilOverdue(*mConfig->Current(), fleet, mKernel.GetClock().WallNow());
+  return view;
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/services/wave_service.h
@@ -0,0 +1,72 @@
+#ifndef BUCKTHORNSHUNT_SERVICES_WAVE_SERVICE_H
+#define BUCKTHORNSHUNT_SERVICES_WAVE_SERVICE_H
+
+#include "decide/wave.h"
+#include "kernel/kernel.h"
+#include "ports/backend.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace buckthornshunt {
+
+class ConfigService;
+class ControlService;
+class MemberService;
+class TableService;
+
+/// What is known of a data centre's maintenance.
+struct WaveView
+{
+  Wave mWave;
+  int mDone = 0;
+  int mUnderWay = 0;
+  int mToDo = 0;
+  double mDaysUntilOverdue = 0;
+};
+
+/// Runs maintenance waves of this node's data centre while the node leads it:
+/// drain, restart, verify, return, rack by rack. All that a wave is lies in
+/// its row and the VMs' rows, so another leader goes on where one ended.
+class WaveService
+{
+public:
+  static constexpr std::string_view kName = "waves";
+
+  WaveService(Kernel& aKernel, Backends aBackends);
+
+  leaf::result<void> Start();
+  Task<void> Stop();
+
+  /// Starts a wave, or resumes a paused one. StateConflict if one runs.
+  Task<Expected<Wave>> Begin(TimePoint aDeadline);
+
+  /// Pauses a running wave: VMs under way are brought back, no more are taken.
+  Task<Expected<Wave>> Pause(TimePoint aDeadline);
+
+  WaveView View() const;
+
+private:
+  Task<void> Lead();
+  Task<void> Advance(Wave aWave);
+  Task<void> Return(VmOwnership aRow);
+  Task<Expected<Wave>> WriteWave(Wave aWave, TimePoint aDeadline);
+  Wave Current() const;
+
+  struct StepTaker;
+
+  Kernel& mKernel;
+  Backends mBackends;
+  TableService* mTable = nullptr;
+  MemberService* mMembers = nullptr;
+  ConfigService* mConfig = nullptr;
+  ControlService* mControl = nullptr;
+  /// Epochs of VMs that this node asked to restart, and when.
+  std::map<std::string, std::pair<Epoch, TimePoint>, std::less<>> mRestarted;
+  TaskGroup mTasks;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- a/src/wire/platform_codec.cpp
+++ b/src/wire/platform_codec.cpp
@@ -20,6 +20,7 @@
 constexpr std::string_view kRowPath = "/row";
 constexpr std::string_view kCommitPath = "/commit";
 constexpr std::string_view kVmsPath = "/vms";
+constexpr std::string_view kRebootPath = "/reboot/";
 constexpr std::string_view kObjectPath = "/objects/";
 
 HttpRequest
@@ -71,6 +72,10 @@
     }
     return request;
   }
+  HttpRequest operator()(const RebootVm& aCall) const
+  {
+    return MakeRequest("POST", std::string(kRebootPath) + EncodeUrl(aCall.mVm));
+  }
   HttpRequest operator()(const PutObject& aCall) const
   {
     return MakeRequest(
@@ -142,6 +147,9 @@
     return PlatformCall(
       ListVms{ QueryValue(aRequest.mTarget, "dc"), std::move(tag) });
   }
+  if (path.starts_with(kRebootPath)) {
+    return PlatformCall(RebootVm{ DecodeUrl(path.substr(kRebootPath.size())) });
+  }
   if (path.starts_with(kObjectPath)) {
     std::string name = DecodeUrl(path.substr(kObjectPath.size()));
     if (aRequest.mMethod == "PUT") {
@@ -206,6 +214,10 @@
     reply.mFields.emplace_back(kTagField, aReply.mTag);
     return reply;
   }
+  HttpReply operator()(const RebootBegun&) const
+  {
+    return Cbor(Json::object());
+  }
   HttpReply operator()(const ObjectStored&) const
   {
     return Cbor(Json::object());
@@ -293,6 +305,10 @@
     list.mTag = mTag;
     return PlatformReply(std::move(list));
   }
+  leaf::result<PlatformReply> operator()(const RebootVm&) const
+  {
+    return PlatformReply(RebootBegun{});
+  }
   leaf::result<PlatformReply> operator()(const PutObject&) const
   {
     return PlatformReply(ObjectStored{});
--- a/src/wire/row_codec.cpp
+++ b/src/wire/row_codec.cpp
@@ -21,6 +21,7 @@
 constexpr std::string_view kVmRows = "c/vm/";
 constexpr std::string_view kNodeRows = "c/node/";
 constexpr std::string_view kAckRows = "c/ack/";
+constexpr std::string_view kWaveRows = "c/wave/";
 // Rows below aren't followed by every node: they change often and concern few.
 constexpr std::string_view kRoleRows = "r/";
 constexpr std::string_view kClaimRows = "k/";
@@ -103,7 +104,9 @@
     { "state", ToString(aRow.mState) },
     { "since", aRow.mSince.mMillis },
     { "rack", aRow.mRack },
-    { "endpoint", EndpointToJson(aRow.mEndpoint) }
+    { "endpoint", EndpointToJson(aRow.mEndpoint) },
+    { "maintained", aRow.mMaintained.mMillis },
+    { "in_maintenance", aRow.mInMaintenance }
   }.dump();
 }
 
@@ -125,6 +128,8 @@
   BOOST_LEAF_ASSIGN(row.mRack, ReadString(json, "rack"));
   BOOST_LEAF_AUTO(endpoint, Member(json, "endpoint"));
   BOOST_LEAF_ASSIGN(row.mEndpoint, EndpointFromJson(*endpoint));
+  BOOST_LEAF_ASSIGN(row.mMaintained.mMillis, ReadSigned(json, "maintained"));
+  BOOST_LEAF_ASSIGN(row.mInMaintenance, ReadBool(json, "in_maintenance"));
   return row;
 }
 
@@ -251,6 +256,38 @@
   return stored;
 }
 
+std::string
+WaveKey(std::string_view aDataCentre)
+{
+  return Join(kWaveRows, aDataCentre);
+}
+
+std::string
+EncodeWave(const Wave& aWave)
+{
+  return Json{
+    { "number", aWave.mNumber },
+    { "state", ToString(aWave.mState) },
+    { "started", aWave.mStarted.mMillis },
+    { "reason", aWave.mReason }
+  }.dump();
+}
+
+leaf::result<Wave>
+DecodeWave(std::string_view aText)
+{
+  BOOST_LEAF_AUTO(json, ParseJson(aText));
+  Wave wave;
+  BOOST_LEAF_ASSIGN(wave.mNumber, ReadNumber(json, "number"));
+  BOOST_LEAF_AUTO(state, ReadString(json, "state"));
+  if (!ParseWaveState(state, wave.mState)) {
+    return Fail(MessageFailure{ MessageFault::WrongType, "state" });
+  }
+  BOOST_LEAF_ASSIGN(wave.mStarted.mMillis, ReadSigned(json, "started"));
+  BOOST_LEAF_ASSIGN(wave.mReason, ReadString(json, "reason"));
+  return wave;
+}
+
 std::string
 EncodeRole(const RoleLease& aRole)
 {
--- a/src/wire/row_codec.h
+++ b/src/wire/row_codec.h
@@ -4,6 +4,7 @@
 #include "decide/claim.h"
 #include "decide/ownership.h"
 #include "decide/table_view.h"
+#include "decide/wave.h"
 #include "wire/json_fields.h"
 
 #include <string>
@@ -79,6 +80,15 @@
 leaf::result<StoredClaim>
 DecodeClaim(std::string_view aText);
 
+/// Key of a data centre's newest wave.
+std::string
+WaveKey(std::string_view aDataCentre);
+
+std::string
+EncodeWave(const Wave& aWave);
+leaf::result<Wave>
+DecodeWave(std::string_view aText);
+
 /// The controller of a data centre, until its lease ends.
 struct RoleLease
 {
--- a/standins/local_fleet.cpp
+++ b/standins/local_fleet.cpp
@@ -93,6 +93,7 @@
   , mClock(mContext, mManual)
   , mTasks(mContext)
 {
+  mPlatform.OnReboot([this](std::string_view aVm) { Server(aVm).Restart(); });
 }
 
 // Coroutines that still wait are destroyed with the executor, before what
--- a/standins/platform_state.cpp
+++ b/standins/platform_state.cpp
@@ -133,6 +133,13 @@
     }
     return PlatformReply(std::move(list));
   }
+  Expected<PlatformReply> operator()(const RebootVm& aCall) const
+  {
+    if (mState.mOnReboot) {
+      mState.mOnReboot(aCall.mVm);
+    }
+    return PlatformReply(RebootBegun{});
+  }
   Expected<PlatformReply> operator()(const PutObject& aCall) const
   {
     mState.mObjects[aCall.mName] = aCall.mBytes;
--- a/standins/platform_state.h
+++ b/standins/platform_state.h
@@ -5,6 +5,7 @@
 #include "ports/platform.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -36,6 +37,12 @@
 
   PlatformFaults& Faults() { return mFaults; }
   VmList& Vms() { return mVms; }
+
+  /// Called when a VM is to restart.
+  void OnReboot(std::function<void(std::string_view)> aCall)
+  {
+    mOnReboot = std::move(aCall);
+  }
   Revision Position() const { return mRevision; }
 
   /// Every row ever written, in the order of its commit.
@@ -55,6 +62,7 @@
 
   PlatformFaults mFaults;
   VmList mVms;
+  std::function<void(std::string_view)> mOnReboot;
   Revision mRevision{};
   std::map<std::string, Row, std::less<>> mRows;
   std::deque<Row> mLog;
--- a/tests/bad_input_test.cpp
+++ b/tests/bad_input_test.cpp
@@ -257,7 +257,10 @@
   request.mPool = "work";
   request.mBody = "body";
   StoredClaim claim{ "a", { ClaimState::Finished, {}, "vm", 1, false, "x" } };
-  VmOwnership vm{ "vm", "work", "", Epoch{ 3 }, VmState::Serving, {}, "r", {} };
+  VmOwnership vm;
+  vm.mVm = "vm";
+  vm.mPool = "work";
+  vm.mEpoch = Epoch{ 3 };
   vm.mEndpoint = { "127.0.0.1", 1 };
   std::vector<std::string> corpus = {
     EncodePeerMessage(ForwardRequest{ 3, request, std::chrono::seconds(2) }),
--- /dev/null
+++ b/tests/decide_test.cpp
@@ -0,0 +1,244 @@
+// The decisions by themselves, without a fleet.
+
+#include "decide/arrival_order.h"
+#include "decide/buffer.h"
+#include "decide/ejection.h"
+#include "decide/pool_plan.h"
+#include "decide/pool_queue.h"
+#include "decide/run_times.h"
+#include "decide/table_view.h"
+#include "kernel/kernel.h"
+
+#include <boost/leaf/handle_errors.hpp>
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace buckthornshunt;
+using namespace std::chrono_literals;
+
+namespace {
+
+Row
+MakeRow(std::string_view aKey, std::uint64_t aRevision)
+{
+  Row row;
+  row.mKey = aKey;
+  row.mValue = std::to_string(aRevision);
+  row.mRevision = Revision(aRevision);
+  return row;
+}
+
+struct Quiet
+{
+  explicit Quiet(Kernel&) {}
+  leaf::result<void> Start() { return {}; }
+  Task<void> Stop() { co_return; }
+};
+
+struct Other : Quiet
+{
+  using Quiet::Quiet;
+};
+
+} // namespace
+
+TEST_CASE("long work is known by its runs, whatever was declared")
+{
+  RunTimes times(1s);
+  CHECK(times.Classify("render", 10s) == WorkClass::Long);
+  CHECK(times.Classify("render", 100ms) == WorkClass::Short);
+  times.RecordAged("render");
+  CHECK(times.Classify("render", 100ms) == WorkClass::Long);
+  for (int i = 0; i < 50; ++i) {
+    times.Record("quote", 50ms);
+  }
+  times.RecordAged("quote");
+  CHECK(times.Classify("quote", 10s) == WorkClass::Short);
+}
+
+TEST_CASE("shares of a server's slots add up to its slots")
+{
+  std::mt19937 rng(1);
+  for (int i = 0; i < 500; ++i) {
+    int slots = static_cast<int>(rng() % 65);
+    int nodes = static_cast<int>(rng() % 9) + 1;
+    std::uint64_t hash = rng();
+    int sum = 0;
+    for (int node = 0; node < nodes; ++node) {
+      sum += SlotShare(slots, nodes, node, hash);
+    }
+    CHECK(sum == slots);
+  }
+}
+
+TEST_CASE("the buffer that was sized survives every allowed loss")
+{
+  std::mt19937 rng(2);
+  for (int i = 0; i < 300; ++i) {
+    int racks = static_cast<int>(rng() % 8) + 2;
+    int vms = static_cast<int>(rng() % 20) + 1;
+    AvailabilityBudget budget{ static_cast<int>(rng() % 3),
+                               static_cast<int>(rng() % 2) };
+    int buffer = SmallestBuffer(vms, budget, racks);
+    std::vector<int> spread(static_cast<std::size_t>(racks), 0);
+    for (int n = 0; n < vms + buffer; ++n) {
+      ++spread[static_cast<std::size_t>(n % racks)];
+    }
+    CHECK(vms + buffer - WorstLoss(spread, budget) >= vms);
+    if (buffer > 0) {
+      --spread[static_cast<std::size_t>((vms + buffer - 1) % racks)];
+      CHECK(vms + buffer - 1 - WorstLoss(spread, budget) < vms);
+    }
+  }
+}
+
+TEST_CASE("rows end alike whatever the order in which batches arrive")
+{
+  std::mt19937 rng(3);
+  for (int round = 0; round < 200; ++round) {
+    std::vector<RowBatch> batches;
+    TableView truth;
+    for (std::uint64_t i = 1; i <= 20; ++i) {
+      RowBatch batch{ Revision(i - 1), Revision(i), {} };
+      batch.mRows.push_back(MakeRow("c/" + std::to_string(rng() % 5), i));
+      batch.mRows.back().mDeleted = rng() % 6 == 0;
+      truth.Merge(batch);
+      batches.push_back(truth.Since(Revision(rng() % i)));
+      batches.push_back(std::move(batch));
+    }
+    std::shuffle(batches.begin(), batches.end(), rng);
+    TableView view;
+    Revision last{};
+    while (view.Position() != truth.Position()) {
+      for (const RowBatch& batch : batches) {
+        view.Merge(batch);
+        CHECK(view.Position() >= last);
+        last = view.Position();
+      }
+    }
+    std::vector<Row> one = view.Since(Revision{}).mRows;
+    std::vector<Row> two = truth.Since(Revision{}).mRows;
+    CHECK(one == two);
+  }
+}
+
+TEST_CASE("the order of arrival gives the waits of a FIFO")
+{
+  ArrivalOrder order;
+  order.Resize(2, TimePoint{});
+  CHECK(order.Arrive(TimePoint{}, 4s) == 0s);
+  CHECK(order.Arrive(TimePoint{}, 1s) == 0s);
+  CHECK(order.Arrive(TimePoint{}, 5s) == 1s);
+  CHECK(order.Arrive(TimePoint{ 2s }, 1s) == 2s);
+  CHECK(order.Arrive(TimePoint{ 20s }, 1s) == 0s);
+}
+
+TEST_CASE("placement keeps to shares, avoids tried servers and drops none")
+{
+  std::mt19937 seeds(4);
+  PoolServers servers;
+  Rng rng(1);
+  for (int i = 0; i < 5; ++i) {
+    ServerIndex server = servers.Add();
+    servers.SetShare(server, { 3, 2 });
+    servers.SetUsable(server, true);
+  }
+  std::vector<std::pair<ServerIndex, WorkClass>> running;
+  for (int i = 0; i < 5000; ++i) {
+    WorkClass wanted = seeds() % 2 == 0 ? WorkClass::Short : WorkClass::Long;
+    auto server = servers.Pick(wanted, {}, rng);
+    CHECK(server.has_value() == servers.HasRoom(wanted));
+    if (server && seeds() % 3 != 0) {
+      servers.Begin(*server, wanted);
+      running.emplace_back(*server, wanted);
+      CHECK(servers.InFlight(*server) <= 3);
+    } else if (!running.empty()) {
+      std::size_t at = seeds() % running.size();
+      servers.End(running[at].first, running[at].second);
+      running.erase(running.begin() + static_cast<std::ptrdiff_t>(at));
+    }
+    CHECK(servers.TotalInFlight() == static_cast<int>(running.size()));
+  }
+  std::vector<ServerIndex> tried = { 0, 1, 2, 3 };
+  for (auto& [server, workClass] : running) {
+    servers.End(server, workClass);
+  }
+  for (int i = 0; i < 100; ++i) {
+    auto server = servers.Pick(WorkClass::Short, tried, rng);
+    CHECK((!server || *server == 4));
+  }
+}
+
+TEST_CASE("ejection is capped and ends")
+{
+  OutlierEjection ejection;
+  for (int i = 0; i < 9; ++i) {
+    ejection.Add();
+  }
+  TimePoint now{};
+  int ejected = 0;
+  for (ServerIndex server = 0; server < 9; ++server) {
+    for (int i = 0; i < 4; ++i) {
+      ejected += ejection.Record(server, RunEvidence::Unreachable, now) ? 1 : 0;
+    }
+  }
+  CHECK(ejected == 3);
+  CHECK(ejection.TakeReturned(now + 1s).empty());
+  CHECK(ejection.TakeReturned(now + 3s).size() == 3);
+}
+
+TEST_CASE("a pool's VMs are spread over the racks")
+{
+  SiteConfig site;
+  site.mSparePool = "spare";
+  site.mPools["spare"];
+  for (const char* name : { "one", "two", "three" }) {
+    PoolConfig& pool = site.mPools[name];
+    pool.mVms = 3;
+    pool.mSpareVms = 1;
+    pool.mAvailability.mRacks = 1;
+  }
+  std::vector<FleetVm> fleet;
+  for (int i = 0; i < 16; ++i) {
+    FleetVm vm;
+    vm.mListing.mVm = "v" + std::to_string(i);
+    vm.mListing.mRack = "r" + std::to_string(i / 4);
+    fleet.push_back(vm);
+  }
+  std::map<std::string, std::map<std::string, int>> racks;
+  for (const PoolAction& action : PlanPools(site, fleet)) {
+    const auto& adopt = std::get<AdoptVm>(action);
+    for (const FleetVm& vm : fleet) {
+      if (vm.mListing.mVm == adopt.mVm) {
+        ++racks[adopt.mPool][vm.mListing.mRack];
+      }
+    }
+  }
+  for (const char* name : { "one", "two", "three" }) {
+    CHECK(racks[name].size() == 4);
+  }
+}
+
+TEST_CASE("a missing or mistyped service is a typed error")
+{
+  asio::io_context context;
+  ManualClock manual(context);
+  Kernel kernel(context, Clock(context, manual), 1);
+  kernel.Add<Quiet>("quiet");
+  auto find = [&](auto aFind) {
+    return leaf::try_handle_all(
+      [&]() -> leaf::result<std::string> {
+        BOOST_LEAF_CHECK(aFind());
+        return std::string("found");
+      },
+      [](const Failure& aFailure) {
+        return std::string(FailureName(aFailure));
+      },
+      [] { return std::string("untyped"); });
+  };
+  CHECK(find([&] { return kernel.Find<Quiet>("quiet"); }) == "found");
+  CHECK(find([&] { return kernel.Find<Quiet>("quite"); }) == "service_missing");
+  CHECK(find([&] { return kernel.Find<Other>("quiet"); }) ==
+        "service_mistyped");
+}
--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -191,3 +191,23 @@
     CHECK(cluster.Log()[i].mVm != vm);
   }
 }
+
+TEST_CASE("a move survives lost answers of the store at every step")
+{
+  for (int step = 0; step < 6; ++step) {
+    Cluster cluster;
+    StartOneSite(cluster);
+    std::string vm = VmOf(cluster, "spare");
+    if (step == 0) {
+      cluster.Platform().Faults().mLoseAnswers = 1;
+    }
+    REQUIRE(Ok(Move(cluster, "n1", vm, "work")));
+    cluster.Advance(std::chrono::milliseconds(150 * step));
+    cluster.Platform().Faults().mLoseAnswers = 3;
+    cluster.Advance(15s);
+    VmOwnership row = cluster.RowOf("a", vm);
+    CHECK(row.mPool == "work");
+    CHECK(row.mState == VmState::Serving);
+    CHECK(ToNumber(row.mEpoch) == 3);
+  }
+}
