--- a/Makefile
+++ b/Makefile
@@ -18,7 +18,7 @@
 
 checked: deps
 	@cmake -S . -B $(CHECKED) -G Ninja -DCMAKE_BUILD_TYPE=Debug -DBUCKTHORNSHUNT_SANITIZE=ON >/dev/null
-	@ninja -C $(CHECKED) -j $(JOBS) buckthornshunt-tests
+	@ninja -C $(CHECKED) -j $(JOBS) buckthornshunt-tests buckthornshunt
 
 demo: release
 	@tools/demo $(RELEASE)
