--- a/tests/ownership_test.cpp
+++ b/tests/ownership_test.cpp
@@ -85,12 +85,12 @@
   }
 }
 
-TEST_CASE("a move waits for a node that is cut off from the platform")
+TEST_CASE("a move waits for a node that is gone until the platform says so")
 {
   Cluster cluster;
   StartOneSite(cluster);
   std::string vm = VmOf(cluster, "spare");
-  // Only one node's way is cut: it must not be outvoted.
+  // The two others acknowledge: the third must not be outvoted.
   cluster.StartNode("n3", "a");
   REQUIRE(cluster.Settle());
   cluster.KillNode("n3");
