--- /dev/null
+++ b/include/buckthornshunt/workload.h
@@ -0,0 +1,295 @@
+#ifndef BUCKTHORNSHUNT_WORKLOAD_H
+#define BUCKTHORNSHUNT_WORKLOAD_H
+
+#include "buckthornshunt/types.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornshunt {
+
+/// What a task occupies, or what a worker has.
+struct Resources
+{
+  /// Thousandths of a core.
+  std::int64_t mCpuMillis = 0;
+  std::int64_t mMemoryMb = 0;
+  std::int64_t mGpus = 0;
+
+  Resources& operator+=(const Resources& aOther);
+  Resources& operator-=(const Resources& aOther);
+  friend bool operator==(const Resources&, const Resources&) = default;
+};
+
+/// Whether aNeed fits beside aUsed within aCapacity.
+bool
+Fits(const Resources& aCapacity,
+     const Resources& aUsed,
+     const Resources& aNeed);
+
+/// A group of equal tasks of a job.
+struct StepSpec
+{
+  std::uint32_t mTasks = 1;
+  Resources mPerTask;
+  /// The caller's guess of one task's run time; may be far off.
+  Duration mEstimate{};
+  /// Numbers of earlier steps that must be done first.
+  std::vector<std::uint32_t> mAfter;
+  /// Tasks save their progress and can resume from it.
+  bool mCheckpoints = false;
+  /// Tasks work only while all of them are present.
+  bool mGang = false;
+  /// Tasks run slower when they are spread over racks.
+  bool mSameRack = false;
+  bool mSpeculative = false;
+  /// Tasks run until the job is cancelled and are restarted however they end.
+  bool mLongRunning = false;
+  /// Tasks use only processor time that others leave; it isn't reserved.
+  bool mFills = false;
+  /// Label that the worker must carry; empty for none.
+  std::string mRequiredLabel;
+  /// Rack that holds the data; empty for none.
+  std::string mPreferredRack;
+  /// Name of the program; tasks of one image behave alike.
+  std::string mImage;
+  /// Most tasks of one occurrence on one worker; 0 for any number.
+  std::uint32_t mMostPerWorker = 0;
+  /// Tail latency that the task must keep; zero if it doesn't serve.
+  Duration mTailTarget{};
+  /// Tasks that may be away at once because of the system's own actions.
+  std::uint32_t mMayMiss = 0;
+
+  friend bool operator==(const StepSpec&, const StepSpec&) = default;
+};
+
+/// A job as a caller submitted it.
+struct JobSpec
+{
+  /// Text that is handed to each task unread.
+  std::string mWork;
+  std::vector<StepSpec> mSteps;
+  /// Number of times that the steps run; 0 for once, without a due time.
+  std::uint32_t mOccurrences = 0;
+  WallTime mFirstDue;
+  Duration mInterval{};
+
+  friend bool operator==(const JobSpec&, const JobSpec&) = default;
+};
+
+/// One task of a job.
+struct TaskId
+{
+  std::string mJob;
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  std::uint32_t mIndex = 0;
+
+  friend auto operator<=>(const TaskId&, const TaskId&) = default;
+};
+
+/// "job.occurrence.step.index".
+std::string
+ToString(const TaskId& aTask);
+
+/// Reads the form that ToString writes; none if the text is malformed.
+std::optional<TaskId>
+ParseTaskId(std::string_view aText);
+
+/// What callers see of a job.
+enum class JobPhase : std::uint8_t
+{
+  Pending,
+  Running,
+  Completed,
+  Failed,
+  Cancelled
+};
+
+std::string_view
+ToString(JobPhase aPhase);
+
+/// Service that decides which workers may run a step.
+struct AdviceTerms
+{
+  Duration mDecide{};
+  Duration mPerWorker{};
+  Duration mTicketValid{};
+
+  friend bool operator==(const AdviceTerms&, const AdviceTerms&) = default;
+};
+
+/// A queue of jobs: what callers address, and how its jobs are to be run.
+struct QueueConfig
+{
+  std::string mName;
+  std::string mHost;
+  std::string mPathPrefix;
+  /// Pool of workers that runs the tasks.
+  std::string mPool;
+  /// 0 goes first and may preempt others.
+  int mPriority = 0;
+  /// Failed runs of one task after which its job fails.
+  std::uint32_t mMaxAttempts = 1;
+  /// A job should end within its longest chain times this, plus mLatency.
+  double mStretch = 1;
+  Duration mLatency{};
+  std::optional<AdviceTerms> mAdvice;
+
+  friend bool operator==(const QueueConfig&, const QueueConfig&) = default;
+};
+
+/// A pool of workers.
+struct WorkerPoolConfig
+{
+  std::string mName;
+  /// Workers refuse a task that doesn't fit.
+  bool mEnforcesCapacity = true;
+  /// Workers of this pool are switched off and cost nothing.
+  bool mSpare = false;
+
+  friend bool operator==(const WorkerPoolConfig&,
+                         const WorkerPoolConfig&) = default;
+};
+
+/// Queues and pools in force; versions rise, not always by one.
+struct WorkloadConfig
+{
+  ConfigVersion mVersion{};
+  std::vector<QueueConfig> mQueues;
+  std::vector<WorkerPoolConfig> mPools;
+
+  /// Queue with the longest path prefix that matches; null if there is none.
+  const QueueConfig* FindQueue(std::string_view aHost,
+                               std::string_view aPath) const;
+  const QueueConfig* FindQueueByName(std::string_view aName) const;
+  const WorkerPoolConfig* FindPool(std::string_view aName) const;
+};
+
+/// A worker as it describes itself in the platform's directory.
+struct WorkerReport
+{
+  std::string mId;
+  std::string mPool;
+  /// VM that the worker runs on; empty if the report doesn't say.
+  std::string mVm;
+  Endpoint mEndpoint;
+  std::string mDataCentre;
+  Resources mCapacity;
+  std::vector<std::string> mLabels;
+  /// Label that names the rack; empty if there is none.
+  std::string mRack;
+  /// Start of the worker's present run, in Unix milliseconds; 0 if not said.
+  std::int64_t mBorn = 0;
+  bool mDraining = false;
+  /// Least time that a draining worker stays.
+  Duration mStays{};
+
+  friend bool operator==(const WorkerReport&, const WorkerReport&) = default;
+};
+
+/// How a run of a task ended.
+enum class RunEnd : std::uint8_t
+{
+  Done,
+  Failed,
+  Stopped,
+  /// Its lease ran out.
+  Lapsed,
+  /// Another member of its gang ended.
+  Broken,
+  /// The other members of its gang never came.
+  Alone
+};
+
+std::string_view
+ToString(RunEnd aEnd);
+
+/// A run that a worker lists as present.
+struct PresentRun
+{
+  TaskId mTask;
+  std::uint64_t mRun = 0;
+  /// Last saved progress; empty for none.
+  std::string mCheckpoint;
+  /// Share of full speed at which it works; 100 is full.
+  int mPercent = 0;
+  /// Tail latency in milliseconds of a task that serves, else processor use in
+  /// thousandths of a core; none if not reported.
+  std::optional<double> mGauge;
+};
+
+/// A run that a worker lists as ended.
+struct EndedRun
+{
+  /// Position in the worker's list of ends; rises within one of its lives.
+  std::uint64_t mSequence = 0;
+  TaskId mTask;
+  std::uint64_t mRun = 0;
+  RunEnd mEnd = RunEnd::Failed;
+  std::string mCheckpoint;
+};
+
+/// A worker's answer to the renewal of its lease.
+struct WorkerListing
+{
+  /// The worker's own steady clock, in milliseconds.
+  std::int64_t mClock = 0;
+  /// As in WorkerReport.
+  std::int64_t mBorn = 0;
+  std::vector<PresentRun> mPresent;
+  std::vector<EndedRun> mEnded;
+};
+
+/// Why a worker refused a start.
+enum class StartRefusal : std::uint8_t
+{
+  /// A newer owner has given it orders.
+  Fenced,
+  /// The run, or a later one, was stopped or has ended there.
+  OldRun,
+  /// The lease would already be over.
+  LeaseOver,
+  NoRoom,
+  BadTicket,
+  /// The worker says that it is unhealthy, or the order was malformed.
+  Rejected
+};
+
+std::string_view
+ToString(StartRefusal aRefusal);
+
+/// A VM as the platform's machine service lists it.
+struct PoolVm
+{
+  std::string mVm;
+  std::string mPool;
+  /// Up and running a worker; others are moving, in maintenance or down.
+  bool mUp = false;
+  std::string mWorker;
+  std::string mRack;
+  Resources mCapacity;
+
+  friend bool operator==(const PoolVm&, const PoolVm&) = default;
+};
+
+/// A maintenance wave that the operator asked for.
+struct WaveOrder
+{
+  std::uint64_t mNumber = 0;
+  std::vector<std::string> mVms;
+  /// Time from the order within which all must be done.
+  Duration mDeadline{};
+  std::uint32_t mMostAtOnce = 1;
+
+  friend bool operator==(const WaveOrder&, const WaveOrder&) = default;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- a/src/daemon/assembly.cpp
+++ b/src/daemon/assembly.cpp
@@ -1,11 +1,16 @@
 #include "daemon/assembly.h"
 
+#include "services/cell_service.h"
 #include "services/config_service.h"
 #include "services/control_service.h"
+#include "services/directory_service.h"
 #include "services/dispatch_service.h"
+#include "services/entry_service.h"
 #include "services/fence_service.h"
 #include "services/front_service.h"
 #include "services/job_service.h"
+#include "services/owner_service.h"
+#include "services/relay_service.h"
 #include "services/table_service.h"
 #include "services/wave_service.h"
 
@@ -30,4 +35,18 @@
   }
 }
 
+void
+AddWorkloadServices(Kernel& aKernel, WorkloadParts aParts)
+{
+  Store& store = *aParts.mCells.mStore;
+  Endpoint peers = aParts.mSelf.mPeers;
+  aKernel.GetTracer().SetNode(aParts.mSelf.mNode);
+  aKernel.Add<DirectoryService>(DirectoryService::kName, store);
+  aKernel.Add<OwnerService>(
+    OwnerService::kName, store, std::move(aParts.mSelf));
+  aKernel.Add<RelayService>(RelayService::kName, std::move(peers));
+  aKernel.Add<EntryService>(EntryService::kName, aParts.mEndpoints);
+  aKernel.Add<CellService>(CellService::kName, aParts.mCells, aParts.mTimes);
+}
+
 } // namespace buckthornshunt
--- a/src/daemon/assembly.h
+++ b/src/daemon/assembly.h
@@ -1,10 +1,13 @@
 #ifndef BUCKTHORNSHUNT_DAEMON_ASSEMBLY_H
 #define BUCKTHORNSHUNT_DAEMON_ASSEMBLY_H
 
+#include "decide/cell_owner.h"
 #include "kernel/kernel.h"
 #include "ports/backend.h"
 #include "ports/peer_link.h"
 #include "ports/platform.h"
+#include "services/cell_service.h"
+#include "services/entry_service.h"
 #include "services/member_service.h"
 #include "services/peer_service.h"
 
@@ -28,6 +31,21 @@
 void
 AddServices(Kernel& aKernel, DaemonParts aParts);
 
+/// What an entry VM of the platform is made of.
+struct WorkloadParts
+{
+  NodeSelf mSelf;
+  EntryEndpoints mEndpoints;
+  CellPorts mCells;
+  CellTimes mTimes;
+};
+
+/// Adds the services that run workloads on the platform. They stop in reverse:
+/// cells are given up first, then callers are served until the balancer has
+/// noticed.
+void
+AddWorkloadServices(Kernel& aKernel, WorkloadParts aParts);
+
 } // namespace buckthornshunt
 
 #endif
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -7,7 +7,9 @@
 #include <boost/asio/signal_set.hpp>
 #include <popt.h>
 
+#include <algorithm>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <memory>
 #include <random>
@@ -52,25 +54,97 @@
   });
 }
 
-int
-Run(const Settings& aSettings)
+/// What the workload services work with; outlives them.
+struct WorkloadWorld
 {
-  asio::io_context context(1);
-  SystemClock system(context);
-  Kernel kernel(context, Clock(context, system), RandomSeed());
-  HttpClient client(context, kernel.GetClock());
+  Store mStore;
+  Workers mWorkers;
+};
+
+WorkloadWorld
+MakeWorld(HttpClient& aClient, const Settings& aSettings)
+{
+  return { platform::StoreClient(aClient, aSettings.mPlatform),
+           platform::WorkerClient(aClient) };
+}
+
+void
+AddWorkload(Kernel& aKernel, WorkloadWorld& aWorld, const Settings& aSettings)
+{
+  const WorkloadSettings& workload = *aSettings.mWorkload;
+  WorkloadParts parts;
+  parts.mSelf = { aSettings.mNode,
+                  aSettings.mPeers,
+                  Incarnation(aKernel.Random()) };
+  parts.mEndpoints = {
+    aSettings.mCallers, workload.mReady, workload.mMetrics, workload.mGrace
+  };
+  parts.mCells = { &aWorld.mStore, &aWorld.mWorkers, workload.mAdvice };
+  parts.mTimes.mStatusKept = workload.mStatusKept;
+  parts.mTimes.mRunLease =
+    std::min(parts.mTimes.mRunLease, workload.mLongestRunLease);
+  AddWorkloadServices(aKernel, std::move(parts));
+}
 
+void
+AddOwnInterface(Kernel& aKernel, HttpClient& aClient, const Settings& aSettings)
+{
   DaemonParts parts;
   parts.mSelf = { aSettings.mNode,
                   aSettings.mDataCentre,
-                  Incarnation(kernel.Random()),
+                  Incarnation(aKernel.Random()),
                   aSettings.mPeers };
   parts.mCallers = aSettings.mCallers;
   parts.mPeers.mListen = aSettings.mPeers;
   parts.mPeers.mSeeds = aSettings.mPeerSeeds;
-  parts.mPlatform = HttpPlatform{ &client, aSettings.mPlatform };
-  parts.mBackends = HttpBackends{ &client };
-  AddServices(kernel, std::move(parts));
+  parts.mPlatform = HttpPlatform{ &aClient, aSettings.mPlatform };
+  parts.mBackends = HttpBackends{ &aClient };
+  AddServices(aKernel, std::move(parts));
+}
+
+// Reads the settings again, so that a fault in them is reported when they
+// change and not at the next start. Addresses take effect at a start.
+void
+CheckOnHangUp(asio::signal_set& aSignals, std::string_view aFile)
+{
+  aSignals.async_wait(
+    [&aSignals, aFile](boost::system::error_code aError, int) {
+      if (aError) {
+        return;
+      }
+      auto settings = ToExpected<Settings>(
+        [&] { return ReadSettings(std::filesystem::path(aFile)); });
+      if (Ok(settings)) {
+        LogInfo(kPart, "reload file={} outcome=checked", aFile);
+      } else {
+        LogError(kPart,
+                 "reload file={} outcome=refused: {}",
+                 aFile,
+                 Describe(std::get<Failure>(settings)));
+      }
+      CheckOnHangUp(aSignals, aFile);
+    });
+}
+
+int
+Run(const Settings& aSettings, std::string_view aFile)
+{
+  asio::io_context context(1);
+  SystemClock system(context);
+  Kernel kernel(context, Clock(context, system), RandomSeed());
+  HttpClient client(context, kernel.GetClock());
+  WorkloadWorld world = MakeWorld(client, aSettings);
+  if (aSettings.mWorkload) {
+    AddWorkload(kernel, world, aSettings);
+  } else {
+    AddOwnInterface(kernel, client, aSettings);
+  }
+  LogInfo(kPart,
+          "start node={} data_centre={} callers={} platform={}",
+          aSettings.mNode,
+          aSettings.mDataCentre,
+          ToString(aSettings.mCallers),
+          ToString(aSettings.mPlatform));
 
   auto started =
     ToExpected<std::monostate>([&]() -> leaf::result<std::monostate> {
@@ -83,6 +157,8 @@
   }
   asio::signal_set signals(context, SIGINT, SIGTERM);
   StopOnSignal(context, signals, kernel);
+  asio::signal_set hangUp(context, SIGHUP);
+  CheckOnHangUp(hangUp, aFile);
   context.run();
   LogInfo(kPart, "stopped");
   return kExitOk;
@@ -92,6 +168,7 @@
 Main(int aCount, const char** aArguments)
 {
   char* file = nullptr;
+  char* variable = nullptr;
   const poptOption options[] = { { "settings",
                                    's',
                                    POPT_ARG_STRING,
@@ -99,20 +176,33 @@
                                    0,
                                    "settings file, in JSON",
                                    "FILE" },
+                                 { "settings-from",
+                                   0,
+                                   POPT_ARG_STRING,
+                                   &variable,
+                                   0,
+                                   "environment variable that names the file",
+                                   "VARIABLE" },
                                  POPT_AUTOHELP POPT_TABLEEND };
   std::unique_ptr<poptContext_s, poptContext (*)(poptContext)> popt(
     poptGetContext("buckthornshuntd", aCount, aArguments, options, 0),
     poptFreeContext);
   int parsed = poptGetNextOpt(popt.get());
   std::unique_ptr<char, void (*)(void*)> held(file, std::free);
-  if (parsed < -1 || file == nullptr || poptPeekArg(popt.get()) != nullptr) {
+  std::unique_ptr<char, void (*)(void*)> heldVariable(variable, std::free);
+  const char* path = file;
+  if (path == nullptr && variable != nullptr) {
+    path = std::getenv(variable);
+  }
+  if (parsed < -1 || path == nullptr || poptPeekArg(popt.get()) != nullptr) {
     std::cerr << "buckthornshuntd: "
               << (parsed < -1 ? poptStrerror(parsed)
-                              : "usage: buckthornshuntd --settings FILE")
+                              : "usage: buckthornshuntd --settings FILE, or "
+                                "--settings-from VARIABLE")
               << "\n";
     return kExitUsage;
   }
-  auto settings = ToExpected<Settings>([&] { return ReadSettings(file); });
+  auto settings = ToExpected<Settings>([&] { return ReadSettings(path); });
   if (!Ok(settings)) {
     std::cerr << "buckthornshuntd: " << Describe(std::get<Failure>(settings))
               << "\n";
@@ -120,7 +210,7 @@
   }
   const Settings& read = std::get<Settings>(settings);
   SetUpLogs(read.mLogFormat, read.mLogLevel);
-  int status = Run(read);
+  int status = Run(read, path);
   ShutDownLogs();
   return status;
 }
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -35,6 +35,48 @@
   return aText == "error" ? LogLevel::Error : LogLevel::Info;
 }
 
+Duration
+Seconds(const Json& aSection, const char* aName, Duration aDefault)
+{
+  auto it = aSection.find(aName);
+  if (it == aSection.end()) {
+    return aDefault;
+  }
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(it->get<double>()));
+}
+
+leaf::result<WorkloadSettings>
+ReadWorkload(std::string_view aFile, const Json& aSection)
+{
+  WorkloadSettings workload;
+  auto endpoint = [&](const char* aName) {
+    return ReadEndpoint(aFile,
+                        aSection.at(aName).get<std::string>(),
+                        std::string("/workload/") + aName);
+  };
+  BOOST_LEAF_ASSIGN(workload.mReady, endpoint("ready"));
+  BOOST_LEAF_ASSIGN(workload.mMetrics, endpoint("metrics"));
+  if (aSection.contains("machines")) {
+    BOOST_LEAF_ASSIGN(workload.mMachines, endpoint("machines"));
+  }
+  if (aSection.contains("advice")) {
+    BOOST_LEAF_ASSIGN(workload.mAdvice, endpoint("advice"));
+  }
+  workload.mGrace = Seconds(aSection, "grace_s", workload.mGrace);
+  workload.mStatusKept =
+    Seconds(aSection, "status_kept_s", workload.mStatusKept);
+  workload.mLongestRunLease =
+    Seconds(aSection, "longest_run_lease_s", workload.mLongestRunLease);
+  workload.mDutyLease = Seconds(aSection, "duty_lease_s", workload.mDutyLease);
+  workload.mMoveTime = Seconds(aSection, "move_s", workload.mMoveTime);
+  workload.mMaintenanceTime =
+    Seconds(aSection, "maintenance_s", workload.mMaintenanceTime);
+  workload.mMissNotice =
+    Seconds(aSection, "miss_notice_s", workload.mMissNotice);
+  return workload;
+}
+
 } // namespace
 
 leaf::result<Settings>
@@ -65,6 +107,10 @@
   settings.mLogFormat =
     log.value("format", "text") == "json" ? LogFormat::Json : LogFormat::Text;
   settings.mLogLevel = ParseLevel(log.value("level", "info"));
+  if (aJson.contains("workload")) {
+    BOOST_LEAF_ASSIGN(settings.mWorkload,
+                      ReadWorkload(aFile, aJson.at("workload")));
+  }
   return settings;
 }
 
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -5,11 +5,31 @@
 #include "wire/json_fields.h"
 
 #include <filesystem>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace buckthornshunt {
 
+/// What a daemon needs besides to run workloads on the platform.
+struct WorkloadSettings
+{
+  /// Where the balancer asks whether the node is ready.
+  Endpoint mReady;
+  Endpoint mMetrics;
+  /// The platform's machine service.
+  Endpoint mMachines;
+  /// Service that advises on workers; port 0 if there is none.
+  Endpoint mAdvice;
+  Duration mGrace = std::chrono::seconds(6);
+  Duration mStatusKept = std::chrono::seconds(120);
+  Duration mLongestRunLease = std::chrono::seconds(10);
+  Duration mDutyLease = std::chrono::seconds(3);
+  Duration mMoveTime = std::chrono::milliseconds(1500);
+  Duration mMaintenanceTime = std::chrono::seconds(2);
+  Duration mMissNotice = std::chrono::milliseconds(4500);
+};
+
 /// A daemon's own settings.
 struct Settings
 {
@@ -21,6 +41,8 @@
   Endpoint mPlatform;
   LogFormat mLogFormat = LogFormat::Text;
   LogLevel mLogLevel = LogLevel::Info;
+  /// Set on entry VMs of the platform.
+  std::optional<WorkloadSettings> mWorkload;
 };
 
 /// Reads and checks a settings file; fails with ConfigFailure.
--- /dev/null
+++ b/src/decide/cell.h
@@ -0,0 +1,320 @@
+#ifndef BUCKTHORNSHUNT_DECIDE_CELL_H
+#define BUCKTHORNSHUNT_DECIDE_CELL_H
+
+#include "decide/admission.h"
+#include "decide/cell_job.h"
+#include "decide/task_placement.h"
+#include "ports/worker_calls.h"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornshunt {
+
+/// Times of the platform that a cell plans with.
+struct CellTimes
+{
+  /// Lease that each renewal grants to what a worker runs.
+  Duration mRunLease = std::chrono::seconds(7);
+  /// Time after its end for which a job's state can be asked.
+  Duration mStatusKept = std::chrono::seconds(120);
+  /// A timed run starts at most this much before it is due.
+  Duration mEarly = std::chrono::milliseconds(250);
+};
+
+/// What a cell knows of a run that is, or may be, on a worker.
+struct ActiveRun
+{
+  enum class Stage : std::uint8_t
+  {
+    /// The order to start is on its way.
+    Starting,
+    /// The start got no answer; it may have happened, or may still.
+    Unclear,
+    Running,
+    /// To be stopped, so that it can't run or start there any more.
+    Stopping
+  };
+
+  std::uint64_t mRun = 0;
+  Stage mStage = Stage::Starting;
+  /// Start of the present stage.
+  TimePoint mSince;
+  bool mStopSent = false;
+  TimePoint mStopSentAt;
+  /// A stop was carried out; listings asked for later tell what is left.
+  std::optional<TimePoint> mStoppedAt;
+  Resources mReserved;
+  bool mFills = false;
+  bool mLongRunning = false;
+  int mPercent = 0;
+  int mWantedPercent = 100;
+  std::optional<double> mGauge;
+  Duration mTailTarget{};
+  TimePoint mStarted;
+};
+
+/// A worker as its cell's owner knows it.
+struct CellWorker
+{
+  WorkerReport mReport;
+  /// The directory lists it.
+  bool mListed = false;
+  /// It has accepted this owner's token in its present life.
+  bool mContacted = false;
+  /// It is in the cell's durable set, so a next owner will look there.
+  bool mDurable = false;
+  /// It is about to leave the pool or to be maintained; nothing new starts.
+  bool mSealed = false;
+  /// Runs may be on it that an earlier owner started.
+  bool mInherited = false;
+  std::int64_t mBorn = 0;
+  std::int64_t mClock = 0;
+  /// When mClock was received.
+  TimePoint mClockAt;
+  /// When every lease granted so far has surely ended.
+  TimePoint mLeaseOver;
+  TimePoint mLastAnswer;
+  int mMissed = 0;
+  std::uint64_t mSeenEnds = 0;
+  std::uint64_t mCommittedEnds = 0;
+  Resources mUsed;
+  std::map<TaskId, ActiveRun> mRuns;
+  /// Failed runs in a row, of different jobs.
+  int mFailuresInRow = 0;
+  std::string mLastFailedJob;
+  TimePoint mAvoidUntil;
+  TimePoint mPacedAt;
+};
+
+/// An order to one worker.
+struct CellOrder
+{
+  std::string mWorker;
+  WorkerCall mCall;
+};
+
+/// Rows that the next commit writes.
+struct CellChanges
+{
+  std::vector<StoredJob> mNewJobs;
+  std::vector<std::pair<std::string, StoredProgress>> mProgress;
+  /// Jobs whose first row is no longer needed.
+  std::vector<std::string> mEnded;
+  /// Jobs that nobody can ask for any more.
+  std::vector<std::string> mForgotten;
+  /// Durable set of workers, if it changed.
+  std::optional<std::vector<std::string>> mWorkers;
+  /// Ends that the rows cover, by worker.
+  std::map<std::string, std::uint64_t> mEnds;
+
+  bool Empty() const;
+};
+
+/// A job submitted to a cell.
+struct Submission
+{
+  std::string mId;
+  std::string mQueue;
+  JobSpec mSpec;
+  WallTime mNow;
+};
+
+enum class SubmitResult : std::uint8_t
+{
+  /// The job is there; it counts as accepted once it is stored.
+  Taken,
+  Refused
+};
+
+/// What becomes of a step's advice request.
+struct AdviceRequest
+{
+  std::string mJob;
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  std::vector<std::string> mWorkers;
+};
+
+/// Load of a pool, for the plan of the whole fleet.
+struct PoolSummary
+{
+  std::string mPool;
+  double mBacklogCoreSeconds = 0;
+  double mUsedCores = 0;
+  double mCapacityCores = 0;
+  /// Jobs turned away since the last summary.
+  std::uint32_t mRefused = 0;
+};
+
+/// The jobs and workers of one pool, and every decision about them. It has no
+/// input or output: its owner carries out what Plan returns, reports what
+/// came of it, and commits what TakeChanges returns.
+class Cell
+{
+public:
+  Cell(CellTimes aTimes,
+       FencingToken aToken,
+       std::uint32_t aTerm,
+       TimePoint aTakenOver);
+
+  // Configuration.
+  void SetConfig(const WorkloadConfig& aConfig, std::string_view aPool);
+
+  // State taken over from the store.
+  void Restore(CellJob aJob, TimePoint aNow, WallTime aWallNow);
+  void RestoreEnded(std::string_view aId,
+                    const StoredProgress& aProgress,
+                    TimePoint aNow);
+  void RestoreWorkers(std::span<const std::string> aIds, TimePoint aNow);
+
+  // Callers.
+  SubmitResult Submit(Submission aSubmission, TimePoint aNow);
+  /// When to come back after a refusal; aJitter of 0 to 1.
+  Duration RetryAfterFor(const Submission& aSubmission,
+                         TimePoint aNow,
+                         double aJitter) const;
+  /// False if no such job exists.
+  bool Cancel(std::string_view aId, TimePoint aNow);
+  std::optional<JobPhase> PhaseOf(std::string_view aId) const;
+  /// The job's latest change is committed.
+  bool IsStored(std::string_view aId) const;
+  std::uint64_t Waiting(std::string_view aQueue) const;
+
+  // Workers.
+  void SetWorkers(std::span<const WorkerReport> aReports, TimePoint aNow);
+  void Seal(std::string_view aWorker, bool aSealed);
+  RenewLease NextRenewal(std::string_view aWorker,
+                         Duration aWait,
+                         TimePoint aNow);
+  void OnListing(std::string_view aWorker,
+                 const WorkerListing& aListing,
+                 TimePoint aSent,
+                 TimePoint aNow);
+  void OnNoAnswer(std::string_view aWorker, TimePoint aNow);
+  void OnOtherLife(std::string_view aWorker, TimePoint aNow);
+  void OnOrder(std::string_view aWorker,
+               const WorkerCall& aCall,
+               const Expected<WorkerReply>& aReply,
+               TimePoint aNow);
+
+  // Advice.
+  std::vector<AdviceRequest> TakeAdviceRequests();
+  void OnAdvice(const AdviceRequest& aRequest,
+                std::map<std::string, std::string, std::less<>> aTickets,
+                Duration aValid,
+                TimePoint aNow);
+
+  /// Orders that are to go out now.
+  std::vector<CellOrder> Plan(TimePoint aNow, WallTime aWallNow);
+
+  // Commits.
+  CellChanges TakeChanges(TimePoint aNow);
+  void OnCommitted(const CellChanges& aChanges, TimePoint aNow);
+  /// A commit that surely had no effect; its changes are due again.
+  void OnNotCommitted(const CellChanges& aChanges);
+
+  bool Fenced() const { return mFenced; }
+  const std::map<std::string, CellWorker, std::less<>>& WorkersNow() const
+  {
+    return mWorkers;
+  }
+  const std::map<std::string, CellJob, std::less<>>& Jobs() const
+  {
+    return mJobs;
+  }
+  /// Worker has something to renew a lease for, or must be asked first.
+  bool NeedsRenewal(std::string_view aWorker) const;
+  PoolSummary Summary() const;
+  std::uint32_t TakeRefused();
+
+private:
+  struct QueueStats
+  {
+    double mMeanScale = 1;
+    double mMeanWork = 0;
+    std::uint64_t mSeen = 0;
+  };
+  struct Candidate;
+
+  CellWorker* FindWorker(std::string_view aId);
+  CellJob* FindJob(std::string_view aId);
+  const QueueConfig* QueueOf(const CellJob& aJob) const;
+  double ScaleOf(std::string_view aQueue) const;
+  Duration ObjectiveOf(std::string_view aQueue, const JobSpec& aSpec) const;
+
+  void MarkDirty(CellJob& aJob);
+  void StartNewLife(CellWorker& aWorker, TimePoint aNow);
+  void ReleaseRun(CellWorker& aWorker, const TaskId& aTask);
+  void LoseRun(CellWorker& aWorker, const TaskId& aTask);
+  void TaskGone(const TaskId& aTask, std::string_view aWorker);
+  void StopRunOn(ActiveRun& aRun, TimePoint aNow);
+  void StopRunsOf(const CellJob& aJob, TimePoint aNow);
+  void OnEnd(CellWorker& aWorker, const EndedRun& aEnd, TimePoint aNow);
+  void OnTaskDone(CellJob& aJob, const TaskId& aTask, TimePoint aNow);
+  void OnTaskFailed(CellWorker& aWorker,
+                    CellJob& aJob,
+                    const EndedRun& aEnd,
+                    TimePoint aNow);
+  void NotePresent(CellWorker& aWorker,
+                   const PresentRun& aPresent,
+                   TimePoint aSent,
+                   TimePoint aNow);
+  void ResolveAbsent(CellWorker& aWorker,
+                     const std::set<TaskId>& aPresent,
+                     TimePoint aSent,
+                     TimePoint aNow);
+  void LearnRunTime(const CellJob& aJob, const TaskId& aTask, Duration aTook);
+
+  void ExpireLeases(TimePoint aNow);
+  void OpenOccurrences(WallTime aWallNow);
+  bool InheritedRunsSettled(TimePoint aNow) const;
+  void PlanStops(TimePoint aNow, std::vector<CellOrder>& aOrders);
+  void PlanEvacuation(TimePoint aNow);
+  void PlanPaces(TimePoint aNow, std::vector<CellOrder>& aOrders);
+  void PlanStarts(TimePoint aNow, std::vector<CellOrder>& aOrders);
+  void CollectCandidates(TimePoint aNow, std::vector<Candidate>& aOut);
+  bool PlaceStep(const Candidate& aCandidate,
+                 std::vector<WorkerRoom>& aRooms,
+                 TimePoint aNow,
+                 std::vector<CellOrder>& aOrders);
+  std::vector<WorkerRoom> Rooms(TimePoint aNow) const;
+  bool Usable(const CellWorker& aWorker, TimePoint aNow) const;
+  void StartTask(CellWorker& aWorker,
+                 CellJob& aJob,
+                 const TaskId& aTask,
+                 std::uint64_t aRun,
+                 TimePoint aNow,
+                 std::vector<CellOrder>& aOrders);
+  std::int64_t GrantLease(CellWorker& aWorker, TimePoint aNow);
+  std::uint32_t TasksAway(const CellJob& aJob,
+                          std::uint32_t aOccurrence,
+                          std::uint32_t aStep,
+                          const TaskId& aBut) const;
+
+  CellTimes mTimes;
+  FencingToken mToken;
+  std::uint32_t mTerm;
+  TimePoint mTakenOver;
+  bool mFenced = false;
+  WorkloadConfig mConfig;
+  std::string mPool;
+  std::map<std::string, CellJob, std::less<>> mJobs;
+  std::map<std::string, CellWorker, std::less<>> mWorkers;
+  std::set<std::string, std::less<>> mLive;
+  std::set<std::string> mDirty;
+  bool mWorkersDirty = false;
+  std::map<std::string, QueueStats, std::less<>> mStats;
+  /// First attempts of jobs that were turned away.
+  std::map<std::string, TimePoint, std::less<>> mTurnedAway;
+  std::uint32_t mRefused = 0;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/decide/cell_job.cpp
@@ -0,0 +1,202 @@
+#include "decide/cell_job.h"
+
+#include <algorithm>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr double kMillisPerCore = 1000.0;
+
+// Estimates of zero still take a moment.
+constexpr Duration kLeastEstimate = std::chrono::milliseconds(50);
+
+Duration
+Scaled(Duration aEstimate, double aScale)
+{
+  auto scaled = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(ToSeconds(aEstimate) * aScale));
+  return std::max(scaled, kLeastEstimate);
+}
+
+std::uint32_t
+TasksLeft(const StepSpec& aStep, const OccurrenceRecord* aRun, std::size_t aAt)
+{
+  return aRun == nullptr ? aStep.mTasks
+                         : aStep.mTasks - aRun->mSteps[aAt].mDone;
+}
+
+} // namespace
+
+bool
+CellJob::Live() const
+{
+  return !mCancelled && !mFailed && !AllDone();
+}
+
+bool
+CellJob::LongRunning() const
+{
+  return std::any_of(mSpec.mSteps.begin(),
+                     mSpec.mSteps.end(),
+                     [](const StepSpec& aStep) { return aStep.mLongRunning; });
+}
+
+std::uint32_t
+CellJob::Occurrences() const
+{
+  return std::max<std::uint32_t>(mSpec.mOccurrences, 1);
+}
+
+bool
+CellJob::AllDone() const
+{
+  return mDoneOccurrences.size() >= Occurrences();
+}
+
+JobPhase
+CellJob::NextPhase() const
+{
+  if (AllDone()) {
+    return JobPhase::Completed;
+  }
+  if (mCancelled) {
+    return JobPhase::Cancelled;
+  }
+  if (mFailed) {
+    return JobPhase::Failed;
+  }
+  return mStarted ? JobPhase::Running : JobPhase::Pending;
+}
+
+OccurrenceRecord
+MakeOccurrence(const JobSpec& aSpec)
+{
+  OccurrenceRecord run;
+  run.mSteps.resize(aSpec.mSteps.size());
+  for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
+    run.mSteps[i].mTasks.resize(aSpec.mSteps[i].mTasks);
+  }
+  return run;
+}
+
+bool
+StepReady(const JobSpec& aSpec, const OccurrenceRecord& aRun, std::size_t aStep)
+{
+  const std::vector<std::uint32_t>& after = aSpec.mSteps[aStep].mAfter;
+  return std::all_of(after.begin(), after.end(), [&](std::uint32_t aBefore) {
+    return aRun.mSteps[aBefore].mDone == aSpec.mSteps[aBefore].mTasks;
+  });
+}
+
+StoredProgress
+ProgressOf(const CellJob& aJob)
+{
+  StoredProgress progress;
+  progress.mPhase = aJob.NextPhase();
+  progress.mQueue = aJob.mQueue;
+  progress.mDoneOccurrences = aJob.mDoneOccurrences;
+  if (!aJob.Live()) {
+    return progress;
+  }
+  for (const auto& [number, run] : aJob.mOccurrences) {
+    for (std::uint32_t s = 0; s < run.mSteps.size(); ++s) {
+      const std::vector<TaskRecord>& tasks = run.mSteps[s].mTasks;
+      for (std::uint32_t i = 0; i < tasks.size(); ++i) {
+        const TaskRecord& task = tasks[i];
+        bool done = task.mStage == TaskStage::Done;
+        if (done || task.mFailures > 0 || !task.mCheckpoint.empty()) {
+          progress.mTasks.push_back({ number,
+                                      s,
+                                      i,
+                                      done,
+                                      task.mFailures,
+                                      done ? "" : task.mCheckpoint });
+        }
+      }
+    }
+  }
+  return progress;
+}
+
+CellJob
+RestoreJob(const StoredJob& aStored, const StoredProgress& aProgress)
+{
+  CellJob job;
+  job.mId = aStored.mId;
+  job.mQueue = aStored.mQueue;
+  job.mSpec = aStored.mSpec;
+  job.mAcceptedTerm = aStored.mAcceptedTerm;
+  job.mSubmitted = aStored.mSubmitted;
+  job.mStored = true;
+  job.mInherited = true;
+  job.mDoneOccurrences = aProgress.mDoneOccurrences;
+  job.mCancelled = aProgress.mPhase == JobPhase::Cancelled;
+  job.mFailed = aProgress.mPhase == JobPhase::Failed;
+  for (const StoredTask& task : aProgress.mTasks) {
+    bool known = task.mStep < job.mSpec.mSteps.size() &&
+                 task.mIndex < job.mSpec.mSteps[task.mStep].mTasks;
+    if (!known) {
+      continue;
+    }
+    auto [it, added] = job.mOccurrences.try_emplace(task.mOccurrence);
+    if (added) {
+      it->second = MakeOccurrence(job.mSpec);
+    }
+    StepRecord& step = it->second.mSteps[task.mStep];
+    TaskRecord& record = step.mTasks[task.mIndex];
+    record.mFailures = task.mFailures;
+    record.mCheckpoint = task.mCheckpoint;
+    job.mStarted = true;
+    if (job.mSpec.mSteps[task.mStep].mGang) {
+      step.mGangFailures = std::max(step.mGangFailures, task.mFailures);
+    }
+    if (task.mDone) {
+      record.mStage = TaskStage::Done;
+      ++step.mDone;
+      it->second.mDoneSteps += step.mDone == step.mTasks.size() ? 1 : 0;
+    }
+  }
+  return job;
+}
+
+Duration
+RemainingChain(const JobSpec& aSpec,
+               const OccurrenceRecord* aRun,
+               double aScale)
+{
+  std::vector<Duration> ends(aSpec.mSteps.size());
+  Duration longest{};
+  for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
+    const StepSpec& step = aSpec.mSteps[i];
+    Duration begin{};
+    for (std::uint32_t before : step.mAfter) {
+      begin = std::max(begin, ends[before]);
+    }
+    bool left = TasksLeft(step, aRun, i) > 0;
+    ends[i] = begin + (left ? Scaled(step.mEstimate, aScale) : Duration{});
+    longest = std::max(longest, ends[i]);
+  }
+  return longest;
+}
+
+double
+RemainingCoreSeconds(const JobSpec& aSpec,
+                     const OccurrenceRecord* aRun,
+                     double aScale)
+{
+  double total = 0;
+  for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
+    const StepSpec& step = aSpec.mSteps[i];
+    if (step.mLongRunning) {
+      continue;
+    }
+    double cores =
+      static_cast<double>(step.mPerTask.mCpuMillis) / kMillisPerCore;
+    total += cores * TasksLeft(step, aRun, i) *
+             ToSeconds(Scaled(step.mEstimate, aScale));
+  }
+  return total;
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/decide/cell_job.h
@@ -0,0 +1,156 @@
+#ifndef BUCKTHORNSHUNT_DECIDE_CELL_JOB_H
+#define BUCKTHORNSHUNT_DECIDE_CELL_JOB_H
+
+#include "buckthornshunt/workload.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace buckthornshunt {
+
+/// A job's row: what was submitted, never changed afterwards.
+struct StoredJob
+{
+  std::string mId;
+  std::string mQueue;
+  JobSpec mSpec;
+  /// Term of the cell in which the job was accepted.
+  std::uint32_t mAcceptedTerm = 0;
+  WallTime mSubmitted;
+};
+
+/// A task that differs from one that never ran.
+struct StoredTask
+{
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  std::uint32_t mIndex = 0;
+  bool mDone = false;
+  std::uint32_t mFailures = 0;
+  std::string mCheckpoint;
+
+  friend bool operator==(const StoredTask&, const StoredTask&) = default;
+};
+
+/// A job's second row: how far it has come.
+struct StoredProgress
+{
+  JobPhase mPhase = JobPhase::Pending;
+  /// Queue, kept after the job's first row is gone.
+  std::string mQueue;
+  std::vector<std::uint32_t> mDoneOccurrences;
+  std::vector<StoredTask> mTasks;
+};
+
+enum class TaskStage : std::uint8_t
+{
+  Idle,
+  /// A run of it is, or may be, on a worker.
+  Active,
+  Done
+};
+
+struct TaskRecord
+{
+  TaskStage mStage = TaskStage::Idle;
+  std::uint32_t mFailures = 0;
+  /// Starts in this term.
+  std::uint32_t mStarts = 0;
+  std::string mCheckpoint;
+  /// Worker of the active run.
+  std::string mWorker;
+  /// Worker of the last failed run.
+  std::string mFailedOn;
+  TimePoint mNotBefore;
+};
+
+struct StepRecord
+{
+  std::vector<TaskRecord> mTasks;
+  std::uint32_t mDone = 0;
+  std::uint32_t mActive = 0;
+  /// Starts and failures of the gang as a whole.
+  std::uint32_t mGangStarts = 0;
+  std::uint32_t mGangFailures = 0;
+  std::uint64_t mLastFailedGangRun = 0;
+  /// Ticket of each worker that may run the step, where advice is needed.
+  std::map<std::string, std::string, std::less<>> mTickets;
+  TimePoint mTicketsUntil;
+  bool mAdviceAsked = false;
+};
+
+/// One run through the steps of a job.
+struct OccurrenceRecord
+{
+  std::vector<StepRecord> mSteps;
+  std::uint32_t mDoneSteps = 0;
+};
+
+/// A job as its cell's owner knows it.
+struct CellJob
+{
+  std::string mId;
+  std::string mQueue;
+  JobSpec mSpec;
+  std::uint32_t mAcceptedTerm = 0;
+  WallTime mSubmitted;
+  /// When the caller first tried to hand the job in.
+  TimePoint mFirstSeen;
+  /// The row is committed.
+  bool mStored = false;
+  bool mCancelled = false;
+  bool mFailed = false;
+  bool mStarted = false;
+  bool mDirty = false;
+  /// Taken over from an earlier owner.
+  bool mInherited = false;
+  std::map<std::uint32_t, OccurrenceRecord> mOccurrences;
+  std::vector<std::uint32_t> mDoneOccurrences;
+  /// Final phase that is committed; Pending while there is none.
+  JobPhase mCommitted = JobPhase::Pending;
+  TimePoint mEnded;
+
+  bool Live() const;
+  bool LongRunning() const;
+  /// All occurrences are done.
+  bool AllDone() const;
+  std::uint32_t Occurrences() const;
+  /// Phase that the next commit will record.
+  JobPhase NextPhase() const;
+};
+
+/// Occurrence with every task idle.
+OccurrenceRecord
+MakeOccurrence(const JobSpec& aSpec);
+
+/// All steps that a step waits for are done.
+bool
+StepReady(const JobSpec& aSpec,
+          const OccurrenceRecord& aRun,
+          std::size_t aStep);
+
+StoredProgress
+ProgressOf(const CellJob& aJob);
+
+/// Puts a job together again from its rows.
+CellJob
+RestoreJob(const StoredJob& aStored, const StoredProgress& aProgress);
+
+/// Longest chain of estimates through the steps that aDone doesn't cover;
+/// aRun may be null for a job that hasn't begun.
+Duration
+RemainingChain(const JobSpec& aSpec,
+               const OccurrenceRecord* aRun,
+               double aScale);
+
+/// Core-seconds of the tasks that aren't done.
+double
+RemainingCoreSeconds(const JobSpec& aSpec,
+                     const OccurrenceRecord* aRun,
+                     double aScale);
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/decide/cell_owner.h
@@ -0,0 +1,76 @@
+#ifndef BUCKTHORNSHUNT_DECIDE_CELL_OWNER_H
+#define BUCKTHORNSHUNT_DECIDE_CELL_OWNER_H
+
+#include "buckthornshunt/types.h"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace buckthornshunt {
+
+/// The row that says who owns a cell. Every commit of the owner rewrites it
+/// under the condition that it is unchanged, so commits of one cell are in
+/// order, a lost answer is settled by its sequence, and an earlier owner can
+/// commit nothing.
+struct OwnerRow
+{
+  std::string mNode;
+  Endpoint mPeers;
+  Incarnation mIncarnation{};
+  /// Count of the cell's owners.
+  std::uint32_t mTerm = 0;
+  /// Count of the owner's commits.
+  std::uint64_t mSequence = 0;
+  /// The owner has given the cell up.
+  bool mReleased = false;
+  /// Workers that nothing may be started on.
+  std::vector<std::string> mSealed;
+
+  friend bool operator==(const OwnerRow&, const OwnerRow&) = default;
+};
+
+/// Time from the sending of a commit for which its sender may act as owner.
+constexpr Duration kOwnerLease = std::chrono::milliseconds(3000);
+/// Time that another node must have seen the row unchanged before it takes the
+/// cell over: the lease and an allowance for clocks and late readers.
+constexpr Duration kTakeOverAfter = std::chrono::milliseconds(3600);
+/// Longest pause between successful reads of the rows that still counts as
+/// watching; after a longer one the owner may not have been able to renew.
+constexpr Duration kLongestBlind = std::chrono::milliseconds(2200);
+
+/// What a node has seen of a cell's owner row.
+struct OwnerSighting
+{
+  OwnerRow mRow;
+  Revision mRevision{};
+  /// First successful read that showed this revision.
+  TimePoint mUnchangedSince;
+};
+
+/// A node that looks at owner rows.
+struct NodeSelf
+{
+  std::string mNode;
+  Endpoint mPeers;
+  Incarnation mIncarnation{};
+};
+
+enum class OwnerStanding : std::uint8_t
+{
+  /// The owner may be acting.
+  Held,
+  /// Nobody acts as owner; anybody may take the cell over.
+  Free
+};
+
+/// Whether a cell can be taken over. A node's own predecessor is surely gone,
+/// since one VM runs one process under a name and an address.
+OwnerStanding
+JudgeOwner(const OwnerSighting& aSighting,
+           const NodeSelf& aSelf,
+           TimePoint aNow);
+
+} // namespace buckthornshunt
+
+#endif
--- a/src/kernel/clock.cpp
+++ b/src/kernel/clock.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
+#include <ctime>
 
 namespace buckthornshunt {
 
@@ -42,10 +43,15 @@
 {
 }
 
+// The boot-time clock, since leases go on while a machine is suspended; the
+// plain steady clock stands still then.
 TimePoint
 SystemClock::Now() const
 {
-  return TimePoint(std::chrono::steady_clock::now().time_since_epoch());
+  timespec now{};
+  ::clock_gettime(CLOCK_BOOTTIME, &now);
+  return TimePoint(std::chrono::seconds(now.tv_sec) +
+                   std::chrono::nanoseconds(now.tv_nsec));
 }
 
 WallTime
@@ -82,8 +88,7 @@
     return;
   }
   mArmedFor = due;
-  mTimer.expires_at(
-    std::chrono::steady_clock::time_point(due.time_since_epoch()));
+  mTimer.expires_after(std::max(due - Now(), Duration::zero()));
   mTimer.async_wait([this](boost::system::error_code aError) {
     if (aError) {
       return;
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -40,14 +40,14 @@
 
 } // namespace
 
-// The asynchronous appender doesn't block: a full pipe on standard error
+// The asynchronous appender doesn't block: a full pipe on standard output
 // must not stop the daemon.
 void
 SetUpLogs(LogFormat aFormat, LogLevel aLevel)
 {
   auto console =
     std::make_shared<log4cxx::ConsoleAppender>(MakeLayout(aFormat));
-  console->setTarget(LOG4CXX_STR("System.err"));
+  console->setTarget(LOG4CXX_STR("System.out"));
   log4cxx::helpers::Pool pool;
   console->activateOptions(pool);
 
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -23,8 +23,8 @@
   Error
 };
 
-/// Sends logs to standard error. Lines are dropped, and counted by the
-/// library, while the reader of standard error doesn't keep up.
+/// Sends logs to standard output. Lines are dropped, and counted by the
+/// library, while its reader doesn't keep up.
 void
 SetUpLogs(LogFormat aFormat, LogLevel aLevel);
 
--- /dev/null
+++ b/src/services/cell_runtime.cpp
@@ -0,0 +1,810 @@
+#include "services/cell_runtime.h"
+
+#include "kernel/log.h"
+#include "services/directory_service.h"
+#include "services/owner_service.h"
+#include "wire/cell_codec.h"
+
+#include <algorithm>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr std::string_view kPart = "cell";
+
+/// An owner stops acting this much before its lease ends, so that an order
+/// which was just checked still goes out within it.
+constexpr Duration kActMargin = std::chrono::milliseconds(200);
+/// An idle owner renews its row this often: three times in a lease.
+constexpr Duration kRenewEvery = std::chrono::milliseconds(900);
+constexpr Duration kCommitTimeout = std::chrono::milliseconds(900);
+constexpr Duration kCommitRetry = std::chrono::milliseconds(100);
+constexpr Duration kScanTimeout = std::chrono::milliseconds(1500);
+/// Changes are collected this long, so that a burst shares a commit.
+constexpr Duration kCommitGather = std::chrono::milliseconds(4);
+constexpr Duration kPlanGather = std::chrono::milliseconds(3);
+/// The plan is looked through at least this often while there are jobs.
+constexpr Duration kPlanEvery = std::chrono::milliseconds(150);
+/// Time that a renewal waits at the worker for an end.
+constexpr Duration kRenewalWait = std::chrono::milliseconds(1500);
+constexpr Duration kRenewalGrace = std::chrono::milliseconds(900);
+/// Least time between two renewals at a worker: bounds the looks at it.
+constexpr Duration kRenewalGap = std::chrono::milliseconds(60);
+constexpr Duration kRenewalRetry = std::chrono::milliseconds(250);
+constexpr Duration kOrderTimeout = std::chrono::milliseconds(800);
+/// Orders to one worker that are under way at the same time.
+constexpr int kMostLanes = 4;
+constexpr Duration kAdviceGrace = std::chrono::milliseconds(1500);
+
+const StoredRow*
+FindOwnerRow(std::span<const StoredRow> aRows)
+{
+  auto it = std::find_if(aRows.begin(), aRows.end(), [](const StoredRow& aRow) {
+    return aRow.mName.mKey == kOwnerKey;
+  });
+  return it == aRows.end() ? nullptr : &*it;
+}
+
+} // namespace
+
+CellRuntime::CellRuntime(Kernel& aKernel,
+                         CellPorts aPorts,
+                         DirectoryService& aDirectory,
+                         std::string_view aPool,
+                         CellTimes aTimes,
+                         OwnerRow aRow,
+                         Revision aRevision,
+                         TimePoint aClaimSent)
+  : mKernel(aKernel)
+  , mClock(aKernel.GetClock())
+  , mPorts(aPorts)
+  , mDirectory(aDirectory)
+  , mPool(aPool)
+  , mTimes(aTimes)
+  , mRow(std::move(aRow))
+  , mRevision(aRevision)
+  , mActUntil(aClaimSent + kOwnerLease)
+  , mCell(std::make_unique<Cell>(aTimes,
+                                 FencingToken(ToNumber(aRevision)),
+                                 mRow.mTerm,
+                                 aKernel.GetClock().Now()))
+  , mTasks(aKernel.Context(), &aKernel.Groups())
+  , mPlanDue(aKernel.Context())
+  , mCommitDue(aKernel.Context())
+  , mCommitted(aKernel.Context())
+  , mWorkersWake(aKernel.Context())
+{
+}
+
+void
+CellRuntime::Start()
+{
+  LogInfo(kPart,
+          "pool={} taken over term={} token={}",
+          mPool,
+          mRow.mTerm,
+          ToNumber(mRevision));
+  mTasks.Spawn("load", Load());
+}
+
+// Orders stop before the cell is given up, so that the next owner finds
+// nothing in motion that it can't see.
+Task<void>
+CellRuntime::Stop(bool aRelease)
+{
+  mReleasing = true;
+  mTasks.CancelAll();
+  co_await mTasks.Drained();
+  mCommitted.NotifyAll();
+  if (aRelease && !mLost && mLoaded) {
+    CellChanges changes = mCell->TakeChanges(mClock.Now());
+    bool released = co_await CommitChanges(changes, true);
+    LogInfo(kPart,
+            "pool={} released={} term={}",
+            mPool,
+            released ? 1 : 0,
+            mRow.mTerm);
+  }
+}
+
+bool
+CellRuntime::MayAct() const
+{
+  return !mLost && !mReleasing && mClock.Now() + kActMargin < mActUntil;
+}
+
+void
+CellRuntime::MarkLost(std::string_view aWhy)
+{
+  if (!mLost) {
+    mLost = true;
+    LogWarn(kPart, "pool={} lost term={} why={}", mPool, mRow.mTerm, aWhy);
+    mCommitted.NotifyAll();
+    mWorkersWake.NotifyAll();
+    mPlanDue.Set();
+    mCommitDue.Set();
+  }
+}
+
+RowName
+CellRuntime::Name(std::string_view aTable, std::string_view aKey) const
+{
+  return { std::string(aTable), mPool, std::string(aKey) };
+}
+
+// --- Reading the rows
+
+Task<bool>
+CellRuntime::LoadTable(std::string aTable, std::vector<StoredRow>& aRows)
+{
+  std::string from;
+  bool more = true;
+  while (more) {
+    ScanRows scan{ aTable, mPool, from };
+    TimePoint due = mClock.Now() + kScanTimeout;
+    auto reply = co_await CallStoreFor<RowsScanned>(*mPorts.mStore, scan, due);
+    if (!Ok(reply)) {
+      co_return false;
+    }
+    RowsScanned page = std::get<RowsScanned>(std::move(reply));
+    more = page.mMore && !page.mRows.empty();
+    if (more) {
+      from = page.mRows.back().mName.mKey + '\0';
+    }
+    for (StoredRow& row : page.mRows) {
+      aRows.push_back(std::move(row));
+    }
+  }
+  co_return true;
+}
+
+Task<void>
+CellRuntime::Load()
+{
+  TimePoint began = mClock.Now();
+  std::vector<StoredRow> jobs;
+  std::vector<StoredRow> progress;
+  std::vector<StoredRow> cells;
+  bool ok = false;
+  while (!ok && !mLost) {
+    jobs.clear();
+    progress.clear();
+    cells.clear();
+    bool read = co_await LoadTable(std::string(kJobTable), jobs);
+    if (read) {
+      read = co_await LoadTable(std::string(kProgressTable), progress);
+    }
+    if (read) {
+      ok = co_await LoadTable(std::string(kCellTable), cells);
+    }
+    if (!ok) {
+      co_await mClock.Sleep(kCommitRetry);
+    }
+  }
+  const StoredRow* owner = FindOwnerRow(cells);
+  bool stillOurs = owner != nullptr && owner->mRevision == mRevision;
+  if (!stillOurs) {
+    MarkLost("another node took the cell while its rows were read");
+    co_return;
+  }
+  Restore(jobs, progress, cells);
+  LogInfo(kPart,
+          "pool={} loaded jobs={} rows={} in_ms={}",
+          mPool,
+          jobs.size(),
+          jobs.size() + progress.size() + cells.size(),
+          ToMillis(mClock.Now() - began));
+  mLoaded = true;
+  OnDirectoryChange();
+  mTasks.Spawn("commit", CommitLoop());
+  mTasks.Spawn("plan", PlanLoop());
+  mCommitted.NotifyAll();
+}
+
+void
+CellRuntime::Restore(const std::vector<StoredRow>& aJobs,
+                     const std::vector<StoredRow>& aProgress,
+                     const std::vector<StoredRow>& aCells)
+{
+  TimePoint now = mClock.Now();
+  WallTime wallNow = mClock.WallNow();
+  std::map<std::string, StoredProgress> progress;
+  for (const StoredRow& row : aProgress) {
+    auto read =
+      ToExpected<StoredProgress>([&] { return DecodeProgress(row.mValue); });
+    if (Ok(read)) {
+      progress.emplace(row.mName.mKey, std::get<0>(std::move(read)));
+    } else {
+      LogError(kPart,
+               "pool={} progress of job {} can't be read: {}",
+               mPool,
+               row.mName.mKey,
+               Describe(std::get<Failure>(read)));
+    }
+  }
+  for (const StoredRow& row : aJobs) {
+    auto read = ToExpected<StoredJob>(
+      [&] { return DecodeStoredJob(row.mName.mKey, row.mValue); });
+    if (!Ok(read)) {
+      LogError(kPart,
+               "pool={} job {} can't be read: {}",
+               mPool,
+               row.mName.mKey,
+               Describe(std::get<Failure>(read)));
+      continue;
+    }
+    StoredProgress far;
+    if (auto it = progress.find(row.mName.mKey); it != progress.end()) {
+      far = std::move(it->second);
+      progress.erase(it);
+    }
+    mCell->Restore(RestoreJob(std::get<0>(read), far), now, wallNow);
+  }
+  for (const auto& [id, far] : progress) {
+    mCell->RestoreEnded(id, far, now);
+  }
+  for (const StoredRow& row : aCells) {
+    if (row.mName.mKey != kWorkersKey) {
+      continue;
+    }
+    auto names = ToExpected<std::vector<std::string>>(
+      [&] { return DecodeNames(row.mValue); });
+    if (Ok(names)) {
+      mCell->RestoreWorkers(std::get<0>(names), now);
+    } else {
+      LogError(kPart, "pool={} list of workers can't be read", mPool);
+    }
+  }
+}
+
+void
+CellRuntime::OnDirectoryChange()
+{
+  if (!mLoaded) {
+    return;
+  }
+  if (auto config = mDirectory.Config()) {
+    mCell->SetConfig(*config, mPool);
+  }
+  std::vector<WorkerReport> reports = mDirectory.Workers();
+  mCell->SetWorkers(reports, mClock.Now());
+  for (const std::string& id : mRow.mSealed) {
+    mCell->Seal(id, true);
+  }
+  AttendWorkers();
+  mPlanDue.Set();
+  mWorkersWake.NotifyAll();
+}
+
+// --- Planning
+
+Task<void>
+CellRuntime::PlanLoop()
+{
+  while (!mLost) {
+    if (MayAct()) {
+      std::vector<CellOrder> orders =
+        mCell->Plan(mClock.Now(), mClock.WallNow());
+      if (mCell->Fenced()) {
+        MarkLost("a worker has seen a higher token");
+        co_return;
+      }
+      if (!orders.empty()) {
+        Dispatch(std::move(orders));
+        mWorkersWake.NotifyAll();
+      }
+      if (mPorts.mAdvice.mPort != 0) {
+        for (AdviceRequest& request : mCell->TakeAdviceRequests()) {
+          mTasks.Spawn("advise", Advise(std::move(request)));
+        }
+      }
+    }
+    TimePoint due = mClock.Now() + kPlanEvery;
+    co_await mPlanDue.TakeUntil(mClock, due);
+    co_await mClock.Sleep(kPlanGather);
+  }
+}
+
+void
+CellRuntime::Dispatch(std::vector<CellOrder> aOrders)
+{
+  for (CellOrder& order : aOrders) {
+    WorkerLanes& lanes = mLanes[order.mWorker];
+    lanes.mOrders.push_back(std::move(order.mCall));
+    auto waiting = static_cast<int>(lanes.mOrders.size());
+    if (lanes.mLanes < std::min(kMostLanes, waiting)) {
+      ++lanes.mLanes;
+      mTasks.Spawn("lane", RunLane(order.mWorker));
+    }
+  }
+}
+
+// Sends a worker's orders one after the other on one connection, until none
+// is left.
+Task<void>
+CellRuntime::RunLane(std::string aWorker)
+{
+  WorkerLanes& lanes = mLanes[aWorker];
+  while (!lanes.mOrders.empty() && !mLost) {
+    WorkerCall call = std::move(lanes.mOrders.front());
+    lanes.mOrders.pop_front();
+    auto it = mCell->WorkersNow().find(aWorker);
+    Expected<WorkerReply> reply = Failure(ConnectFailure{});
+    if (it != mCell->WorkersNow().end() && MayAct()) {
+      WorkerAddress address{ aWorker, it->second.mReport.mEndpoint };
+      TimePoint due = mClock.Now() + kOrderTimeout;
+      reply =
+        co_await CallWorker(*mPorts.mWorkers, std::move(address), call, due);
+    }
+    LogOrder(aWorker, call, reply);
+    mCell->OnOrder(aWorker, call, reply, mClock.Now());
+    if (!Ok(reply) || !std::holds_alternative<OrderDone>(std::get<0>(reply))) {
+      mPlanDue.Set();
+    }
+  }
+  --lanes.mLanes;
+}
+
+namespace {
+
+struct OrderNamer
+{
+  std::string operator()(const StartRun& aCall) const
+  {
+    return FormatText(
+      "start task={} run={}", ToString(aCall.mTask), aCall.mRun);
+  }
+  std::string operator()(const StopRun& aCall) const
+  {
+    return FormatText("stop task={} run={}", ToString(aCall.mTask), aCall.mRun);
+  }
+  std::string operator()(const PaceRun& aCall) const
+  {
+    return FormatText("pace task={} run={} percent={}",
+                      ToString(aCall.mTask),
+                      aCall.mRun,
+                      aCall.mPercent);
+  }
+  std::string operator()(const RenewLease&) const { return "renew"; }
+  std::string operator()(const AskAdvice&) const { return "advise"; }
+};
+
+struct ReplyNamer
+{
+  std::string operator()(const OrderDone&) const { return "done"; }
+  std::string operator()(const OrderRefused& aReply) const
+  {
+    return "refused_" + std::string(ToString(aReply.mReason));
+  }
+  std::string operator()(const OtherWorker&) const { return "other_worker"; }
+  std::string operator()(const WorkerListing&) const { return "listing"; }
+  std::string operator()(const Advice&) const { return "advice"; }
+};
+
+} // namespace
+
+void
+CellRuntime::LogOrder(std::string_view aWorker,
+                      const WorkerCall& aCall,
+                      const Expected<WorkerReply>& aReply) const
+{
+  std::string outcome = Ok(aReply)
+                          ? std::visit(ReplyNamer{}, std::get<0>(aReply))
+                          : std::string(FailureName(std::get<1>(aReply)));
+  LogInfo(kPart,
+          "{} worker={} pool={} token={} outcome={}",
+          std::visit(OrderNamer{}, aCall),
+          aWorker,
+          mPool,
+          mRow.mTerm,
+          outcome);
+}
+
+// --- Workers
+
+void
+CellRuntime::AttendWorkers()
+{
+  for (const auto& [id, worker] : mCell->WorkersNow()) {
+    WorkerLanes& lanes = mLanes[id];
+    if (!lanes.mAttended && worker.mReport.mEndpoint.mPort != 0) {
+      lanes.mAttended = true;
+      mTasks.Spawn("attend", Attend(id));
+    }
+  }
+}
+
+// Looks after one worker: renews the lease of what it runs and reads what has
+// ended, for as long as the cell knows the worker.
+Task<void>
+CellRuntime::Attend(std::string aWorker)
+{
+  while (!mLost && mCell->WorkersNow().contains(aWorker)) {
+    if (!mCell->NeedsRenewal(aWorker) || !MayAct()) {
+      TimePoint due = mClock.Now() + kRenewEvery;
+      co_await WaitUntil(mWorkersWake, mClock, due);
+      continue;
+    }
+    TimePoint began = mClock.Now();
+    bool answered = co_await RenewOnce(aWorker);
+    TimePoint next =
+      answered ? began + kRenewalGap : mClock.Now() + kRenewalRetry;
+    if (mClock.Now() < next) {
+      co_await mClock.SleepUntil(next);
+    }
+  }
+  mLanes[aWorker].mAttended = false;
+}
+
+Task<bool>
+CellRuntime::RenewOnce(const std::string& aWorker)
+{
+  const CellWorker& worker = mCell->WorkersNow().find(aWorker)->second;
+  WorkerAddress address{ aWorker, worker.mReport.mEndpoint };
+  TimePoint sent = mClock.Now();
+  RenewLease renewal = mCell->NextRenewal(aWorker, kRenewalWait, sent);
+  TimePoint due = sent + renewal.mWait + kRenewalGrace;
+  bool firstContact = !worker.mContacted;
+  auto reply =
+    co_await CallWorker(*mPorts.mWorkers, std::move(address), renewal, due);
+  TimePoint now = mClock.Now();
+  if (!Ok(reply)) {
+    LogWarn(kPart,
+            "renew worker={} pool={} outcome={} after_ms={}",
+            aWorker,
+            mPool,
+            FailureName(std::get<Failure>(reply)),
+            ToMillis(now - sent));
+    mCell->OnNoAnswer(aWorker, now);
+    mPlanDue.Set();
+    co_return false;
+  }
+  const WorkerReply& held = std::get<WorkerReply>(reply);
+  if (const auto* refused = std::get_if<OrderRefused>(&held)) {
+    if (refused->mReason == StartRefusal::Fenced) {
+      MarkLost("a worker has seen a higher token");
+    } else {
+      mCell->OnNoAnswer(aWorker, now);
+    }
+    co_return false;
+  }
+  if (std::holds_alternative<OtherWorker>(held)) {
+    LogWarn(
+      kPart, "renew worker={} pool={} outcome=other_worker", aWorker, mPool);
+    mCell->OnOtherLife(aWorker, now);
+    mPlanDue.Set();
+    co_return false;
+  }
+  const auto* listing = std::get_if<WorkerListing>(&held);
+  if (listing == nullptr) {
+    co_return false;
+  }
+  if (firstContact) {
+    LogInfo(kPart,
+            "contact worker={} pool={} born={} present={} ended={}",
+            aWorker,
+            mPool,
+            listing->mBorn,
+            listing->mPresent.size(),
+            listing->mEnded.size());
+  }
+  for (const EndedRun& end : listing->mEnded) {
+    if (end.mSequence > worker.mSeenEnds) {
+      LogInfo(kPart,
+              "end task={} run={} worker={} pool={} how={} n={}",
+              ToString(end.mTask),
+              end.mRun,
+              aWorker,
+              mPool,
+              ToString(end.mEnd),
+              end.mSequence);
+    }
+  }
+  mCell->OnListing(aWorker, *listing, sent, now);
+  mPlanDue.Set();
+  mCommitDue.Set();
+  co_return true;
+}
+
+// --- Commits
+
+CommitIf
+CellRuntime::MakeCommit(const CellChanges& aChanges) const
+{
+  CommitIf commit;
+  commit.mConditions.push_back({ Name(kCellTable, kOwnerKey), mRevision });
+  commit.mPuts.push_back({ Name(kCellTable, kOwnerKey), EncodeOwnerRow(mRow) });
+  for (const StoredJob& job : aChanges.mNewJobs) {
+    commit.mPuts.push_back({ Name(kJobTable, job.mId), EncodeStoredJob(job) });
+  }
+  for (const auto& [id, progress] : aChanges.mProgress) {
+    commit.mPuts.push_back(
+      { Name(kProgressTable, id), EncodeProgress(progress) });
+  }
+  for (const std::string& id : aChanges.mEnded) {
+    commit.mRemoves.push_back(Name(kJobTable, id));
+  }
+  for (const std::string& id : aChanges.mForgotten) {
+    commit.mRemoves.push_back(Name(kProgressTable, id));
+  }
+  if (aChanges.mWorkers) {
+    commit.mPuts.push_back(
+      { Name(kCellTable, kWorkersKey), EncodeNames(*aChanges.mWorkers) });
+  }
+  return commit;
+}
+
+// A refused commit may be a repetition of one that took effect while its
+// answer was lost; then the row holds what this node wrote.
+bool
+CellRuntime::Settle(const CommitRefused& aReply, TimePoint aSent)
+{
+  const StoredRow* row = FindOwnerRow(aReply.mRows);
+  if (row == nullptr) {
+    return false;
+  }
+  auto held = ToExpected<OwnerRow>([&] { return DecodeOwnerRow(row->mValue); });
+  if (!Ok(held) || !(std::get<OwnerRow>(held) == mRow)) {
+    return false;
+  }
+  mRevision = row->mRevision;
+  mActUntil = std::max(mActUntil, aSent + kOwnerLease);
+  return true;
+}
+
+// Sends one commit until it is known to have taken effect, or the cell to be
+// lost. Repetitions are harmless: the owner row lets only one take effect.
+Task<bool>
+CellRuntime::CommitChanges(const CellChanges& aChanges, bool aRelease)
+{
+  ++mRow.mSequence;
+  mRow.mReleased = aRelease;
+  CommitIf commit = MakeCommit(aChanges);
+  TimePoint firstSent = mClock.Now();
+  TimePoint giveUp = firstSent + (aRelease ? kOwnerLease : Duration::max() / 4);
+  while (!mLost && mClock.Now() < giveUp) {
+    TimePoint sent = mClock.Now();
+    TimePoint due = sent + kCommitTimeout;
+    auto reply = co_await CallStore(*mPorts.mStore, commit, due);
+    if (Ok(reply)) {
+      const StoreReply& held = std::get<StoreReply>(reply);
+      if (const auto* done = std::get_if<CommitDone>(&held)) {
+        mRevision = done->mRevision;
+        mActUntil = std::max(mActUntil, sent + kOwnerLease);
+        co_return true;
+      }
+      if (const auto* refused = std::get_if<CommitRefused>(&held)) {
+        if (Settle(*refused, firstSent)) {
+          co_return true;
+        }
+        MarkLost("another node wrote the owner row");
+        co_return false;
+      }
+    } else {
+      LogWarn(kPart,
+              "commit pool={} seq={} outcome={}",
+              mPool,
+              mRow.mSequence,
+              FailureName(std::get<Failure>(reply)));
+    }
+    co_await mClock.Sleep(kCommitRetry);
+  }
+  co_return false;
+}
+
+Task<void>
+CellRuntime::CommitLoop()
+{
+  TimePoint renewed = mClock.Now() - kRenewEvery;
+  while (!mLost) {
+    TimePoint due = renewed + kRenewEvery;
+    bool set = co_await mCommitDue.TakeUntil(mClock, due);
+    if (set) {
+      co_await mClock.Sleep(kCommitGather);
+    }
+    CellChanges changes = mCell->TakeChanges(mClock.Now());
+    bool renew = mClock.Now() >= due;
+    if (!changes.Empty() || renew) {
+      TimePoint began = mClock.Now();
+      bool ok = co_await CommitChanges(changes, false);
+      if (!ok) {
+        co_return;
+      }
+      renewed = began;
+      LogChanges(changes);
+    }
+    mCell->OnCommitted(changes, mClock.Now());
+    mCommitted.NotifyAll();
+    mPlanDue.Set();
+    mWorkersWake.NotifyAll();
+  }
+}
+
+void
+CellRuntime::LogChanges(const CellChanges& aChanges) const
+{
+  for (const StoredJob& job : aChanges.mNewJobs) {
+    LogInfo(kPart,
+            "job={} pool={} queue={} stored revision={}",
+            job.mId,
+            mPool,
+            job.mQueue,
+            ToNumber(mRevision));
+  }
+  for (const auto& [id, progress] : aChanges.mProgress) {
+    bool ended = progress.mPhase != JobPhase::Pending &&
+                 progress.mPhase != JobPhase::Running;
+    if (ended) {
+      LogInfo(kPart,
+              "job={} pool={} phase={} stored revision={}",
+              id,
+              mPool,
+              ToString(progress.mPhase),
+              ToNumber(mRevision));
+    }
+  }
+}
+
+Task<bool>
+CellRuntime::Seal(std::vector<std::string> aWorkers, TimePoint aDeadline)
+{
+  for (const std::string& id : mRow.mSealed) {
+    if (std::find(aWorkers.begin(), aWorkers.end(), id) == aWorkers.end()) {
+      mCell->Seal(id, false);
+    }
+  }
+  for (const std::string& id : aWorkers) {
+    mCell->Seal(id, true);
+  }
+  mRow.mSealed = std::move(aWorkers);
+  std::uint64_t sequence = mRow.mSequence;
+  mCommitDue.Set();
+  while (!mLost && mRow.mSequence == sequence && mClock.Now() < aDeadline) {
+    co_await WaitUntil(mCommitted, mClock, aDeadline);
+  }
+  co_return !mLost && mRow.mSequence != sequence;
+}
+
+// --- Advice
+
+Task<void>
+CellRuntime::Advise(AdviceRequest aRequest)
+{
+  const CellJob& job = mCell->Jobs().find(aRequest.mJob)->second;
+  auto config = mDirectory.Config();
+  const QueueConfig* queue =
+    config ? config->FindQueueByName(job.mQueue) : nullptr;
+  Duration valid{};
+  std::map<std::string, std::string, std::less<>> tickets;
+  if (queue != nullptr && queue->mAdvice) {
+    const AdviceTerms& terms = *queue->mAdvice;
+    AskAdvice ask;
+    ask.mStep = { aRequest.mJob, aRequest.mOccurrence, aRequest.mStep, 0 };
+    ask.mWorkers = aRequest.mWorkers;
+    TimePoint sent = mClock.Now();
+    TimePoint due =
+      sent + terms.mDecide +
+      terms.mPerWorker * static_cast<int>(aRequest.mWorkers.size()) +
+      kAdviceGrace;
+    WorkerAddress address{ "", mPorts.mAdvice };
+    auto reply =
+      co_await CallWorker(*mPorts.mWorkers, std::move(address), ask, due);
+    const WorkerReply* held =
+      Ok(reply) ? &std::get<WorkerReply>(reply) : nullptr;
+    const auto* advice = held ? std::get_if<Advice>(held) : nullptr;
+    if (advice != nullptr) {
+      tickets = advice->mTickets;
+      // Counted from the sending, so that no ticket is used too late.
+      valid = sent + terms.mTicketValid - mClock.Now();
+    } else {
+      LogWarn(
+        kPart, "advice job={} step={} lost", aRequest.mJob, aRequest.mStep);
+      co_await mClock.Sleep(kRenewalRetry);
+    }
+  }
+  mCell->OnAdvice(aRequest, std::move(tickets), valid, mClock.Now());
+  mPlanDue.Set();
+}
+
+// --- Callers
+
+Task<CallerReply>
+CellRuntime::Handle(CallerCall aCall, TimePoint aDeadline)
+{
+  while (!mLoaded && !mLost && !mReleasing && mClock.Now() < aDeadline) {
+    co_await WaitUntil(mCommitted, mClock, aDeadline);
+  }
+  if (!mLoaded || mLost || mReleasing) {
+    co_return CallUnavailable{ std::chrono::seconds(1) };
+  }
+  if (auto* submit = std::get_if<SubmitJob>(&aCall)) {
+    CallerReply reply = co_await Submit(std::move(*submit), aDeadline);
+    co_return reply;
+  }
+  if (auto* cancel = std::get_if<CancelJob>(&aCall)) {
+    CallerReply reply = co_await CancelOne(std::move(*cancel), aDeadline);
+    co_return reply;
+  }
+  if (!MayAct()) {
+    co_return CallUnavailable{ std::chrono::seconds(1) };
+  }
+  if (auto* read = std::get_if<ReadJob>(&aCall)) {
+    auto phase = mCell->PhaseOf(read->mId);
+    if (phase) {
+      co_return JobPhaseIs{ *phase };
+    }
+    co_return JobUnknown{};
+  }
+  co_return WaitingCount{ mCell->Waiting(
+    std::get<CountWaiting>(aCall).mQueue) };
+}
+
+Task<bool>
+CellRuntime::AwaitStored(std::string aId, TimePoint aDeadline)
+{
+  mCommitDue.Set();
+  while (!mLost && !mReleasing && !mCell->IsStored(aId) &&
+         mClock.Now() < aDeadline) {
+    co_await WaitUntil(mCommitted, mClock, aDeadline);
+  }
+  co_return mCell->IsStored(aId);
+}
+
+Task<CallerReply>
+CellRuntime::Submit(SubmitJob aCall, TimePoint aDeadline)
+{
+  if (!MayAct()) {
+    // Nothing is recorded, so a job that isn't known stays unknown.
+    LogInfo(kPart, "job={} pool={} unavailable, no lease", aCall.mId, mPool);
+    co_return CallUnavailable{ std::chrono::seconds(1) };
+  }
+  std::string id = aCall.mId;
+  Submission submission{
+    id, std::move(aCall.mQueue), std::move(aCall.mSpec), mClock.WallNow()
+  };
+  PoolSummary load = mCell->Summary();
+  SubmitResult result = mCell->Submit(submission, mClock.Now());
+  if (result == SubmitResult::Refused) {
+    constexpr double kRange = 4294967296.0;
+    double jitter =
+      static_cast<double>(mKernel.Random() & 0xffffffffU) / kRange;
+    Duration retry = mCell->RetryAfterFor(submission, mClock.Now(), jitter);
+    LogInfo(kPart,
+            "job={} pool={} refused backlog_core_s={} cores={} retry_ms={}",
+            id,
+            mPool,
+            load.mBacklogCoreSeconds,
+            load.mCapacityCores,
+            ToMillis(retry));
+    co_return JobRefused{ retry };
+  }
+  bool stored = co_await AwaitStored(id, aDeadline);
+  if (!stored) {
+    LogWarn(kPart, "job={} pool={} unsettled", id, mPool);
+    co_return CallUnsettled{};
+  }
+  co_return JobAccepted{};
+}
+
+Task<CallerReply>
+CellRuntime::CancelOne(CancelJob aCall, TimePoint aDeadline)
+{
+  if (!MayAct()) {
+    co_return CallUnavailable{ std::chrono::seconds(1) };
+  }
+  bool known = mCell->Cancel(aCall.mId, mClock.Now());
+  if (!known) {
+    co_return JobUnknown{};
+  }
+  mPlanDue.Set();
+  bool stored = co_await AwaitStored(aCall.mId, aDeadline);
+  LogInfo(
+    kPart, "job={} pool={} cancel stored={}", aCall.mId, mPool, stored ? 1 : 0);
+  if (!stored) {
+    co_return CallUnsettled{};
+  }
+  co_return JobCancelled{};
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/services/cell_runtime.h
@@ -0,0 +1,137 @@
+#ifndef BUCKTHORNSHUNT_SERVICES_CELL_RUNTIME_H
+#define BUCKTHORNSHUNT_SERVICES_CELL_RUNTIME_H
+
+#include "decide/cell.h"
+#include "decide/cell_owner.h"
+#include "kernel/kernel.h"
+#include "kernel/wait.h"
+#include "ports/caller_calls.h"
+#include "ports/store.h"
+#include "ports/workers.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornshunt {
+
+class DirectoryService;
+
+/// Tables of a cell's jobs; the part is the cell's name, the key the job.
+constexpr std::string_view kJobTable = "jobs";
+constexpr std::string_view kProgressTable = "progress";
+
+/// What a cell's owner works with.
+struct CellPorts
+{
+  Store* mStore = nullptr;
+  Workers* mWorkers = nullptr;
+  /// Service that advises on workers; port 0 if there is none.
+  Endpoint mAdvice;
+};
+
+/// Runs a cell that this node owns: carries out what the cell decides, renews
+/// the ownership and commits its changes.
+class CellRuntime
+{
+public:
+  CellRuntime(Kernel& aKernel,
+              CellPorts aPorts,
+              DirectoryService& aDirectory,
+              std::string_view aPool,
+              CellTimes aTimes,
+              OwnerRow aRow,
+              Revision aRevision,
+              TimePoint aClaimSent);
+
+  /// Starts to read the cell's rows and then to act.
+  void Start();
+
+  /// Ends every task; gives the cell up in the store if asked to.
+  Task<void> Stop(bool aRelease);
+
+  const std::string& Pool() const { return mPool; }
+  const OwnerRow& Row() const { return mRow; }
+  Revision OwnerRevision() const { return mRevision; }
+
+  /// The ownership surely holds now.
+  bool MayAct() const;
+  /// Another node owns the cell.
+  bool Lost() const { return mLost; }
+  bool Loaded() const { return mLoaded; }
+
+  /// Answers a caller's call.
+  Task<CallerReply> Handle(CallerCall aCall, TimePoint aDeadline);
+
+  /// The cell's state; only meaningful once it is loaded.
+  Cell& State() { return *mCell; }
+
+  /// Says that the workers or the configuration changed.
+  void OnDirectoryChange();
+
+  /// Closes workers for new starts, and records it before it returns true.
+  Task<bool> Seal(std::vector<std::string> aWorkers, TimePoint aDeadline);
+
+private:
+  /// Orders to a worker, in the order they were decided.
+  struct WorkerLanes
+  {
+    std::deque<WorkerCall> mOrders;
+    int mLanes = 0;
+    bool mAttended = false;
+  };
+
+  Task<void> Load();
+  Task<bool> LoadTable(std::string aTable, std::vector<StoredRow>& aRows);
+  void Restore(const std::vector<StoredRow>& aJobs,
+               const std::vector<StoredRow>& aProgress,
+               const std::vector<StoredRow>& aCells);
+  Task<void> PlanLoop();
+  Task<void> CommitLoop();
+  Task<bool> CommitChanges(const CellChanges& aChanges, bool aRelease);
+  CommitIf MakeCommit(const CellChanges& aChanges) const;
+  bool Settle(const CommitRefused& aReply, TimePoint aSent);
+  Task<void> Attend(std::string aWorker);
+  Task<bool> RenewOnce(const std::string& aWorker);
+  Task<void> RunLane(std::string aWorker);
+  Task<void> Advise(AdviceRequest aRequest);
+  void Dispatch(std::vector<CellOrder> aOrders);
+  void AttendWorkers();
+  void LogOrder(std::string_view aWorker,
+                const WorkerCall& aCall,
+                const Expected<WorkerReply>& aReply) const;
+  void LogChanges(const CellChanges& aChanges) const;
+  void MarkLost(std::string_view aWhy);
+  RowName Name(std::string_view aTable, std::string_view aKey) const;
+
+  Task<CallerReply> Submit(SubmitJob aCall, TimePoint aDeadline);
+  Task<CallerReply> CancelOne(CancelJob aCall, TimePoint aDeadline);
+  Task<bool> AwaitStored(std::string aId, TimePoint aDeadline);
+
+  Kernel& mKernel;
+  Clock& mClock;
+  CellPorts mPorts;
+  DirectoryService& mDirectory;
+  std::string mPool;
+  CellTimes mTimes;
+  OwnerRow mRow;
+  Revision mRevision;
+  TimePoint mActUntil;
+  bool mLost = false;
+  bool mLoaded = false;
+  bool mReleasing = false;
+  std::unique_ptr<Cell> mCell;
+  TaskGroup mTasks;
+  Signal mPlanDue;
+  Signal mCommitDue;
+  Event mCommitted;
+  Event mWorkersWake;
+  std::map<std::string, WorkerLanes> mLanes;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/services/cell_service.cpp
@@ -0,0 +1,247 @@
+#include "services/cell_service.h"
+
+#include "kernel/log.h"
+#include "services/directory_service.h"
+#include "services/owner_service.h"
+#include "services/relay_service.h"
+#include "wire/cell_codec.h"
+
+#include <algorithm>
+#include <set>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr std::string_view kPart = "cells";
+
+constexpr Duration kClaimTimeout = std::chrono::milliseconds(900);
+constexpr Duration kClaimRetry = std::chrono::milliseconds(150);
+/// A node that already owns cells lets others go first, so that cells spread;
+/// the random part keeps nodes from claiming all at the same moment.
+constexpr Duration kHesitationPerCell = std::chrono::milliseconds(250);
+constexpr std::uint64_t kHesitationSpreadMs = 120;
+constexpr Duration kCheckEvery = std::chrono::milliseconds(500);
+
+} // namespace
+
+CellService::CellService(Kernel& aKernel, CellPorts aPorts, CellTimes aTimes)
+  : mKernel(aKernel)
+  , mPorts(aPorts)
+  , mTimes(aTimes)
+  , mTasks(aKernel.Context(), &aKernel.Groups())
+{
+}
+
+leaf::result<void>
+CellService::Start()
+{
+  BOOST_LEAF_ASSIGN(mDirectory,
+                    mKernel.Find<DirectoryService>(DirectoryService::kName));
+  BOOST_LEAF_ASSIGN(mOwners, mKernel.Find<OwnerService>(OwnerService::kName));
+  BOOST_LEAF_ASSIGN(mRelay, mKernel.Find<RelayService>(RelayService::kName));
+  mRelay->Handle("job", [this](Json aBody, TimePoint) -> Task<Json> {
+    auto call =
+      ToExpected<RelayedCall>([&] { return RelayedCallFromJson(aBody); });
+    OwnerReply reply = NotOwner{};
+    if (Ok(call)) {
+      reply = co_await Handle(std::get<RelayedCall>(std::move(call)));
+    } else {
+      LogWarn(kPart, "call ignored: {}", Describe(std::get<Failure>(call)));
+    }
+    co_return OwnerReplyToJson(reply);
+  });
+  mRelay->Handle("released", [this](Json, TimePoint) -> Task<Json> {
+    mOwners->LookAgain();
+    co_return Json();
+  });
+  mTasks.Spawn("watch", WatchCells());
+  mTasks.Spawn("directory", WatchDirectory());
+  return {};
+}
+
+Task<void>
+CellService::Stop()
+{
+  mStopping = true;
+  for (auto& [pool, runtime] : mOwned) {
+    co_await runtime->Stop(true);
+  }
+  mRelay->Tell("released", Json());
+  mTasks.CancelAll();
+  co_await mTasks.Drained();
+}
+
+std::shared_ptr<CellRuntime>
+CellService::Find(std::string_view aPool) const
+{
+  auto it = mOwned.find(aPool);
+  bool usable = it != mOwned.end() && !it->second->Lost() && !mStopping;
+  return usable ? it->second : nullptr;
+}
+
+Task<OwnerReply>
+CellService::Handle(RelayedCall aCall)
+{
+  std::shared_ptr<CellRuntime> runtime = Find(aCall.mPool);
+  if (!runtime) {
+    co_return NotOwner{};
+  }
+  TimePoint due = mKernel.GetClock().Now() + aCall.mPatience;
+  CallerReply reply = co_await runtime->Handle(std::move(aCall.mCall), due);
+  co_return reply;
+}
+
+Task<void>
+CellService::WatchDirectory()
+{
+  while (!mStopping) {
+    co_await mDirectory->Changed().Wait();
+    for (auto& [pool, runtime] : mOwned) {
+      runtime->OnDirectoryChange();
+    }
+  }
+}
+
+Task<void>
+CellService::WatchCells()
+{
+  Clock& clock = mKernel.GetClock();
+  while (!mStopping) {
+    if (auto config = mDirectory->Config()) {
+      std::set<std::string_view> pools;
+      for (const QueueConfig& queue : config->mQueues) {
+        pools.insert(queue.mPool);
+      }
+      for (std::string_view pool : pools) {
+        mOwners->Watch(pool);
+        Consider(pool);
+      }
+    }
+    std::vector<std::shared_ptr<CellRuntime>> lost;
+    for (auto& [pool, runtime] : mOwned) {
+      if (runtime->Lost()) {
+        lost.push_back(runtime);
+      }
+    }
+    for (std::shared_ptr<CellRuntime>& runtime : lost) {
+      mOwned.erase(runtime->Pool());
+      mOwners->LookAgain();
+      mTasks.Spawn("retire", Retire(std::move(runtime)));
+    }
+    TimePoint due = clock.Now() + kCheckEvery;
+    co_await WaitUntil(mOwners->Changed(), clock, due);
+  }
+}
+
+Task<void>
+CellService::Retire(std::shared_ptr<CellRuntime> aRuntime)
+{
+  co_await aRuntime->Stop(false);
+}
+
+Duration
+CellService::Hesitation()
+{
+  auto random =
+    static_cast<std::int64_t>(mKernel.Random() % kHesitationSpreadMs);
+  auto cells = static_cast<std::int64_t>(mOwned.size() + mTaking.size());
+  return kHesitationPerCell * cells + std::chrono::milliseconds(random);
+}
+
+void
+CellService::Consider(std::string_view aPool)
+{
+  bool ours = mOwned.contains(aPool) || mTaking.contains(aPool);
+  if (mStopping || ours || !mOwners->Looked(aPool)) {
+    return;
+  }
+  const OwnerSighting* sighting = mOwners->Sighting(aPool);
+  TimePoint now = mKernel.GetClock().Now();
+  bool free =
+    sighting == nullptr ||
+    JudgeOwner(*sighting, mOwners->Self(), now) == OwnerStanding::Free;
+  if (free) {
+    mTasks.Spawn("take over", TakeOver(std::string(aPool)));
+    mTaking.emplace(std::string(aPool), true);
+  }
+}
+
+// Claims the cell under the condition that its row is still the one that was
+// judged. A claim whose answer is lost is sent again until the row tells.
+Task<void>
+CellService::TakeOver(std::string aPool)
+{
+  Clock& clock = mKernel.GetClock();
+  co_await clock.Sleep(Hesitation());
+  const OwnerSighting* sighting = mOwners->Sighting(aPool);
+  bool free =
+    sighting == nullptr ||
+    JudgeOwner(*sighting, mOwners->Self(), clock.Now()) == OwnerStanding::Free;
+  if (!free || mStopping) {
+    mTaking.erase(aPool);
+    co_return;
+  }
+  const NodeSelf& self = mOwners->Self();
+  OwnerRow row;
+  row.mNode = self.mNode;
+  row.mPeers = self.mPeers;
+  row.mIncarnation = self.mIncarnation;
+  row.mTerm = sighting == nullptr ? 1 : sighting->mRow.mTerm + 1;
+  row.mSequence = 1;
+  if (sighting != nullptr) {
+    row.mSealed = sighting->mRow.mSealed;
+  }
+  RowName name{ std::string(kCellTable), aPool, std::string(kOwnerKey) };
+  CommitIf claim;
+  claim.mConditions.push_back(
+    { name, sighting == nullptr ? Revision{} : sighting->mRevision });
+  claim.mPuts.push_back({ name, EncodeOwnerRow(row) });
+  TimePoint firstSent = clock.Now();
+  bool settled = false;
+  while (!settled && !mStopping) {
+    TimePoint due = clock.Now() + kClaimTimeout;
+    auto reply = co_await CallStore(*mPorts.mStore, claim, due);
+    if (!Ok(reply)) {
+      LogWarn(kPart,
+              "claim pool={} term={} outcome={}",
+              aPool,
+              row.mTerm,
+              FailureName(std::get<Failure>(reply)));
+      co_await clock.Sleep(kClaimRetry);
+      continue;
+    }
+    const StoreReply& held = std::get<StoreReply>(reply);
+    std::optional<Revision> revision;
+    if (const auto* done = std::get_if<CommitDone>(&held)) {
+      revision = done->mRevision;
+    } else if (const auto* refused = std::get_if<CommitRefused>(&held)) {
+      for (const StoredRow& at : refused->mRows) {
+        auto now =
+          ToExpected<OwnerRow>([&] { return DecodeOwnerRow(at.mValue); });
+        if (at.mName == name && Ok(now)) {
+          mOwners->Note(aPool, std::get<OwnerRow>(now), at.mRevision);
+          if (std::get<OwnerRow>(now) == row) {
+            revision = at.mRevision;
+          }
+        }
+      }
+      LogInfo(kPart,
+              "claim pool={} term={} {}",
+              aPool,
+              row.mTerm,
+              revision ? "had taken effect" : "lost to another node");
+    }
+    settled = true;
+    if (revision && !mStopping) {
+      mOwners->Note(aPool, row, *revision);
+      auto runtime = std::make_shared<CellRuntime>(
+        mKernel, mPorts, *mDirectory, aPool, mTimes, row, *revision, firstSent);
+      mOwned.insert_or_assign(aPool, runtime);
+      runtime->Start();
+    }
+  }
+  mTaking.erase(aPool);
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/services/cell_service.h
@@ -0,0 +1,66 @@
+#ifndef BUCKTHORNSHUNT_SERVICES_CELL_SERVICE_H
+#define BUCKTHORNSHUNT_SERVICES_CELL_SERVICE_H
+
+#include "services/cell_runtime.h"
+#include "wire/relay_codec.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace buckthornshunt {
+
+class DirectoryService;
+class OwnerService;
+class RelayService;
+
+/// Takes cells over that nobody owns, and runs those that this node owns. A
+/// cell is a pool that some queue sends its jobs to.
+class CellService
+{
+public:
+  static constexpr std::string_view kName = "cells";
+
+  CellService(Kernel& aKernel, CellPorts aPorts, CellTimes aTimes);
+
+  leaf::result<void> Start();
+  /// Gives every cell up.
+  Task<void> Stop();
+
+  /// The cell, if this node owns it; null otherwise.
+  std::shared_ptr<CellRuntime> Find(std::string_view aPool) const;
+
+  /// Answers a call to a pool, if this node owns its cell.
+  Task<OwnerReply> Handle(RelayedCall aCall);
+
+  const std::map<std::string, std::shared_ptr<CellRuntime>, std::less<>>&
+  Owned() const
+  {
+    return mOwned;
+  }
+
+private:
+  Task<void> WatchCells();
+  Task<void> WatchDirectory();
+  Task<void> TakeOver(std::string aPool);
+  Task<void> Retire(std::shared_ptr<CellRuntime> aRuntime);
+  void Consider(std::string_view aPool);
+  Duration Hesitation();
+
+  Kernel& mKernel;
+  CellPorts mPorts;
+  CellTimes mTimes;
+  DirectoryService* mDirectory = nullptr;
+  OwnerService* mOwners = nullptr;
+  RelayService* mRelay = nullptr;
+  TaskGroup mTasks;
+  bool mStopping = false;
+  std::map<std::string, std::shared_ptr<CellRuntime>, std::less<>> mOwned;
+  /// Pools that this node is about to take over.
+  std::map<std::string, bool, std::less<>> mTaking;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/services/directory_service.cpp
@@ -0,0 +1,305 @@
+#include "services/directory_service.h"
+
+#include "kernel/log.h"
+#include "platform/directory_codec.h"
+#include "wire/json_fields.h"
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr std::string_view kPart = "directory";
+
+/// Time that the store may hold a feed open; short, since only its end shows
+/// that a connection has fallen silent.
+constexpr Duration kFeedWait = std::chrono::milliseconds(900);
+constexpr Duration kFeedGrace = std::chrono::milliseconds(900);
+constexpr Duration kScanTimeout = std::chrono::milliseconds(1500);
+/// Pause after a failed call, so that an outage isn't met with a storm.
+constexpr Duration kRetryPause = std::chrono::milliseconds(250);
+
+} // namespace
+
+DirectoryService::DirectoryService(Kernel& aKernel, Store& aStore)
+  : mKernel(aKernel)
+  , mStore(aStore)
+  , mTasks(aKernel.Context(), &aKernel.Groups())
+  , mChanged(aKernel.Context())
+{
+  mOperator.mTable = platform::kOperatorTable;
+  mWorkerTable.mTable = platform::kWorkerTable;
+}
+
+leaf::result<void>
+DirectoryService::Start()
+{
+  mTasks.Spawn("operator", Follow(mOperator));
+  mTasks.Spawn("workers", Follow(mWorkerTable));
+  return {};
+}
+
+Task<void>
+DirectoryService::Stop()
+{
+  mTasks.CancelAll();
+  co_await mTasks.Drained();
+}
+
+std::vector<WorkerReport>
+DirectoryService::Workers() const
+{
+  std::vector<WorkerReport> reports;
+  reports.reserve(mWorkers.size());
+  for (const auto& [id, report] : mWorkers) {
+    reports.push_back(report);
+  }
+  return reports;
+}
+
+TimePoint
+DirectoryService::WaveSeen(std::uint64_t aNumber) const
+{
+  auto it = mWaveSeen.find(aNumber);
+  return it == mWaveSeen.end() ? TimePoint{} : it->second;
+}
+
+Task<void>
+DirectoryService::Follow(Followed& aTable)
+{
+  while (true) {
+    bool ok = false;
+    if (aTable.mScanned) {
+      ok = co_await FollowOnce(aTable);
+    } else {
+      ok = co_await ScanAll(aTable);
+    }
+    if (ok == aTable.mLost) {
+      aTable.mLost = !ok;
+      if (ok) {
+        LogInfo(kPart,
+                "store regained table={} revision={}",
+                aTable.mTable,
+                ToNumber(aTable.mRevision));
+      } else {
+        LogWarn(kPart,
+                "store lost table={} revision={}",
+                aTable.mTable,
+                ToNumber(aTable.mRevision));
+      }
+    }
+    if (!ok) {
+      co_await mKernel.GetClock().Sleep(kRetryPause);
+    }
+  }
+}
+
+// Reads the whole table. Rows that are no longer there are dropped only if the
+// read is newer than what is known of them.
+Task<bool>
+DirectoryService::ScanAll(Followed& aTable)
+{
+  std::map<std::string, Revision> found;
+  std::vector<StoredRow> rows;
+  Revision revision{};
+  std::string from;
+  bool more = true;
+  while (more) {
+    ScanRows scan{ aTable.mTable, "", from };
+    TimePoint due = mKernel.GetClock().Now() + kScanTimeout;
+    auto reply = co_await CallStoreFor<RowsScanned>(mStore, scan, due);
+    if (!Ok(reply)) {
+      co_return false;
+    }
+    RowsScanned page = std::get<RowsScanned>(std::move(reply));
+    revision =
+      from.empty() ? page.mRevision : std::min(revision, page.mRevision);
+    more = page.mMore && !page.mRows.empty();
+    if (more) {
+      // The next key in byte order after the last one read.
+      from = page.mRows.back().mName.mKey + '\0';
+    }
+    for (StoredRow& row : page.mRows) {
+      found[row.mName.mKey] = row.mRevision;
+      rows.push_back(std::move(row));
+    }
+  }
+  if (revision < aTable.mRevision) {
+    LogWarn(kPart,
+            "stale scan ignored table={} revision={} known={}",
+            aTable.mTable,
+            ToNumber(revision),
+            ToNumber(aTable.mRevision));
+    co_return false;
+  }
+  for (const StoredRow& row : rows) {
+    Apply(aTable, row);
+  }
+  std::vector<std::string> gone;
+  for (const auto& [key, known] : aTable.mRows) {
+    if (!found.contains(key) && known <= revision) {
+      gone.push_back(key);
+    }
+  }
+  for (const std::string& key : gone) {
+    StoredRow removed{ { aTable.mTable, "", key }, {}, revision, true };
+    Apply(aTable, removed);
+  }
+  aTable.mRevision = revision;
+  aTable.mScanned = true;
+  if (&aTable == &mWorkerTable) {
+    mWorkersReadAt = mKernel.GetClock().Now();
+  }
+  mChanged.NotifyAll();
+  co_return true;
+}
+
+Task<bool>
+DirectoryService::FollowOnce(Followed& aTable)
+{
+  FollowRows follow{ aTable.mTable, aTable.mRevision, kFeedWait };
+  TimePoint due = mKernel.GetClock().Now() + kFeedWait + kFeedGrace;
+  auto reply = co_await CallStore(mStore, follow, due);
+  if (!Ok(reply)) {
+    co_return false;
+  }
+  const StoreReply& held = std::get<StoreReply>(reply);
+  if (std::holds_alternative<HistoryDropped>(held)) {
+    LogInfo(kPart,
+            "history dropped table={} revision={}, reading it whole",
+            aTable.mTable,
+            ToNumber(aTable.mRevision));
+    aTable.mScanned = false;
+    co_return true;
+  }
+  const auto* news = std::get_if<RowsFollowed>(&held);
+  if (news == nullptr) {
+    co_return false;
+  }
+  for (const StoredRow& row : news->mRows) {
+    Apply(aTable, row);
+  }
+  aTable.mRevision = std::max(aTable.mRevision, news->mRevision);
+  if (&aTable == &mWorkerTable) {
+    mWorkersReadAt = mKernel.GetClock().Now();
+  }
+  if (!news->mRows.empty()) {
+    mChanged.NotifyAll();
+  }
+  co_return true;
+}
+
+void
+DirectoryService::Apply(Followed& aTable, const StoredRow& aRow)
+{
+  auto known = aTable.mRows.find(aRow.mName.mKey);
+  if (known != aTable.mRows.end() && aRow.mRevision <= known->second) {
+    return;
+  }
+  aTable.mRows[aRow.mName.mKey] = aRow.mRevision;
+  if (&aTable == &mOperator) {
+    ApplyOperatorRow(aRow);
+  } else {
+    ApplyWorkerRow(aRow);
+  }
+}
+
+void
+DirectoryService::ApplyOperatorRow(const StoredRow& aRow)
+{
+  if (aRow.mRemoved) {
+    return;
+  }
+  if (aRow.mName.mKey == platform::kConfigKey) {
+    TakeConfig(aRow);
+    return;
+  }
+  auto wave = platform::ParseWaveKey(aRow.mName.mKey);
+  if (!wave) {
+    return;
+  }
+  auto order = ToExpected<WaveOrder>(
+    [&] { return platform::DecodeWaveOrder(aRow.mValue); });
+  if (!Ok(order)) {
+    LogWarn(
+      kPart, "wave {} ignored: {}", *wave, Describe(std::get<Failure>(order)));
+    return;
+  }
+  WaveOrder& held = std::get<WaveOrder>(order);
+  LogInfo(kPart,
+          "wave {} seen vms={} at_once={} deadline_s={}",
+          *wave,
+          held.mVms.size(),
+          held.mMostAtOnce,
+          ToSeconds(held.mDeadline));
+  mWaveSeen.try_emplace(*wave, mKernel.GetClock().Now());
+  mWaves.insert_or_assign(*wave, std::move(held));
+}
+
+// A configuration that can't be read leaves the one in force.
+void
+DirectoryService::TakeConfig(const StoredRow& aRow)
+{
+  auto config = ToExpected<WorkloadConfig>(
+    [&] { return platform::DecodeWorkloadConfig(aRow.mValue); });
+  if (!Ok(config)) {
+    LogError(kPart,
+             "configuration at revision {} ignored: {}",
+             ToNumber(aRow.mRevision),
+             Describe(std::get<Failure>(config)));
+    return;
+  }
+  WorkloadConfig& held = std::get<WorkloadConfig>(config);
+  if (mConfig && held.mVersion <= mConfig->mVersion) {
+    return;
+  }
+  LogInfo(kPart,
+          "configuration in force version={} before={} queues={} pools={}",
+          ToNumber(held.mVersion),
+          mConfig ? ToNumber(mConfig->mVersion) : 0,
+          held.mQueues.size(),
+          held.mPools.size());
+  mConfig = std::make_shared<const WorkloadConfig>(std::move(held));
+}
+
+void
+DirectoryService::ApplyWorkerRow(const StoredRow& aRow)
+{
+  const std::string& id = aRow.mName.mKey;
+  auto before = mWorkers.find(id);
+  if (aRow.mRemoved) {
+    if (before != mWorkers.end()) {
+      LogInfo(kPart,
+              "worker {} left pool={} revision={}",
+              id,
+              before->second.mPool,
+              ToNumber(aRow.mRevision));
+      mWorkers.erase(before);
+    }
+    return;
+  }
+  auto report = ToExpected<WorkerReport>(
+    [&] { return platform::DecodeWorkerReport(id, aRow.mValue); });
+  if (!Ok(report)) {
+    LogWarn(
+      kPart, "worker {} ignored: {}", id, Describe(std::get<Failure>(report)));
+    mWorkers.erase(id);
+    return;
+  }
+  WorkerReport& held = std::get<WorkerReport>(report);
+  bool news =
+    before == mWorkers.end() || before->second.mDraining != held.mDraining ||
+    before->second.mBorn != held.mBorn || before->second.mPool != held.mPool;
+  if (news) {
+    LogInfo(kPart,
+            "worker {} pool={} vm={} born={} draining={} revision={}",
+            id,
+            held.mPool,
+            held.mVm,
+            held.mBorn,
+            held.mDraining ? 1 : 0,
+            ToNumber(aRow.mRevision));
+  }
+  mWorkers.insert_or_assign(id, std::move(held));
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/services/directory_service.h
@@ -0,0 +1,79 @@
+#ifndef BUCKTHORNSHUNT_SERVICES_DIRECTORY_SERVICE_H
+#define BUCKTHORNSHUNT_SERVICES_DIRECTORY_SERVICE_H
+
+#include "kernel/kernel.h"
+#include "buckthornshunt/workload.h"
+#include "ports/store.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornshunt {
+
+/// Follows what the operator and the workers write into the store: the
+/// workload configuration, maintenance waves and the workers themselves.
+class DirectoryService
+{
+public:
+  static constexpr std::string_view kName = "directory";
+
+  DirectoryService(Kernel& aKernel, Store& aStore);
+
+  leaf::result<void> Start();
+  Task<void> Stop();
+
+  /// Newest configuration; null until there is one.
+  std::shared_ptr<const WorkloadConfig> Config() const { return mConfig; }
+
+  /// Workers listed at present.
+  std::vector<WorkerReport> Workers() const;
+
+  const std::map<std::uint64_t, WaveOrder>& Waves() const { return mWaves; }
+
+  /// When a wave was first seen.
+  TimePoint WaveSeen(std::uint64_t aNumber) const;
+
+  /// Signals every change.
+  Event& Changed() { return mChanged; }
+
+  /// Time of the last successful read of the workers' table.
+  TimePoint WorkersReadAt() const { return mWorkersReadAt; }
+
+private:
+  struct Followed
+  {
+    std::string mTable;
+    Revision mRevision{};
+    /// Revisions of rows, so that a stale read takes nothing back.
+    std::map<std::string, Revision> mRows;
+    bool mScanned = false;
+    bool mLost = false;
+  };
+
+  Task<void> Follow(Followed& aTable);
+  Task<bool> ScanAll(Followed& aTable);
+  Task<bool> FollowOnce(Followed& aTable);
+  void Apply(Followed& aTable, const StoredRow& aRow);
+  void ApplyOperatorRow(const StoredRow& aRow);
+  void ApplyWorkerRow(const StoredRow& aRow);
+  void TakeConfig(const StoredRow& aRow);
+
+  Kernel& mKernel;
+  Store& mStore;
+  TaskGroup mTasks;
+  Event mChanged;
+  Followed mOperator;
+  Followed mWorkerTable;
+  std::shared_ptr<const WorkloadConfig> mConfig;
+  std::map<std::uint64_t, WaveOrder> mWaves;
+  std::map<std::uint64_t, TimePoint> mWaveSeen;
+  std::map<std::string, WorkerReport> mWorkers;
+  TimePoint mWorkersReadAt;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/services/entry_service.cpp
@@ -0,0 +1,326 @@
+#include "services/entry_service.h"
+
+#include "kernel/log.h"
+#include "kernel/wait.h"
+#include "platform/caller_codec.h"
+#include "services/cell_service.h"
+#include "services/directory_service.h"
+#include "services/owner_service.h"
+#include "services/relay_service.h"
+
+#include <algorithm>
+#include <set>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr std::string_view kPart = "entry";
+
+constexpr int kOk = 200;
+constexpr int kUnavailable = 503;
+
+/// Answers leave this much before the caller stops waiting.
+constexpr Duration kAnswerMargin = std::chrono::milliseconds(150);
+/// Longest wait for a cell to get an owner.
+constexpr Duration kOwnerWait = std::chrono::milliseconds(900);
+/// Time for one call to an owner.
+constexpr Duration kAskTimeout = std::chrono::milliseconds(1200);
+/// Pause before the owner is asked again.
+constexpr Duration kAskAgain = std::chrono::milliseconds(80);
+constexpr Duration kRetryAfter = std::chrono::seconds(1);
+/// A node without a path to the store isn't ready after this time.
+constexpr Duration kReadyBlind = std::chrono::seconds(10);
+/// The balancer asks once a second and needs two misses; with a margin this is
+/// when no new connections come any more.
+constexpr Duration kBalancerNotices = std::chrono::milliseconds(2600);
+
+const std::string&
+QueueName(const CallerCall& aCall)
+{
+  return std::visit(
+    [](const auto& aHeld) -> const std::string& { return aHeld.mQueue; },
+    aCall);
+}
+
+struct CallNamer
+{
+  std::string operator()(const SubmitJob& aCall) const
+  {
+    return "submit job=" + aCall.mId;
+  }
+  std::string operator()(const ReadJob& aCall) const
+  {
+    return "read job=" + aCall.mId;
+  }
+  std::string operator()(const CancelJob& aCall) const
+  {
+    return "cancel job=" + aCall.mId;
+  }
+  std::string operator()(const CountWaiting&) const { return "waiting"; }
+};
+
+struct ReplyNamer
+{
+  std::string operator()(const JobAccepted&) const { return "accepted"; }
+  std::string operator()(const JobRefused&) const { return "refused"; }
+  std::string operator()(const JobPhaseIs& aReply) const
+  {
+    return std::string(ToString(aReply.mPhase));
+  }
+  std::string operator()(const JobCancelled&) const { return "cancelled"; }
+  std::string operator()(const JobUnknown&) const { return "unknown"; }
+  std::string operator()(const WaitingCount& aReply) const
+  {
+    return std::to_string(aReply.mJobs);
+  }
+  std::string operator()(const QueueUnknown&) const { return "no_queue"; }
+  std::string operator()(const CallUnavailable&) const { return "unavailable"; }
+  std::string operator()(const CallUnsettled&) const { return "unsettled"; }
+};
+
+} // namespace
+
+EntryService::EntryService(Kernel& aKernel, EntryEndpoints aEndpoints)
+  : mKernel(aKernel)
+  , mEndpoints(std::move(aEndpoints))
+{
+}
+
+leaf::result<void>
+EntryService::Start()
+{
+  BOOST_LEAF_ASSIGN(mDirectory,
+                    mKernel.Find<DirectoryService>(DirectoryService::kName));
+  BOOST_LEAF_ASSIGN(mOwners, mKernel.Find<OwnerService>(OwnerService::kName));
+  BOOST_LEAF_ASSIGN(mRelay, mKernel.Find<RelayService>(RelayService::kName));
+  BOOST_LEAF_ASSIGN(mCells, mKernel.Find<CellService>(CellService::kName));
+  auto make = [&](auto aMember) {
+    return std::make_unique<HttpServer>(
+      mKernel.Context(),
+      mKernel.GetClock(),
+      kPart,
+      HttpLimits{},
+      [this, aMember](const HttpRequest& aRequest, CallerState& aCaller) {
+        return (this->*aMember)(aRequest, aCaller);
+      });
+  };
+  mCallers = make(&EntryService::ServeCaller);
+  mReady = make(&EntryService::ServeReady);
+  mMetrics = make(&EntryService::ServeMetrics);
+  BOOST_LEAF_CHECK(mCallers->Listen(mEndpoints.mCallers));
+  BOOST_LEAF_CHECK(mReady->Listen(mEndpoints.mReady));
+  BOOST_LEAF_CHECK(mMetrics->Listen(mEndpoints.mMetrics));
+  return {};
+}
+
+// The balancer learns from the failing check that no more connections should
+// come; those that are open are served until it has.
+Task<void>
+EntryService::Stop()
+{
+  mStopping = true;
+  Clock& clock = mKernel.GetClock();
+  TimePoint due = clock.Now() + mEndpoints.mGrace * 3 / 4;
+  co_await clock.Sleep(kBalancerNotices);
+  mCallers->StopAccepting();
+  {
+    Watchdog late(clock, due, [this] { mCallers->Abort(); });
+    co_await mCallers->Drained();
+  }
+  mReady->Abort();
+  mMetrics->Abort();
+  co_await mReady->Drained();
+  co_await mMetrics->Drained();
+}
+
+Task<HttpReply>
+EntryService::ServeReady(const HttpRequest&, CallerState&)
+{
+  TimePoint now = mKernel.GetClock().Now();
+  bool ready = !mStopping && mDirectory->Config() != nullptr &&
+               now - mOwners->ReadAt() < kReadyBlind;
+  co_return MakeReply(ready ? kOk : kUnavailable, kJsonType, "{}");
+}
+
+Task<HttpReply>
+EntryService::ServeMetrics(const HttpRequest&, CallerState&)
+{
+  co_return MakeReply(kOk, "text/plain", mKernel.GetMetrics().Render());
+}
+
+Task<HttpReply>
+EntryService::ServeCaller(const HttpRequest& aRequest, CallerState&)
+{
+  Clock& clock = mKernel.GetClock();
+  TimePoint began = clock.Now();
+  auto config = mDirectory->Config();
+  if (!config) {
+    LogInfo(kPart,
+            "{} {} unavailable, no configuration",
+            aRequest.mMethod,
+            aRequest.mTarget);
+    co_return platform::EncodeCallerReply(CallUnavailable{ kRetryAfter });
+  }
+  auto decoded = ToExpected<platform::DecodedCall>(
+    [&] { return platform::DecodeCallerRequest(aRequest, *config); });
+  if (!Ok(decoded)) {
+    const Failure& failure = std::get<Failure>(decoded);
+    LogInfo(kPart,
+            "{} {} refused version={} why={}",
+            aRequest.mMethod,
+            aRequest.mTarget,
+            ToNumber(config->mVersion),
+            Describe(failure));
+    co_return platform::EncodeCallerFailure(failure);
+  }
+  platform::DecodedCall held = std::get<0>(std::move(decoded));
+  TimePoint due = began + std::max(held.mPatience - kAnswerMargin, kAskAgain);
+  std::string pool = config->FindQueueByName(QueueName(held.mCall))->mPool;
+  CallerCall call = held.mCall;
+  CallerReply reply =
+    co_await Route(std::move(pool), std::move(held.mCall), due);
+  LogAnswer(call, reply, clock.Now() - began);
+  co_return platform::EncodeCallerReply(reply);
+}
+
+void
+EntryService::LogAnswer(const CallerCall& aCall,
+                        const CallerReply& aReply,
+                        Duration aTook)
+{
+  std::string outcome = std::visit(ReplyNamer{}, aReply);
+  Metrics& metrics = mKernel.GetMetrics();
+  metrics.GetCounter("calls_total").Add();
+  if (std::holds_alternative<JobRefused>(aReply)) {
+    metrics.GetCounter("calls_refused_total").Add();
+  }
+  metrics.GetHistogram("call").Record(aTook);
+  LogInfo(kPart,
+          "{} queue={} outcome={} ms={}",
+          std::visit(CallNamer{}, aCall),
+          QueueName(aCall),
+          outcome,
+          ToMillis(aTook));
+}
+
+// One question to whoever owns the cell at present.
+Task<OwnerReply>
+EntryService::AskOwner(std::string aPool,
+                       CallerCall aCall,
+                       TimePoint aDeadline,
+                       bool& aMayHaveRun)
+{
+  Clock& clock = mKernel.GetClock();
+  TimePoint due = std::min(aDeadline, clock.Now() + kAskTimeout);
+  RelayedCall relayed{ aPool, std::move(aCall), due - clock.Now() };
+  if (mCells->Find(aPool)) {
+    OwnerReply reply = co_await mCells->Handle(std::move(relayed));
+    co_return reply;
+  }
+  const OwnerSighting* sighting = mOwners->Sighting(aPool);
+  bool known = sighting != nullptr && !sighting->mRow.mReleased &&
+               sighting->mRow.mIncarnation != mOwners->Self().mIncarnation;
+  if (!known) {
+    mOwners->LookAgain();
+    co_return NotOwner{};
+  }
+  Endpoint peer = sighting->mRow.mPeers;
+  // The owner gives up a little earlier than this node does.
+  relayed.mPatience -= kAskAgain;
+  Json body = RelayedCallToJson(relayed);
+  auto answer = co_await mRelay->Ask(peer, "job", std::move(body), due);
+  if (!Ok(answer)) {
+    const Failure& failure = std::get<Failure>(answer);
+    LogWarn(kPart,
+            "owner of {} at {} gave no answer: {}",
+            aPool,
+            ToString(peer),
+            FailureName(failure));
+    aMayHaveRun =
+      aMayHaveRun || !std::holds_alternative<ConnectFailure>(failure);
+    mOwners->LookAgain();
+    co_return NotOwner{};
+  }
+  auto reply = ToExpected<OwnerReply>(
+    [&] { return OwnerReplyFromJson(std::get<Json>(answer)); });
+  if (!Ok(reply)) {
+    aMayHaveRun = true;
+    co_return NotOwner{};
+  }
+  co_return std::get<OwnerReply>(std::move(reply));
+}
+
+// Asks until an owner answers. A submission that may have reached an owner
+// can't be called "not run", so it ends as unsettled.
+Task<CallerReply>
+EntryService::Route(std::string aPool, CallerCall aCall, TimePoint aDeadline)
+{
+  Clock& clock = mKernel.GetClock();
+  TimePoint giveUp = std::min(aDeadline, clock.Now() + kOwnerWait);
+  bool mayHaveRun = false;
+  bool again = true;
+  while (again) {
+    OwnerReply reply = co_await AskOwner(aPool, aCall, aDeadline, mayHaveRun);
+    const auto* answer = std::get_if<CallerReply>(&reply);
+    bool unknown =
+      answer != nullptr && std::holds_alternative<JobUnknown>(*answer);
+    if (unknown) {
+      CallerReply elsewhere = co_await AskOthers(aPool, aCall, aDeadline);
+      co_return elsewhere;
+    }
+    bool refused =
+      answer != nullptr && (std::holds_alternative<JobRefused>(*answer) ||
+                            std::holds_alternative<CallUnavailable>(*answer));
+    if (answer != nullptr && !(refused && mayHaveRun)) {
+      bool wait = std::holds_alternative<CallUnavailable>(*answer) &&
+                  clock.Now() < giveUp;
+      if (!wait) {
+        co_return *answer;
+      }
+    }
+    again = clock.Now() < giveUp;
+    if (again) {
+      TimePoint pause = std::min(giveUp, clock.Now() + kAskAgain);
+      co_await WaitUntil(mOwners->Changed(), clock, pause);
+    }
+  }
+  if (mayHaveRun) {
+    co_return CallUnsettled{};
+  }
+  co_return CallUnavailable{ kRetryAfter };
+}
+
+// A queue may have sent its jobs to another pool under an earlier
+// configuration; such a job stays in the cell that accepted it.
+Task<CallerReply>
+EntryService::AskOthers(std::string aPool,
+                        CallerCall aCall,
+                        TimePoint aDeadline)
+{
+  std::set<std::string> pools;
+  if (auto config = mDirectory->Config()) {
+    for (const QueueConfig& queue : config->mQueues) {
+      pools.insert(queue.mPool);
+    }
+  }
+  pools.erase(aPool);
+  for (const std::string& pool : pools) {
+    bool mayHaveRun = false;
+    OwnerReply reply = co_await AskOwner(pool, aCall, aDeadline, mayHaveRun);
+    const auto* answer = std::get_if<CallerReply>(&reply);
+    bool unknown =
+      answer != nullptr && std::holds_alternative<JobUnknown>(*answer);
+    if (unknown) {
+      continue;
+    }
+    if (answer == nullptr || std::holds_alternative<CallUnavailable>(*answer)) {
+      // The job may be there, so it can't be called unknown.
+      co_return CallUnavailable{ kRetryAfter };
+    }
+    co_return *answer;
+  }
+  co_return JobUnknown{};
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/services/entry_service.h
@@ -0,0 +1,75 @@
+#ifndef BUCKTHORNSHUNT_SERVICES_ENTRY_SERVICE_H
+#define BUCKTHORNSHUNT_SERVICES_ENTRY_SERVICE_H
+
+#include "kernel/kernel.h"
+#include "net/http_server.h"
+#include "wire/relay_codec.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace buckthornshunt {
+
+class CellService;
+class DirectoryService;
+class OwnerService;
+class RelayService;
+
+/// Where the node is met from outside.
+struct EntryEndpoints
+{
+  Endpoint mCallers;
+  Endpoint mReady;
+  Endpoint mMetrics;
+  /// Longest time that a stop may take.
+  Duration mGrace = std::chrono::seconds(6);
+};
+
+/// Answers callers of the platform: finds the queue, passes the call to the
+/// owner of its cell, and tells what came of it.
+class EntryService
+{
+public:
+  static constexpr std::string_view kName = "entry";
+
+  EntryService(Kernel& aKernel, EntryEndpoints aEndpoints);
+
+  leaf::result<void> Start();
+  Task<void> Stop();
+
+private:
+  Task<HttpReply> ServeCaller(const HttpRequest& aRequest,
+                              CallerState& aCaller);
+  Task<HttpReply> ServeReady(const HttpRequest& aRequest, CallerState& aCaller);
+  Task<HttpReply> ServeMetrics(const HttpRequest& aRequest,
+                               CallerState& aCaller);
+  Task<CallerReply> Route(std::string aPool,
+                          CallerCall aCall,
+                          TimePoint aDeadline);
+  Task<OwnerReply> AskOwner(std::string aPool,
+                            CallerCall aCall,
+                            TimePoint aDeadline,
+                            bool& aMayHaveRun);
+  Task<CallerReply> AskOthers(std::string aPool,
+                              CallerCall aCall,
+                              TimePoint aDeadline);
+  void LogAnswer(const CallerCall& aCall,
+                 const CallerReply& aReply,
+                 Duration aTook);
+
+  Kernel& mKernel;
+  EntryEndpoints mEndpoints;
+  DirectoryService* mDirectory = nullptr;
+  OwnerService* mOwners = nullptr;
+  RelayService* mRelay = nullptr;
+  CellService* mCells = nullptr;
+  bool mStopping = false;
+  std::unique_ptr<HttpServer> mCallers;
+  std::unique_ptr<HttpServer> mReady;
+  std::unique_ptr<HttpServer> mMetrics;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/services/owner_service.cpp
@@ -0,0 +1,199 @@
+#include "services/owner_service.h"
+
+#include "kernel/log.h"
+#include "wire/cell_codec.h"
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr std::string_view kPart = "owners";
+
+/// Pause between looks; an owner renews its row as often.
+constexpr Duration kLookEvery = std::chrono::milliseconds(1000);
+/// Least pause between looks that were asked for.
+constexpr Duration kLookPause = std::chrono::milliseconds(60);
+constexpr Duration kReadTimeout = std::chrono::milliseconds(1000);
+
+} // namespace
+
+OwnerService::OwnerService(Kernel& aKernel, Store& aStore, NodeSelf aSelf)
+  : mKernel(aKernel)
+  , mStore(aStore)
+  , mSelf(std::move(aSelf))
+  , mTasks(aKernel.Context(), &aKernel.Groups())
+  , mLook(aKernel.Context())
+  , mChanged(aKernel.Context())
+{
+}
+
+leaf::result<void>
+OwnerService::Start()
+{
+  mTasks.Spawn("watch", WatchRows());
+  return {};
+}
+
+Task<void>
+OwnerService::Stop()
+{
+  mTasks.CancelAll();
+  co_await mTasks.Drained();
+}
+
+void
+OwnerService::Watch(std::string_view aCell)
+{
+  if (mCells.try_emplace(std::string(aCell), false).second) {
+    mFollowing = false;
+    mLook.Set();
+  }
+}
+
+const OwnerSighting*
+OwnerService::Sighting(std::string_view aCell) const
+{
+  auto it = mSightings.find(aCell);
+  return it == mSightings.end() ? nullptr : &it->second;
+}
+
+bool
+OwnerService::Looked(std::string_view aCell) const
+{
+  auto it = mCells.find(aCell);
+  return it != mCells.end() && it->second;
+}
+
+Task<void>
+OwnerService::WatchRows()
+{
+  Clock& clock = mKernel.GetClock();
+  while (true) {
+    bool ok = false;
+    if (mFollowing) {
+      ok = co_await ReadNews();
+    } else {
+      ok = co_await ReadAll();
+    }
+    if (ok) {
+      NoteRead();
+    }
+    co_await clock.Sleep(kLookPause);
+    TimePoint due = clock.Now() + kLookEvery;
+    co_await mLook.TakeUntil(clock, due);
+  }
+}
+
+// While nothing could be read an owner may not have been able to renew its
+// row either, so watching it begins anew.
+void
+OwnerService::NoteRead()
+{
+  TimePoint now = mKernel.GetClock().Now();
+  if (now - mReadAt > kLongestBlind) {
+    for (auto& [cell, sighting] : mSightings) {
+      sighting.mUnchangedSince = now;
+    }
+  }
+  mReadAt = now;
+  mChanged.NotifyAll();
+}
+
+Task<bool>
+OwnerService::ReadAll()
+{
+  std::vector<std::string> cells;
+  for (const auto& [cell, looked] : mCells) {
+    cells.push_back(cell);
+  }
+  std::optional<Revision> revision;
+  for (const std::string& cell : cells) {
+    ScanRows scan{ std::string(kCellTable), cell, "" };
+    TimePoint due = mKernel.GetClock().Now() + kReadTimeout;
+    auto reply = co_await CallStoreFor<RowsScanned>(mStore, scan, due);
+    if (!Ok(reply)) {
+      co_return false;
+    }
+    const RowsScanned& page = std::get<RowsScanned>(reply);
+    for (const StoredRow& row : page.mRows) {
+      TakeRow(row);
+    }
+    revision = revision ? std::min(*revision, page.mRevision) : page.mRevision;
+    mCells[cell] = true;
+  }
+  if (revision && cells.size() == mCells.size()) {
+    mRevision = std::max(mRevision, *revision);
+    mFollowing = true;
+  }
+  co_return true;
+}
+
+Task<bool>
+OwnerService::ReadNews()
+{
+  FollowRows follow{ std::string(kCellTable), mRevision, Duration::zero() };
+  TimePoint due = mKernel.GetClock().Now() + kReadTimeout;
+  auto reply = co_await CallStore(mStore, follow, due);
+  if (!Ok(reply)) {
+    co_return false;
+  }
+  const StoreReply& held = std::get<StoreReply>(reply);
+  if (std::holds_alternative<HistoryDropped>(held)) {
+    mFollowing = false;
+    mLook.Set();
+    co_return false;
+  }
+  if (const auto* news = std::get_if<RowsFollowed>(&held)) {
+    for (const StoredRow& row : news->mRows) {
+      TakeRow(row);
+    }
+    mRevision = std::max(mRevision, news->mRevision);
+  }
+  co_return true;
+}
+
+void
+OwnerService::TakeRow(const StoredRow& aRow)
+{
+  if (aRow.mName.mKey != kOwnerKey || aRow.mRemoved) {
+    return;
+  }
+  auto row = ToExpected<OwnerRow>([&] { return DecodeOwnerRow(aRow.mValue); });
+  if (!Ok(row)) {
+    LogError(kPart,
+             "owner row of cell {} can't be read: {}",
+             aRow.mName.mPart,
+             Describe(std::get<Failure>(row)));
+    return;
+  }
+  Note(aRow.mName.mPart, std::get<OwnerRow>(row), aRow.mRevision);
+}
+
+void
+OwnerService::Note(std::string_view aCell,
+                   const OwnerRow& aRow,
+                   Revision aRevision)
+{
+  auto it = mSightings.find(aCell);
+  bool news = it == mSightings.end() || it->second.mRevision < aRevision;
+  if (!news) {
+    return;
+  }
+  bool other = it == mSightings.end() || it->second.mRow.mTerm != aRow.mTerm ||
+               it->second.mRow.mReleased != aRow.mReleased;
+  if (other) {
+    LogInfo(kPart,
+            "cell {} owner={} term={} released={} revision={}",
+            aCell,
+            aRow.mNode,
+            aRow.mTerm,
+            aRow.mReleased ? 1 : 0,
+            ToNumber(aRevision));
+  }
+  mSightings.insert_or_assign(
+    std::string(aCell),
+    OwnerSighting{ aRow, aRevision, mKernel.GetClock().Now() });
+  mChanged.NotifyAll();
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/services/owner_service.h
@@ -0,0 +1,78 @@
+#ifndef BUCKTHORNSHUNT_SERVICES_OWNER_SERVICE_H
+#define BUCKTHORNSHUNT_SERVICES_OWNER_SERVICE_H
+
+#include "decide/cell_owner.h"
+#include "kernel/kernel.h"
+#include "kernel/wait.h"
+#include "ports/store.h"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornshunt {
+
+/// Table of the rows that say who owns a cell; the part is the cell's name.
+constexpr std::string_view kCellTable = "cells";
+constexpr std::string_view kOwnerKey = "owner";
+constexpr std::string_view kWorkersKey = "workers";
+
+/// Watches who owns which cell.
+class OwnerService
+{
+public:
+  static constexpr std::string_view kName = "owners";
+
+  OwnerService(Kernel& aKernel, Store& aStore, NodeSelf aSelf);
+
+  leaf::result<void> Start();
+  Task<void> Stop();
+
+  const NodeSelf& Self() const { return mSelf; }
+
+  /// Cells to watch; names that were given before stay.
+  void Watch(std::string_view aCell);
+
+  /// What was last seen of a cell; null before the first look.
+  const OwnerSighting* Sighting(std::string_view aCell) const;
+
+  /// The cell has been looked at, so that a missing row means "no owner".
+  bool Looked(std::string_view aCell) const;
+
+  /// Takes a row that this node wrote or was shown.
+  void Note(std::string_view aCell, const OwnerRow& aRow, Revision aRevision);
+
+  /// Looks again soon, since what is known seems to be out of date.
+  void LookAgain() { mLook.Set(); }
+
+  /// Signals every change.
+  Event& Changed() { return mChanged; }
+
+  /// When the rows were last read.
+  TimePoint ReadAt() const { return mReadAt; }
+
+private:
+  Task<void> WatchRows();
+  Task<bool> ReadAll();
+  Task<bool> ReadNews();
+  void TakeRow(const StoredRow& aRow);
+  void NoteRead();
+
+  Kernel& mKernel;
+  Store& mStore;
+  NodeSelf mSelf;
+  TaskGroup mTasks;
+  Signal mLook;
+  Event mChanged;
+  std::map<std::string, bool, std::less<>> mCells;
+  std::map<std::string, OwnerSighting, std::less<>> mSightings;
+  Revision mRevision{};
+  bool mFollowing = false;
+  TimePoint mReadAt;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/wire/cell_codec.cpp
@@ -0,0 +1,284 @@
+#include "wire/cell_codec.h"
+
+namespace buckthornshunt {
+
+namespace {
+
+// Rows are many and small, so their members have short names.
+Json
+StepToJson(const StepSpec& aStep)
+{
+  Json json = { { "n", aStep.mTasks },
+                { "c", aStep.mPerTask.mCpuMillis },
+                { "m", aStep.mPerTask.mMemoryMb },
+                { "e", ToMillis(aStep.mEstimate) } };
+  auto put = [&](const char* aName, const auto& aValue, bool aPresent) {
+    if (aPresent) {
+      json[aName] = aValue;
+    }
+  };
+  std::uint32_t flags =
+    (aStep.mCheckpoints ? 1U : 0U) | (aStep.mGang ? 2U : 0U) |
+    (aStep.mSameRack ? 4U : 0U) | (aStep.mSpeculative ? 8U : 0U) |
+    (aStep.mLongRunning ? 16U : 0U) | (aStep.mFills ? 32U : 0U);
+  put("g", aStep.mPerTask.mGpus, aStep.mPerTask.mGpus != 0);
+  put("a", aStep.mAfter, !aStep.mAfter.empty());
+  put("f", flags, flags != 0);
+  put("l", aStep.mRequiredLabel, !aStep.mRequiredLabel.empty());
+  put("r", aStep.mPreferredRack, !aStep.mPreferredRack.empty());
+  put("i", aStep.mImage, !aStep.mImage.empty());
+  put("w", aStep.mMostPerWorker, aStep.mMostPerWorker != 0);
+  put("t", ToMillis(aStep.mTailTarget), aStep.mTailTarget != Duration::zero());
+  put("x", aStep.mMayMiss, aStep.mMayMiss != 0);
+  return json;
+}
+
+std::uint64_t
+NumberOr(const Json& aJson, const char* aName)
+{
+  auto it = aJson.find(aName);
+  bool present = it != aJson.end() && it->is_number_unsigned();
+  return present ? it->get<std::uint64_t>() : 0;
+}
+
+std::string
+TextOr(const Json& aJson, const char* aName)
+{
+  auto it = aJson.find(aName);
+  bool present = it != aJson.end() && it->is_string();
+  return present ? it->get<std::string>() : std::string();
+}
+
+leaf::result<StepSpec>
+StepFromJson(const Json& aJson, std::size_t aNumber)
+{
+  StepSpec step;
+  BOOST_LEAF_AUTO(tasks, ReadNumber(aJson, "n"));
+  step.mTasks = static_cast<std::uint32_t>(tasks);
+  BOOST_LEAF_ASSIGN(step.mPerTask.mCpuMillis, ReadSigned(aJson, "c"));
+  BOOST_LEAF_ASSIGN(step.mPerTask.mMemoryMb, ReadSigned(aJson, "m"));
+  BOOST_LEAF_AUTO(estimate, ReadSigned(aJson, "e"));
+  step.mEstimate = std::chrono::milliseconds(estimate);
+  step.mPerTask.mGpus = static_cast<std::int64_t>(NumberOr(aJson, "g"));
+  if (auto it = aJson.find("a"); it != aJson.end() && it->is_array()) {
+    for (const Json& at : *it) {
+      if (!at.is_number_unsigned() || at.get<std::uint64_t>() >= aNumber) {
+        return Fail(MessageFailure{ MessageFault::WrongType, "a" });
+      }
+      step.mAfter.push_back(at.get<std::uint32_t>());
+    }
+  }
+  std::uint64_t flags = NumberOr(aJson, "f");
+  step.mCheckpoints = (flags & 1U) != 0;
+  step.mGang = (flags & 2U) != 0;
+  step.mSameRack = (flags & 4U) != 0;
+  step.mSpeculative = (flags & 8U) != 0;
+  step.mLongRunning = (flags & 16U) != 0;
+  step.mFills = (flags & 32U) != 0;
+  step.mRequiredLabel = TextOr(aJson, "l");
+  step.mPreferredRack = TextOr(aJson, "r");
+  step.mImage = TextOr(aJson, "i");
+  step.mMostPerWorker = static_cast<std::uint32_t>(NumberOr(aJson, "w"));
+  step.mTailTarget = std::chrono::milliseconds(NumberOr(aJson, "t"));
+  step.mMayMiss = static_cast<std::uint32_t>(NumberOr(aJson, "x"));
+  return step;
+}
+
+// Tasks are arrays: occurrence, step, index, done, failures, checkpoint.
+constexpr std::size_t kTaskFields = 6;
+
+Json
+TaskToJson(const StoredTask& aTask)
+{
+  return Json::array({ aTask.mOccurrence,
+                       aTask.mStep,
+                       aTask.mIndex,
+                       aTask.mDone ? 1U : 0U,
+                       aTask.mFailures,
+                       aTask.mCheckpoint });
+}
+
+leaf::result<StoredTask>
+TaskFromJson(const Json& aJson)
+{
+  bool ok =
+    aJson.is_array() && aJson.size() == kTaskFields && aJson[5].is_string();
+  for (std::size_t i = 0; ok && i + 1 < kTaskFields; ++i) {
+    ok = aJson[i].is_number_unsigned();
+  }
+  if (!ok) {
+    return Fail(MessageFailure{ MessageFault::WrongType, "t" });
+  }
+  return StoredTask{
+    aJson[0].get<std::uint32_t>(), aJson[1].get<std::uint32_t>(),
+    aJson[2].get<std::uint32_t>(), aJson[3].get<std::uint32_t>() != 0,
+    aJson[4].get<std::uint32_t>(), aJson[5].get<std::string>()
+  };
+}
+
+} // namespace
+
+Json
+JobSpecToJson(const JobSpec& aSpec)
+{
+  Json steps = Json::array();
+  for (const StepSpec& step : aSpec.mSteps) {
+    steps.push_back(StepToJson(step));
+  }
+  Json json = { { "w", aSpec.mWork }, { "s", std::move(steps) } };
+  if (aSpec.mOccurrences > 0) {
+    json["o"] = aSpec.mOccurrences;
+    json["d"] = aSpec.mFirstDue.mMillis;
+    json["i"] = ToMillis(aSpec.mInterval);
+  }
+  return json;
+}
+
+leaf::result<JobSpec>
+JobSpecFromJson(const Json& aJson)
+{
+  JobSpec spec;
+  BOOST_LEAF_ASSIGN(spec.mWork, ReadString(aJson, "w"));
+  BOOST_LEAF_AUTO(steps, ReadArray(aJson, "s"));
+  for (std::size_t i = 0; i < steps->size(); ++i) {
+    BOOST_LEAF_AUTO(step, StepFromJson((*steps)[i], i));
+    spec.mSteps.push_back(std::move(step));
+  }
+  spec.mOccurrences = static_cast<std::uint32_t>(NumberOr(aJson, "o"));
+  if (spec.mOccurrences > 0) {
+    BOOST_LEAF_ASSIGN(spec.mFirstDue.mMillis, ReadSigned(aJson, "d"));
+    BOOST_LEAF_AUTO(interval, ReadSigned(aJson, "i"));
+    spec.mInterval = std::chrono::milliseconds(interval);
+  }
+  return spec;
+}
+
+std::string
+EncodeStoredJob(const StoredJob& aJob)
+{
+  return ToCbor({ { "q", aJob.mQueue },
+                  { "j", JobSpecToJson(aJob.mSpec) },
+                  { "t", aJob.mAcceptedTerm },
+                  { "a", aJob.mSubmitted.mMillis } });
+}
+
+leaf::result<StoredJob>
+DecodeStoredJob(std::string_view aId, std::string_view aBytes)
+{
+  BOOST_LEAF_AUTO(json, ParseCbor(aBytes));
+  StoredJob job;
+  job.mId = aId;
+  BOOST_LEAF_ASSIGN(job.mQueue, ReadString(json, "q"));
+  BOOST_LEAF_AUTO(spec, Member(json, "j"));
+  BOOST_LEAF_ASSIGN(job.mSpec, JobSpecFromJson(*spec));
+  BOOST_LEAF_AUTO(term, ReadNumber(json, "t"));
+  job.mAcceptedTerm = static_cast<std::uint32_t>(term);
+  BOOST_LEAF_ASSIGN(job.mSubmitted.mMillis, ReadSigned(json, "a"));
+  return job;
+}
+
+std::string
+EncodeProgress(const StoredProgress& aProgress)
+{
+  Json tasks = Json::array();
+  for (const StoredTask& task : aProgress.mTasks) {
+    tasks.push_back(TaskToJson(task));
+  }
+  return ToCbor({ { "p", static_cast<std::uint32_t>(aProgress.mPhase) },
+                  { "q", aProgress.mQueue },
+                  { "d", aProgress.mDoneOccurrences },
+                  { "t", std::move(tasks) } });
+}
+
+leaf::result<StoredProgress>
+DecodeProgress(std::string_view aBytes)
+{
+  BOOST_LEAF_AUTO(json, ParseCbor(aBytes));
+  StoredProgress progress;
+  BOOST_LEAF_AUTO(phase, ReadNumber(json, "p"));
+  if (phase > static_cast<std::uint64_t>(JobPhase::Cancelled)) {
+    return Fail(MessageFailure{ MessageFault::UnknownKind, "p" });
+  }
+  progress.mPhase = static_cast<JobPhase>(phase);
+  BOOST_LEAF_ASSIGN(progress.mQueue, ReadString(json, "q"));
+  BOOST_LEAF_AUTO(done, ReadArray(json, "d"));
+  for (const Json& at : *done) {
+    if (!at.is_number_unsigned()) {
+      return Fail(MessageFailure{ MessageFault::WrongType, "d" });
+    }
+    progress.mDoneOccurrences.push_back(at.get<std::uint32_t>());
+  }
+  BOOST_LEAF_AUTO(tasks, ReadArray(json, "t"));
+  for (const Json& at : *tasks) {
+    BOOST_LEAF_AUTO(task, TaskFromJson(at));
+    progress.mTasks.push_back(std::move(task));
+  }
+  return progress;
+}
+
+std::string
+EncodeOwnerRow(const OwnerRow& aRow)
+{
+  return ToCbor({ { "n", aRow.mNode },
+                  { "h", aRow.mPeers.mHost },
+                  { "p", aRow.mPeers.mPort },
+                  { "i", ToNumber(aRow.mIncarnation) },
+                  { "t", aRow.mTerm },
+                  { "s", aRow.mSequence },
+                  { "r", aRow.mReleased },
+                  { "x", aRow.mSealed } });
+}
+
+leaf::result<OwnerRow>
+DecodeOwnerRow(std::string_view aBytes)
+{
+  BOOST_LEAF_AUTO(json, ParseCbor(aBytes));
+  OwnerRow row;
+  BOOST_LEAF_ASSIGN(row.mNode, ReadString(json, "n"));
+  BOOST_LEAF_ASSIGN(row.mPeers.mHost, ReadString(json, "h"));
+  BOOST_LEAF_AUTO(port, ReadNumber(json, "p"));
+  row.mPeers.mPort = static_cast<std::uint16_t>(port);
+  BOOST_LEAF_AUTO(incarnation, ReadNumber(json, "i"));
+  row.mIncarnation = Incarnation(incarnation);
+  BOOST_LEAF_AUTO(term, ReadNumber(json, "t"));
+  row.mTerm = static_cast<std::uint32_t>(term);
+  BOOST_LEAF_ASSIGN(row.mSequence, ReadNumber(json, "s"));
+  BOOST_LEAF_ASSIGN(row.mReleased, ReadBool(json, "r"));
+  BOOST_LEAF_AUTO(sealed, ReadArray(json, "x"));
+  for (const Json& at : *sealed) {
+    if (!at.is_string()) {
+      return Fail(MessageFailure{ MessageFault::WrongType, "x" });
+    }
+    row.mSealed.push_back(at.get<std::string>());
+  }
+  return row;
+}
+
+std::string
+EncodeNames(std::span<const std::string> aNames)
+{
+  Json list = Json::array();
+  for (const std::string& name : aNames) {
+    list.push_back(name);
+  }
+  return ToCbor(list);
+}
+
+leaf::result<std::vector<std::string>>
+DecodeNames(std::string_view aBytes)
+{
+  BOOST_LEAF_AUTO(json, ParseCbor(aBytes));
+  std::vector<std::string> names;
+  if (!json.is_array()) {
+    return Fail(MessageFailure{ MessageFault::WrongType, {} });
+  }
+  for (const Json& at : json) {
+    if (!at.is_string()) {
+      return Fail(MessageFailure{ MessageFault::WrongType, {} });
+    }
+    names.push_back(at.get<std::string>());
+  }
+  return names;
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/wire/cell_codec.h
@@ -0,0 +1,45 @@
+#ifndef BUCKTHORNSHUNT_WIRE_CELL_CODEC_H
+#define BUCKTHORNSHUNT_WIRE_CELL_CODEC_H
+
+#include "decide/cell_job.h"
+#include "decide/cell_owner.h"
+#include "wire/json_fields.h"
+
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornshunt {
+
+/// Bytes of the rows that a cell keeps in the store, in CBOR. Each reader
+/// fails with MessageFailure.
+std::string
+EncodeStoredJob(const StoredJob& aJob);
+leaf::result<StoredJob>
+DecodeStoredJob(std::string_view aId, std::string_view aBytes);
+
+std::string
+EncodeProgress(const StoredProgress& aProgress);
+leaf::result<StoredProgress>
+DecodeProgress(std::string_view aBytes);
+
+std::string
+EncodeOwnerRow(const OwnerRow& aRow);
+leaf::result<OwnerRow>
+DecodeOwnerRow(std::string_view aBytes);
+
+std::string
+EncodeNames(std::span<const std::string> aNames);
+leaf::result<std::vector<std::string>>
+DecodeNames(std::string_view aBytes);
+
+/// A job as peers hand it to each other.
+Json
+JobSpecToJson(const JobSpec& aSpec);
+leaf::result<JobSpec>
+JobSpecFromJson(const Json& aJson);
+
+} // namespace buckthornshunt
+
+#endif
--- a/src/wire/config_schema.cpp
+++ b/src/wire/config_schema.cpp
@@ -147,6 +147,24 @@
     "peers": {"type": "string"},
     "platform": {"type": "string"},
     "peer_seeds": {"type": "array", "maxItems": 256, "items": {"type": "string"}},
+    "workload": {
+      "type": "object",
+      "additionalProperties": false,
+      "required": ["ready", "metrics"],
+      "properties": {
+        "ready": {"type": "string"},
+        "metrics": {"type": "string"},
+        "machines": {"type": "string"},
+        "advice": {"type": "string"},
+        "grace_s": {"type": "number", "exclusiveMinimum": 0, "maximum": 600},
+        "status_kept_s": {"type": "number", "exclusiveMinimum": 0, "maximum": 86400},
+        "longest_run_lease_s": {"type": "number", "exclusiveMinimum": 0, "maximum": 600},
+        "duty_lease_s": {"type": "number", "exclusiveMinimum": 0, "maximum": 600},
+        "move_s": {"type": "number", "minimum": 0, "maximum": 600},
+        "maintenance_s": {"type": "number", "minimum": 0, "maximum": 86400},
+        "miss_notice_s": {"type": "number", "minimum": 0, "maximum": 600}
+      }
+    },
     "log": {
       "type": "object",
       "additionalProperties": false,
--- /dev/null
+++ b/src/wire/relay_codec.cpp
@@ -0,0 +1,179 @@
+#include "wire/relay_codec.h"
+
+#include "wire/cell_codec.h"
+
+#include <array>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr const char* kKind = "k";
+
+struct CallEncoder
+{
+  Json operator()(const SubmitJob& aCall) const
+  {
+    return { { kKind, "submit" },
+             { "q", aCall.mQueue },
+             { "id", aCall.mId },
+             { "job", JobSpecToJson(aCall.mSpec) } };
+  }
+  Json operator()(const ReadJob& aCall) const
+  {
+    return { { kKind, "read" }, { "q", aCall.mQueue }, { "id", aCall.mId } };
+  }
+  Json operator()(const CancelJob& aCall) const
+  {
+    return { { kKind, "cancel" }, { "q", aCall.mQueue }, { "id", aCall.mId } };
+  }
+  Json operator()(const CountWaiting& aCall) const
+  {
+    return { { kKind, "waiting" }, { "q", aCall.mQueue } };
+  }
+};
+
+struct ReplyEncoder
+{
+  Json operator()(const JobAccepted&) const
+  {
+    return { { kKind, "accepted" } };
+  }
+  Json operator()(const JobRefused& aReply) const
+  {
+    return { { kKind, "refused" }, { "ms", ToMillis(aReply.mRetryAfter) } };
+  }
+  Json operator()(const JobPhaseIs& aReply) const
+  {
+    return { { kKind, "phase" },
+             { "p", static_cast<std::uint32_t>(aReply.mPhase) } };
+  }
+  Json operator()(const JobCancelled&) const
+  {
+    return { { kKind, "cancelled" } };
+  }
+  Json operator()(const JobUnknown&) const { return { { kKind, "unknown" } }; }
+  Json operator()(const WaitingCount& aReply) const
+  {
+    return { { kKind, "count" }, { "n", aReply.mJobs } };
+  }
+  Json operator()(const QueueUnknown&) const
+  {
+    return { { kKind, "no_queue" } };
+  }
+  Json operator()(const CallUnavailable& aReply) const
+  {
+    return { { kKind, "unavailable" }, { "ms", ToMillis(aReply.mRetryAfter) } };
+  }
+  Json operator()(const CallUnsettled&) const
+  {
+    return { { kKind, "unsettled" } };
+  }
+};
+
+leaf::result<CallerCall>
+CallFromJson(const Json& aJson)
+{
+  BOOST_LEAF_AUTO(kind, ReadString(aJson, kKind));
+  BOOST_LEAF_AUTO(queue, ReadString(aJson, "q"));
+  if (kind == "waiting") {
+    return CallerCall(CountWaiting{ std::move(queue) });
+  }
+  BOOST_LEAF_AUTO(id, ReadString(aJson, "id"));
+  if (kind == "read") {
+    return CallerCall(ReadJob{ std::move(queue), std::move(id) });
+  }
+  if (kind == "cancel") {
+    return CallerCall(CancelJob{ std::move(queue), std::move(id) });
+  }
+  if (kind != "submit") {
+    return Fail(MessageFailure{ MessageFault::UnknownKind, kind });
+  }
+  BOOST_LEAF_AUTO(job, Member(aJson, "job"));
+  BOOST_LEAF_AUTO(spec, JobSpecFromJson(*job));
+  return CallerCall(
+    SubmitJob{ std::move(queue), std::move(id), std::move(spec) });
+}
+
+leaf::result<Duration>
+RetryFromJson(const Json& aJson)
+{
+  BOOST_LEAF_AUTO(millis, ReadSigned(aJson, "ms"));
+  return Duration(std::chrono::milliseconds(millis));
+}
+
+} // namespace
+
+Json
+RelayedCallToJson(const RelayedCall& aCall)
+{
+  return { { "pool", aCall.mPool },
+           { "ms", ToMillis(aCall.mPatience) },
+           { "call", std::visit(CallEncoder{}, aCall.mCall) } };
+}
+
+leaf::result<RelayedCall>
+RelayedCallFromJson(const Json& aJson)
+{
+  RelayedCall relayed;
+  BOOST_LEAF_ASSIGN(relayed.mPool, ReadString(aJson, "pool"));
+  BOOST_LEAF_ASSIGN(relayed.mPatience, RetryFromJson(aJson));
+  BOOST_LEAF_AUTO(call, Member(aJson, "call"));
+  BOOST_LEAF_ASSIGN(relayed.mCall, CallFromJson(*call));
+  return relayed;
+}
+
+Json
+OwnerReplyToJson(const OwnerReply& aReply)
+{
+  if (std::holds_alternative<NotOwner>(aReply)) {
+    return { { kKind, "not_owner" } };
+  }
+  return std::visit(ReplyEncoder{}, std::get<CallerReply>(aReply));
+}
+
+leaf::result<OwnerReply>
+OwnerReplyFromJson(const Json& aJson)
+{
+  BOOST_LEAF_AUTO(kind, ReadString(aJson, kKind));
+  if (kind == "not_owner") {
+    return OwnerReply(NotOwner{});
+  }
+  if (kind == "accepted") {
+    return OwnerReply(JobAccepted{});
+  }
+  if (kind == "refused") {
+    BOOST_LEAF_AUTO(retry, RetryFromJson(aJson));
+    return OwnerReply(JobRefused{ retry });
+  }
+  if (kind == "phase") {
+    BOOST_LEAF_AUTO(phase, ReadNumber(aJson, "p"));
+    if (phase > static_cast<std::uint64_t>(JobPhase::Cancelled)) {
+      return Fail(MessageFailure{ MessageFault::UnknownKind, "p" });
+    }
+    return OwnerReply(JobPhaseIs{ static_cast<JobPhase>(phase) });
+  }
+  if (kind == "cancelled") {
+    return OwnerReply(JobCancelled{});
+  }
+  if (kind == "unknown") {
+    return OwnerReply(JobUnknown{});
+  }
+  if (kind == "count") {
+    BOOST_LEAF_AUTO(n, ReadNumber(aJson, "n"));
+    return OwnerReply(WaitingCount{ n });
+  }
+  if (kind == "no_queue") {
+    return OwnerReply(QueueUnknown{});
+  }
+  if (kind == "unavailable") {
+    BOOST_LEAF_AUTO(retry, RetryFromJson(aJson));
+    return OwnerReply(CallUnavailable{ retry });
+  }
+  if (kind == "unsettled") {
+    return OwnerReply(CallUnsettled{});
+  }
+  return Fail(MessageFailure{ MessageFault::UnknownKind, kind });
+}
+
+} // namespace buckthornshunt
