Acknowledge ends and cancels only once committed; count an end once

Cause: ends were acknowledged, and cancels answered, while their commit was still under way; a repeated end of a whole step counted the step twice, and a repeated failure counted as another attempt.

Change: a job is stored only when no commit of it is under way; ends are acknowledged by the commit alone; a step is counted when its last task changes; each failed run counts once, by its number, over owners too.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -247,7 +247,8 @@
 Cell::IsStored(std::string_view aId) const
 {
   auto it = mJobs.find(aId);
-  return it != mJobs.end() && it->second.mStored && !it->second.mDirty;
+  return it != mJobs.end() && it->second.mStored && !it->second.mDirty &&
+         !it->second.mCommitting;
 }
 
 std::uint64_t
@@ -465,6 +466,7 @@
   OccurrenceRecord& run = at->second;
   StepRecord& step = run.mSteps[aTask.mStep];
   bool gang = aJob.mSpec.mSteps[aTask.mStep].mGang;
+  std::uint32_t before = step.mDone;
   for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
     TaskRecord& task = step.mTasks[i];
     bool counts = i == aTask.mIndex || gang;
@@ -479,7 +481,8 @@
     task.mWorker.clear();
     ++step.mDone;
   }
-  if (step.mDone < step.mTasks.size()) {
+  // An end may be listed again; it counts once.
+  if (step.mDone == before || step.mDone < step.mTasks.size()) {
     return;
   }
   ++run.mDoneSteps;
@@ -517,6 +520,12 @@
     task.mNotBefore = aNow + kRestartPause;
     return;
   }
+  // A failure that is committed is listed again until it is acknowledged, to
+  // the next owner too.
+  if (aEnd.mRun <= task.mLastFailedRun) {
+    return;
+  }
+  task.mLastFailedRun = aEnd.mRun;
   std::uint32_t failures = ++task.mFailures;
   if (spec.mGang) {
     if (aEnd.mRun != step.mLastFailedGangRun) {
@@ -737,9 +746,6 @@
     NotePresent(*worker, run, aSent, aNow);
   }
   ResolveAbsent(*worker, present, aSent, aNow);
-  if (mDirty.empty()) {
-    worker->mCommittedEnds = worker->mSeenEnds;
-  }
 }
 
 void
@@ -870,6 +876,7 @@
       continue;
     }
     job->mDirty = false;
+    job->mCommitting = true;
     if (!job->mStored) {
       changes.mNewJobs.push_back({ job->mId,
                                    job->mQueue,
@@ -915,12 +922,16 @@
   for (const StoredJob& stored : aChanges.mNewJobs) {
     if (CellJob* job = FindJob(stored.mId)) {
       job->mStored = true;
+      job->mCommitting = false;
     }
   }
   for (const auto& [id, progress] : aChanges.mProgress) {
     CellJob* job = FindJob(id);
     bool ended = progress.mPhase != JobPhase::Pending &&
                  progress.mPhase != JobPhase::Running;
+    if (job != nullptr) {
+      job->mCommitting = false;
+    }
     if (job != nullptr && ended) {
       job->mCommitted = progress.mPhase;
       job->mEnded = aNow;
--- a/src/decide/cell_job.cpp
+++ b/src/decide/cell_job.cpp
@@ -111,6 +111,7 @@
                                       i,
                                       done,
                                       task.mFailures,
+                                      task.mLastFailedRun,
                                       done ? "" : task.mCheckpoint });
         }
       }
@@ -146,10 +147,13 @@
     StepRecord& step = it->second.mSteps[task.mStep];
     TaskRecord& record = step.mTasks[task.mIndex];
     record.mFailures = task.mFailures;
+    record.mLastFailedRun = task.mLastFailedRun;
     record.mCheckpoint = task.mCheckpoint;
     job.mStarted = true;
     if (job.mSpec.mSteps[task.mStep].mGang) {
       step.mGangFailures = std::max(step.mGangFailures, task.mFailures);
+      step.mLastFailedGangRun =
+        std::max(step.mLastFailedGangRun, task.mLastFailedRun);
     }
     if (task.mDone) {
       record.mStage = TaskStage::Done;
--- a/src/decide/cell_job.h
+++ b/src/decide/cell_job.h
@@ -29,6 +29,7 @@
   std::uint32_t mIndex = 0;
   bool mDone = false;
   std::uint32_t mFailures = 0;
+  std::uint64_t mLastFailedRun = 0;
   std::string mCheckpoint;
 
   friend bool operator==(const StoredTask&, const StoredTask&) = default;
@@ -56,6 +57,8 @@
 {
   TaskStage mStage = TaskStage::Idle;
   std::uint32_t mFailures = 0;
+  /// Number of the last run that counted as a failure.
+  std::uint64_t mLastFailedRun = 0;
   /// Starts in this term.
   std::uint32_t mStarts = 0;
   std::string mCheckpoint;
@@ -103,7 +106,10 @@
   bool mCancelled = false;
   bool mFailed = false;
   bool mStarted = false;
+  /// Changed since the last commit began.
   bool mDirty = false;
+  /// A commit of its latest change is under way.
+  bool mCommitting = false;
   /// Taken over from an earlier owner.
   bool mInherited = false;
   std::map<std::uint32_t, OccurrenceRecord> mOccurrences;
--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -84,8 +84,9 @@
   return step;
 }
 
-// Tasks are arrays: occurrence, step, index, done, failures, checkpoint.
-constexpr std::size_t kTaskFields = 6;
+// Tasks are arrays: occurrence, step, index, done, failures, last failed run,
+// checkpoint.
+constexpr std::size_t kTaskFields = 7;
 
 Json
 TaskToJson(const StoredTask& aTask)
@@ -95,6 +96,7 @@
                        aTask.mIndex,
                        aTask.mDone ? 1U : 0U,
                        aTask.mFailures,
+                       aTask.mLastFailedRun,
                        aTask.mCheckpoint });
 }
 
@@ -102,7 +104,7 @@
 TaskFromJson(const Json& aJson)
 {
   bool ok =
-    aJson.is_array() && aJson.size() == kTaskFields && aJson[5].is_string();
+    aJson.is_array() && aJson.size() == kTaskFields && aJson[6].is_string();
   for (std::size_t i = 0; ok && i + 1 < kTaskFields; ++i) {
     ok = aJson[i].is_number_unsigned();
   }
@@ -112,7 +114,9 @@
   return StoredTask{
     aJson[0].get<std::uint32_t>(), aJson[1].get<std::uint32_t>(),
     aJson[2].get<std::uint32_t>(), aJson[3].get<std::uint32_t>() != 0,
-    aJson[4].get<std::uint32_t>(), aJson[5].get<std::string>()
+    aJson[4].get<std::uint32_t>(),
+                     aJson[5].get<std::uint64_t>(),
+                     aJson[6].get<std::string>()
   };
 }
 
