Admit what can start at once; expect run times from what ended

Change: run times are expected from the queue's ended runs, with the estimate as a smaller part; a job whose first steps find free cores is let in.

--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -43,8 +43,9 @@
   if (end == Duration::max()) {
     return false;
   }
-  bool empty = aLoad.mBacklog < aLoad.mCores / 2;
-  return empty || ToSeconds(end) <= kUsableTime * ToSeconds(aJob.mTimeLeft);
+  // A job that can start at once is never turned away.
+  bool free = aLoad.mFreeCores >= aJob.mFirstCores;
+  return free || ToSeconds(end) <= kUsableTime * ToSeconds(aJob.mTimeLeft);
 }
 
 Duration
--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -14,12 +14,16 @@
   double mBacklog = 0;
   /// Cores that such jobs can use at once.
   double mCores = 0;
+  /// Cores of those that are free now.
+  double mFreeCores = 0;
 };
 
 /// What the job needs.
 struct JobDemand
 {
   double mCoreSeconds = 0;
+  /// Cores that its first steps ask for at once.
+  double mFirstCores = 0;
   Duration mChain{};
   /// Time left until the job's objective.
   Duration mTimeLeft{};
--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -28,7 +28,10 @@
 /// Run numbers of a term, for one task: later terms use higher ones.
 constexpr std::uint64_t kRunsPerTerm = 1000;
 /// Weight of a new observation in a mean.
-constexpr double kLearningRate = 0.05;
+constexpr double kLearningRate = 0.005;
+/// Ended runs before their mean is believed.
+constexpr double kRunsToLearn = 10;
+constexpr double kLeastEstimateSeconds = 0.05;
 
 } // namespace
 
@@ -77,11 +80,15 @@
   return mConfig.FindQueueByName(aJob.mQueue);
 }
 
-double
-Cell::ScaleOf(std::string_view aQueue) const
+RunTimeModel
+Cell::ModelOf(std::string_view aQueue) const
 {
   auto it = mStats.find(aQueue);
-  return it == mStats.end() ? 1.0 : it->second.mMeanScale;
+  if (it == mStats.end() || it->second.mRuns < kRunsToLearn) {
+    return {};
+  }
+  const QueueStats& stats = it->second;
+  return { stats.mObserved / stats.mRuns, stats.mObserved / stats.mEstimated };
 }
 
 Duration
@@ -90,7 +97,7 @@
   const QueueConfig* queue = mConfig.FindQueueByName(aQueue);
   double stretch = queue == nullptr ? 1.0 : queue->mStretch;
   Duration latency = queue == nullptr ? Duration{} : queue->mLatency;
-  double chain = ToSeconds(RemainingChain(aSpec, nullptr, ScaleOf(aQueue)));
+  double chain = ToSeconds(RemainingChain(aSpec, nullptr, ModelOf(aQueue)));
   return latency + std::chrono::duration_cast<Duration>(
                      std::chrono::duration<double>(stretch * chain));
 }
@@ -167,23 +174,13 @@
   job.mSubmitted = aSubmission.mNow;
   job.mFirstSeen = firstSeen;
   bool plain = !job.LongRunning() && job.mSpec.mOccurrences == 0;
-  if (plain) {
-    PoolSummary summary = Summary();
-    double scale = ScaleOf(job.mQueue);
-    JobDemand demand{ RemainingCoreSeconds(job.mSpec, nullptr, scale),
-                      RemainingChain(job.mSpec, nullptr, scale),
-                      firstSeen + ObjectiveOf(job.mQueue, job.mSpec) - aNow };
-    PoolLoad load{ summary.mBacklogCoreSeconds, summary.mCapacityCores };
-    if (!ShouldAdmit(load, demand)) {
-      ++mRefused;
-      if (mTurnedAway.size() < kMostTurnedAway) {
-        mTurnedAway.emplace(job.mId, firstSeen);
-      }
-      return SubmitResult::Refused;
+  if (plain && !ShouldAdmit(LoadNow(),
+                            DemandOf(job.mQueue, job.mSpec, firstSeen, aNow))) {
+    ++mRefused;
+    if (mTurnedAway.size() < kMostTurnedAway) {
+      mTurnedAway.emplace(job.mId, firstSeen);
     }
-    QueueStats& stats = mStats[job.mQueue];
-    stats.mMeanWork += (demand.mCoreSeconds - stats.mMeanWork) /
-                       static_cast<double>(++stats.mSeen);
+    return SubmitResult::Refused;
   }
   mTurnedAway.erase(job.mId);
   mLive.insert(job.mId);
@@ -198,17 +195,44 @@
                     TimePoint aNow,
                     double aJitter) const
 {
-  PoolSummary summary = Summary();
-  double scale = ScaleOf(aSubmission.mQueue);
   auto it = mTurnedAway.find(aSubmission.mId);
   TimePoint firstSeen = it == mTurnedAway.end() ? aNow : it->second;
-  JobDemand demand{
-    RemainingCoreSeconds(aSubmission.mSpec, nullptr, scale),
-    RemainingChain(aSubmission.mSpec, nullptr, scale),
-    firstSeen + ObjectiveOf(aSubmission.mQueue, aSubmission.mSpec) - aNow
-  };
   return RetryAfter(
-    { summary.mBacklogCoreSeconds, summary.mCapacityCores }, demand, aJitter);
+    LoadNow(),
+    DemandOf(aSubmission.mQueue, aSubmission.mSpec, firstSeen, aNow),
+    aJitter);
+}
+
+PoolLoad
+Cell::LoadNow() const
+{
+  PoolSummary summary = Summary();
+  PoolLoad load;
+  load.mBacklog = summary.mBacklogCoreSeconds;
+  load.mCores = summary.mCapacityCores;
+  load.mFreeCores = summary.mCapacityCores - summary.mBusyCores;
+  for (const std::string& id : mLive) {
+    const CellJob& job = mJobs.find(id)->second;
+    if (!job.mStarted && !job.LongRunning()) {
+      load.mFreeCores -= FirstCores(job.mSpec);
+    }
+  }
+  return load;
+}
+
+JobDemand
+Cell::DemandOf(std::string_view aQueue,
+               const JobSpec& aSpec,
+               TimePoint aFirstSeen,
+               TimePoint aNow) const
+{
+  RunTimeModel model = ModelOf(aQueue);
+  JobDemand demand;
+  demand.mCoreSeconds = RemainingCoreSeconds(aSpec, nullptr, model);
+  demand.mFirstCores = FirstCores(aSpec);
+  demand.mChain = RemainingChain(aSpec, nullptr, model);
+  demand.mTimeLeft = aFirstSeen + ObjectiveOf(aQueue, aSpec) - aNow;
+  return demand;
 }
 
 bool
@@ -440,20 +464,16 @@
   mDirty.insert(aJob.mId);
 }
 
-// Estimates are far off, by caller and by program. The mean ratio of observed
-// to estimated time corrects what they have in common.
+// Sums decay, so that a change of the work shows after some hundred runs.
 void
 Cell::LearnRunTime(const CellJob& aJob, const TaskId& aTask, Duration aTook)
 {
-  double estimate = ToSeconds(aJob.mSpec.mSteps[aTask.mStep].mEstimate);
-  if (estimate <= 0 || aTook <= Duration::zero()) {
-    return;
-  }
-  constexpr double kMostRatio = 10;
-  double ratio =
-    std::clamp(ToSeconds(aTook) / estimate, 1 / kMostRatio, kMostRatio);
   QueueStats& stats = mStats[aJob.mQueue];
-  stats.mMeanScale += kLearningRate * (ratio - stats.mMeanScale);
+  double estimate = ToSeconds(aJob.mSpec.mSteps[aTask.mStep].mEstimate);
+  stats.mObserved = stats.mObserved * (1 - kLearningRate) + ToSeconds(aTook);
+  stats.mEstimated = stats.mEstimated * (1 - kLearningRate) +
+                     std::max(estimate, kLeastEstimateSeconds);
+  stats.mRuns = stats.mRuns * (1 - kLearningRate) + 1;
 }
 
 void
@@ -979,6 +999,7 @@
   summary.mPool = mPool;
   summary.mRefused = mRefused;
   double lasting = 0;
+  double used = 0;
   for (const auto& [id, worker] : mWorkers) {
     bool counts = worker.mListed && !worker.mReport.mDraining &&
                   !worker.mSealed && worker.mMissed < kMissesUntilSuspect;
@@ -986,14 +1007,15 @@
       summary.mCapacityCores +=
         static_cast<double>(worker.mReport.mCapacity.mCpuMillis) / 1000;
     }
-    summary.mUsedCores += static_cast<double>(worker.mUsed.mCpuMillis) / 1000;
+    used += static_cast<double>(worker.mUsed.mCpuMillis) / 1000;
     for (const auto& [task, run] : worker.mRuns) {
-      if (run.mLongRunning && counts) {
+      if (run.mLongRunning) {
         lasting += static_cast<double>(run.mReserved.mCpuMillis) / 1000;
       }
     }
   }
   summary.mCapacityCores = std::max(summary.mCapacityCores - lasting, 0.0);
+  summary.mBusyCores = std::max(used - lasting, 0.0);
   for (const std::string& id : mLive) {
     const CellJob& job = mJobs.find(id)->second;
     if (job.LongRunning() || job.mSpec.mOccurrences > 0) {
@@ -1003,7 +1025,7 @@
     summary.mBacklogCoreSeconds += RemainingCoreSeconds(
       job.mSpec,
       run == job.mOccurrences.end() ? nullptr : &run->second,
-      ScaleOf(job.mQueue));
+      ModelOf(job.mQueue));
   }
   return summary;
 }
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -146,7 +146,8 @@
 {
   std::string mPool;
   double mBacklogCoreSeconds = 0;
-  double mUsedCores = 0;
+  /// Cores that tasks which end by themselves hold, or could hold.
+  double mBusyCores = 0;
   double mCapacityCores = 0;
   /// Jobs turned away since the last summary.
   std::uint32_t mRefused = 0;
@@ -234,19 +235,25 @@
   std::uint32_t TakeRefused();
 
 private:
+  /// Decaying sums of what the ended runs of a queue took.
   struct QueueStats
   {
-    double mMeanScale = 1;
-    double mMeanWork = 0;
-    std::uint64_t mSeen = 0;
+    double mObserved = 0;
+    double mEstimated = 0;
+    double mRuns = 0;
   };
   struct Candidate;
 
   CellWorker* FindWorker(std::string_view aId);
   CellJob* FindJob(std::string_view aId);
   const QueueConfig* QueueOf(const CellJob& aJob) const;
-  double ScaleOf(std::string_view aQueue) const;
+  RunTimeModel ModelOf(std::string_view aQueue) const;
   Duration ObjectiveOf(std::string_view aQueue, const JobSpec& aSpec) const;
+  PoolLoad LoadNow() const;
+  JobDemand DemandOf(std::string_view aQueue,
+                     const JobSpec& aSpec,
+                     TimePoint aFirstSeen,
+                     TimePoint aNow) const;
 
   void MarkDirty(CellJob& aJob);
   void StartNewLife(CellWorker& aWorker, TimePoint aNow);
--- a/src/decide/cell_job.cpp
+++ b/src/decide/cell_job.cpp
@@ -1,6 +1,7 @@
 #include "decide/cell_job.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace buckthornshunt {
 
@@ -12,11 +13,11 @@
 constexpr Duration kLeastEstimate = std::chrono::milliseconds(50);
 
 Duration
-Scaled(Duration aEstimate, double aScale)
+Expected(const RunTimeModel& aModel, Duration aEstimate)
 {
-  auto scaled = std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(ToSeconds(aEstimate) * aScale));
-  return std::max(scaled, kLeastEstimate);
+  auto expected = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(aModel.Expect(aEstimate)));
+  return std::max(expected, kLeastEstimate);
 }
 
 std::uint32_t
@@ -69,6 +70,20 @@
   return mStarted ? JobPhase::Running : JobPhase::Pending;
 }
 
+// Both are guesses with errors that multiply, so they are averaged by their
+// logarithms.
+double
+RunTimeModel::Expect(Duration aEstimate) const
+{
+  constexpr double kEstimateWeight = 0.3;
+  double estimate = ToSeconds(std::max(aEstimate, kLeastEstimate)) * mScale;
+  if (mMeanSeconds <= 0) {
+    return estimate;
+  }
+  return std::pow(estimate, kEstimateWeight) *
+         std::pow(mMeanSeconds, 1 - kEstimateWeight);
+}
+
 OccurrenceRecord
 MakeOccurrence(const JobSpec& aSpec)
 {
@@ -167,7 +182,7 @@
 Duration
 RemainingChain(const JobSpec& aSpec,
                const OccurrenceRecord* aRun,
-               double aScale)
+               const RunTimeModel& aModel)
 {
   std::vector<Duration> ends(aSpec.mSteps.size());
   Duration longest{};
@@ -178,16 +193,29 @@
       begin = std::max(begin, ends[before]);
     }
     bool left = TasksLeft(step, aRun, i) > 0;
-    ends[i] = begin + (left ? Scaled(step.mEstimate, aScale) : Duration{});
+    ends[i] = begin + (left ? Expected(aModel, step.mEstimate) : Duration{});
     longest = std::max(longest, ends[i]);
   }
   return longest;
 }
 
+double
+FirstCores(const JobSpec& aSpec)
+{
+  double cores = 0;
+  for (const StepSpec& step : aSpec.mSteps) {
+    if (step.mAfter.empty()) {
+      cores += static_cast<double>(step.mPerTask.mCpuMillis) * step.mTasks /
+               kMillisPerCore;
+    }
+  }
+  return cores;
+}
+
 double
 RemainingCoreSeconds(const JobSpec& aSpec,
                      const OccurrenceRecord* aRun,
-                     double aScale)
+                     const RunTimeModel& aModel)
 {
   double total = 0;
   for (std::size_t i = 0; i < aSpec.mSteps.size(); ++i) {
@@ -198,7 +226,7 @@
     double cores =
       static_cast<double>(step.mPerTask.mCpuMillis) / kMillisPerCore;
     total += cores * TasksLeft(step, aRun, i) *
-             ToSeconds(Scaled(step.mEstimate, aScale));
+             ToSeconds(Expected(aModel, step.mEstimate));
   }
   return total;
 }
--- a/src/decide/cell_job.h
+++ b/src/decide/cell_job.h
@@ -144,18 +144,35 @@
 CellJob
 RestoreJob(const StoredJob& aStored, const StoredProgress& aProgress);
 
-/// Longest chain of estimates through the steps that aDone doesn't cover;
-/// aRun may be null for a job that hasn't begun.
+/// What the ended runs of a queue tell about the next ones.
+struct RunTimeModel
+{
+  /// Mean run time of a task; zero if none was seen.
+  double mMeanSeconds = 0;
+  /// Mean run time over mean estimate.
+  double mScale = 1;
+
+  /// Expected run time, in seconds, of a task with that estimate. Callers'
+  /// estimates are off by more than run times differ, so the mean weighs more.
+  double Expect(Duration aEstimate) const;
+};
+
+/// Longest expected chain through the steps that aren't done; aRun may be null
+/// for a job that hasn't begun.
 Duration
 RemainingChain(const JobSpec& aSpec,
                const OccurrenceRecord* aRun,
-               double aScale);
+               const RunTimeModel& aModel);
+
+/// Cores that the steps which wait for nothing ask for.
+double
+FirstCores(const JobSpec& aSpec);
 
 /// Core-seconds of the tasks that aren't done.
 double
 RemainingCoreSeconds(const JobSpec& aSpec,
                      const OccurrenceRecord* aRun,
-                     double aScale);
+                     const RunTimeModel& aModel);
 
 } // namespace buckthornshunt
 
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -168,7 +168,7 @@
     }
     Duration objective = ObjectiveOf(job.mQueue, job.mSpec);
     for (auto& [number, run] : job.mOccurrences) {
-      Duration chain = RemainingChain(job.mSpec, &run, ScaleOf(job.mQueue));
+      Duration chain = RemainingChain(job.mSpec, &run, ModelOf(job.mQueue));
       for (std::uint32_t s = 0; s < run.mSteps.size(); ++s) {
         const StepRecord& step = run.mSteps[s];
         bool idle = step.mDone + step.mActive < step.mTasks.size();
--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -114,9 +114,8 @@
   return StoredTask{
     aJson[0].get<std::uint32_t>(), aJson[1].get<std::uint32_t>(),
     aJson[2].get<std::uint32_t>(), aJson[3].get<std::uint32_t>() != 0,
-    aJson[4].get<std::uint32_t>(),
-                     aJson[5].get<std::uint64_t>(),
-                     aJson[6].get<std::string>()
+    aJson[4].get<std::uint32_t>(), aJson[5].get<std::uint64_t>(),
+    aJson[6].get<std::string>()
   };
 }
 
