Split off the tenure of a cell; settle a cut-off commit at release

Cause: the claim, renewal and commit of an owner row are needed for the duties of the fleet too, and a release that followed a cancelled commit found its own row and took it for another node's.

Change: Tenure holds them; a refused commit whose row is this node's own is sent again on the row's new revision.

--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -13,12 +13,8 @@
 
 constexpr std::string_view kPart = "cell";
 
-/// An owner stops acting this much before its lease ends, so that an order
-/// which was just checked still goes out within it.
-constexpr Duration kActMargin = std::chrono::milliseconds(200);
 /// An idle owner renews its row this often: three times in a lease.
 constexpr Duration kRenewEvery = std::chrono::milliseconds(900);
-constexpr Duration kCommitTimeout = std::chrono::milliseconds(900);
 constexpr Duration kCommitRetry = std::chrono::milliseconds(100);
 constexpr Duration kScanTimeout = std::chrono::milliseconds(1500);
 /// Changes are collected this long, so that a burst shares a commit.
@@ -37,15 +33,6 @@
 constexpr int kMostLanes = 4;
 constexpr Duration kAdviceGrace = std::chrono::milliseconds(1500);
 
-const StoredRow*
-FindOwnerRow(std::span<const StoredRow> aRows)
-{
-  auto it = std::find_if(aRows.begin(), aRows.end(), [](const StoredRow& aRow) {
-    return aRow.mName.mKey == kOwnerKey;
-  });
-  return it == aRows.end() ? nullptr : &*it;
-}
-
 } // namespace
 
 CellRuntime::CellRuntime(Kernel& aKernel,
@@ -53,21 +40,21 @@
                          DirectoryService& aDirectory,
                          std::string_view aPool,
                          CellTimes aTimes,
-                         OwnerRow aRow,
-                         Revision aRevision,
-                         TimePoint aClaimSent)
+                         ClaimWon aClaim)
   : mKernel(aKernel)
   , mClock(aKernel.GetClock())
   , mPorts(aPorts)
   , mDirectory(aDirectory)
   , mPool(aPool)
-  , mTimes(aTimes)
-  , mRow(std::move(aRow))
-  , mRevision(aRevision)
-  , mActUntil(aClaimSent + kOwnerLease)
+  , mTenure(aKernel,
+            *aPorts.mStore,
+            aPool,
+            std::move(aClaim.mRow),
+            aClaim.mRevision,
+            aClaim.mSent)
   , mCell(std::make_unique<Cell>(aTimes,
-                                 FencingToken(ToNumber(aRevision)),
-                                 mRow.mTerm,
+                                 FencingToken(mTenure.Token()),
+                                 mTenure.Row().mTerm,
                                  aKernel.GetClock().Now()))
   , mTasks(aKernel.Context(), &aKernel.Groups())
   , mPlanDue(aKernel.Context())
@@ -83,8 +70,8 @@
   LogInfo(kPart,
           "pool={} taken over term={} token={}",
           mPool,
-          mRow.mTerm,
-          ToNumber(mRevision));
+          mTenure.Row().mTerm,
+          ToNumber(mTenure.Current()));
   mTasks.Spawn("load", Load());
 }
 
@@ -97,34 +84,29 @@
   mTasks.CancelAll();
   co_await mTasks.Drained();
   mCommitted.NotifyAll();
-  if (aRelease && !mLost && mLoaded) {
+  if (aRelease && !Lost() && mLoaded) {
+    if (mInFlight) {
+      // The commit that was cut off may or may not have taken effect.
+      mCell->OnNotCommitted(*mInFlight);
+    }
     CellChanges changes = mCell->TakeChanges(mClock.Now());
-    bool released = co_await CommitChanges(changes, true);
+    bool released = co_await mTenure.Commit(MakeCommit(changes), true);
     LogInfo(kPart,
             "pool={} released={} term={}",
             mPool,
             released ? 1 : 0,
-            mRow.mTerm);
+            mTenure.Row().mTerm);
   }
 }
 
-bool
-CellRuntime::MayAct() const
-{
-  return !mLost && !mReleasing && mClock.Now() + kActMargin < mActUntil;
-}
-
 void
 CellRuntime::MarkLost(std::string_view aWhy)
 {
-  if (!mLost) {
-    mLost = true;
-    LogWarn(kPart, "pool={} lost term={} why={}", mPool, mRow.mTerm, aWhy);
-    mCommitted.NotifyAll();
-    mWorkersWake.NotifyAll();
-    mPlanDue.Set();
-    mCommitDue.Set();
-  }
+  mTenure.MarkLost(aWhy);
+  mCommitted.NotifyAll();
+  mWorkersWake.NotifyAll();
+  mPlanDue.Set();
+  mCommitDue.Set();
 }
 
 RowName
@@ -167,7 +149,7 @@
   std::vector<StoredRow> progress;
   std::vector<StoredRow> cells;
   bool ok = false;
-  while (!ok && !mLost) {
+  while (!ok && !Lost()) {
     jobs.clear();
     progress.clear();
     cells.clear();
@@ -182,8 +164,11 @@
       co_await mClock.Sleep(kCommitRetry);
     }
   }
-  const StoredRow* owner = FindOwnerRow(cells);
-  bool stillOurs = owner != nullptr && owner->mRevision == mRevision;
+  bool stillOurs =
+    std::any_of(cells.begin(), cells.end(), [&](const StoredRow& aRow) {
+      return aRow.mName.mKey == kOwnerKey &&
+             aRow.mRevision == mTenure.Current();
+    });
   if (!stillOurs) {
     MarkLost("another node took the cell while its rows were read");
     co_return;
@@ -269,7 +254,7 @@
   }
   std::vector<WorkerReport> reports = mDirectory.Workers();
   mCell->SetWorkers(reports, mClock.Now());
-  for (const std::string& id : mRow.mSealed) {
+  for (const std::string& id : mTenure.Row().mSealed) {
     mCell->Seal(id, true);
   }
   AttendWorkers();
@@ -282,7 +267,7 @@
 Task<void>
 CellRuntime::PlanLoop()
 {
-  while (!mLost) {
+  while (!Lost()) {
     if (MayAct()) {
       std::vector<CellOrder> orders =
         mCell->Plan(mClock.Now(), mClock.WallNow());
@@ -326,7 +311,7 @@
 CellRuntime::RunLane(std::string aWorker)
 {
   WorkerLanes& lanes = mLanes[aWorker];
-  while (!lanes.mOrders.empty() && !mLost) {
+  while (!lanes.mOrders.empty() && !Lost()) {
     WorkerCall call = std::move(lanes.mOrders.front());
     lanes.mOrders.pop_front();
     auto it = mCell->WorkersNow().find(aWorker);
@@ -397,7 +382,7 @@
           std::visit(OrderNamer{}, aCall),
           aWorker,
           mPool,
-          mRow.mTerm,
+          mTenure.Row().mTerm,
           outcome);
 }
 
@@ -420,7 +405,7 @@
 Task<void>
 CellRuntime::Attend(std::string aWorker)
 {
-  while (!mLost && mCell->WorkersNow().contains(aWorker)) {
+  while (!Lost() && mCell->WorkersNow().contains(aWorker)) {
     if (!mCell->NeedsRenewal(aWorker) || !MayAct()) {
       TimePoint due = mClock.Now() + kRenewEvery;
       co_await WaitUntil(mWorkersWake, mClock, due);
@@ -513,8 +498,6 @@
 CellRuntime::MakeCommit(const CellChanges& aChanges) const
 {
   CommitIf commit;
-  commit.mConditions.push_back({ Name(kCellTable, kOwnerKey), mRevision });
-  commit.mPuts.push_back({ Name(kCellTable, kOwnerKey), EncodeOwnerRow(mRow) });
   for (const StoredJob& job : aChanges.mNewJobs) {
     commit.mPuts.push_back({ Name(kJobTable, job.mId), EncodeStoredJob(job) });
   }
@@ -535,83 +518,32 @@
   return commit;
 }
 
-// A refused commit may be a repetition of one that took effect while its
-// answer was lost; then the row holds what this node wrote.
-bool
-CellRuntime::Settle(const CommitRefused& aReply, TimePoint aSent)
-{
-  const StoredRow* row = FindOwnerRow(aReply.mRows);
-  if (row == nullptr) {
-    return false;
-  }
-  auto held = ToExpected<OwnerRow>([&] { return DecodeOwnerRow(row->mValue); });
-  if (!Ok(held) || !(std::get<OwnerRow>(held) == mRow)) {
-    return false;
-  }
-  mRevision = row->mRevision;
-  mActUntil = std::max(mActUntil, aSent + kOwnerLease);
-  return true;
-}
-
-// Sends one commit until it is known to have taken effect, or the cell to be
-// lost. Repetitions are harmless: the owner row lets only one take effect.
-Task<bool>
-CellRuntime::CommitChanges(const CellChanges& aChanges, bool aRelease)
-{
-  ++mRow.mSequence;
-  mRow.mReleased = aRelease;
-  CommitIf commit = MakeCommit(aChanges);
-  TimePoint firstSent = mClock.Now();
-  TimePoint giveUp = firstSent + (aRelease ? kOwnerLease : Duration::max() / 4);
-  while (!mLost && mClock.Now() < giveUp) {
-    TimePoint sent = mClock.Now();
-    TimePoint due = sent + kCommitTimeout;
-    auto reply = co_await CallStore(*mPorts.mStore, commit, due);
-    if (Ok(reply)) {
-      const StoreReply& held = std::get<StoreReply>(reply);
-      if (const auto* done = std::get_if<CommitDone>(&held)) {
-        mRevision = done->mRevision;
-        mActUntil = std::max(mActUntil, sent + kOwnerLease);
-        co_return true;
-      }
-      if (const auto* refused = std::get_if<CommitRefused>(&held)) {
-        if (Settle(*refused, firstSent)) {
-          co_return true;
-        }
-        MarkLost("another node wrote the owner row");
-        co_return false;
-      }
-    } else {
-      LogWarn(kPart,
-              "commit pool={} seq={} outcome={}",
-              mPool,
-              mRow.mSequence,
-              FailureName(std::get<Failure>(reply)));
-    }
-    co_await mClock.Sleep(kCommitRetry);
-  }
-  co_return false;
-}
-
 Task<void>
 CellRuntime::CommitLoop()
 {
   TimePoint renewed = mClock.Now() - kRenewEvery;
-  while (!mLost) {
+  while (!Lost()) {
     TimePoint due = renewed + kRenewEvery;
     bool set = co_await mCommitDue.TakeUntil(mClock, due);
     if (set) {
       co_await mClock.Sleep(kCommitGather);
     }
     CellChanges changes = mCell->TakeChanges(mClock.Now());
-    bool renew = mClock.Now() >= due;
+    bool renew = mClock.Now() >= due || mRenewNow;
     if (!changes.Empty() || renew) {
       TimePoint began = mClock.Now();
-      bool ok = co_await CommitChanges(changes, false);
+      bool withSeals = mRenewNow;
+      mRenewNow = false;
+      mInFlight = changes;
+      bool ok = co_await mTenure.Commit(MakeCommit(changes), false);
+      mInFlight.reset();
       if (!ok) {
+        MarkLost("its commit was refused");
         co_return;
       }
       renewed = began;
+      // Seals that were set while the commit was under way wait for the next.
+      mSealsCommitted = mSealsCommitted || (withSeals && !mRenewNow);
       LogChanges(changes);
     }
     mCell->OnCommitted(changes, mClock.Now());
@@ -630,7 +562,7 @@
             job.mId,
             mPool,
             job.mQueue,
-            ToNumber(mRevision));
+            ToNumber(mTenure.Current()));
   }
   for (const auto& [id, progress] : aChanges.mProgress) {
     bool ended = progress.mPhase != JobPhase::Pending &&
@@ -641,7 +573,7 @@
               id,
               mPool,
               ToString(progress.mPhase),
-              ToNumber(mRevision));
+              ToNumber(mTenure.Current()));
     }
   }
 }
@@ -649,21 +581,24 @@
 Task<bool>
 CellRuntime::Seal(std::vector<std::string> aWorkers, TimePoint aDeadline)
 {
-  for (const std::string& id : mRow.mSealed) {
-    if (std::find(aWorkers.begin(), aWorkers.end(), id) == aWorkers.end()) {
-      mCell->Seal(id, false);
-    }
+  if (aWorkers == mTenure.Row().mSealed) {
+    co_return mSealsCommitted;
+  }
+  for (const std::string& id : mTenure.Row().mSealed) {
+    mCell->Seal(id, false);
   }
   for (const std::string& id : aWorkers) {
     mCell->Seal(id, true);
   }
-  mRow.mSealed = std::move(aWorkers);
-  std::uint64_t sequence = mRow.mSequence;
+  mTenure.SetSealed(std::move(aWorkers));
+  mSealsCommitted = false;
+  mRenewNow = true;
   mCommitDue.Set();
-  while (!mLost && mRow.mSequence == sequence && mClock.Now() < aDeadline) {
+  mPlanDue.Set();
+  while (!Lost() && !mSealsCommitted && mClock.Now() < aDeadline) {
     co_await WaitUntil(mCommitted, mClock, aDeadline);
   }
-  co_return !mLost && mRow.mSequence != sequence;
+  co_return mSealsCommitted;
 }
 
 // --- Advice
@@ -712,10 +647,10 @@
 Task<CallerReply>
 CellRuntime::Handle(CallerCall aCall, TimePoint aDeadline)
 {
-  while (!mLoaded && !mLost && !mReleasing && mClock.Now() < aDeadline) {
+  while (!mLoaded && !Lost() && !mReleasing && mClock.Now() < aDeadline) {
     co_await WaitUntil(mCommitted, mClock, aDeadline);
   }
-  if (!mLoaded || mLost || mReleasing) {
+  if (!mLoaded || Lost() || mReleasing) {
     co_return CallUnavailable{ std::chrono::seconds(1) };
   }
   if (auto* submit = std::get_if<SubmitJob>(&aCall)) {
@@ -744,7 +679,7 @@
 CellRuntime::AwaitStored(std::string aId, TimePoint aDeadline)
 {
   mCommitDue.Set();
-  while (!mLost && !mReleasing && !mCell->IsStored(aId) &&
+  while (!Lost() && !mReleasing && !mCell->IsStored(aId) &&
          mClock.Now() < aDeadline) {
     co_await WaitUntil(mCommitted, mClock, aDeadline);
   }
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -2,16 +2,17 @@
 #define BUCKTHORNSHUNT_SERVICES_CELL_RUNTIME_H
 
 #include "decide/cell.h"
-#include "decide/cell_owner.h"
 #include "kernel/kernel.h"
 #include "kernel/wait.h"
 #include "ports/caller_calls.h"
 #include "ports/store.h"
 #include "ports/workers.h"
+#include "services/tenure.h"
 
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -23,6 +24,8 @@
 /// Tables of a cell's jobs; the part is the cell's name, the key the job.
 constexpr std::string_view kJobTable = "jobs";
 constexpr std::string_view kProgressTable = "progress";
+/// Row beside the owner row: the workers that the owner may have given leases.
+constexpr std::string_view kWorkersKey = "workers";
 
 /// What a cell's owner works with.
 struct CellPorts
@@ -43,9 +46,7 @@
               DirectoryService& aDirectory,
               std::string_view aPool,
               CellTimes aTimes,
-              OwnerRow aRow,
-              Revision aRevision,
-              TimePoint aClaimSent);
+              ClaimWon aClaim);
 
   /// Starts to read the cell's rows and then to act.
   void Start();
@@ -54,13 +55,11 @@
   Task<void> Stop(bool aRelease);
 
   const std::string& Pool() const { return mPool; }
-  const OwnerRow& Row() const { return mRow; }
-  Revision OwnerRevision() const { return mRevision; }
 
   /// The ownership surely holds now.
-  bool MayAct() const;
+  bool MayAct() const { return !mReleasing && mTenure.MayAct(); }
   /// Another node owns the cell.
-  bool Lost() const { return mLost; }
+  bool Lost() const { return mTenure.Lost(); }
   bool Loaded() const { return mLoaded; }
 
   /// Answers a caller's call.
@@ -91,9 +90,7 @@
                const std::vector<StoredRow>& aCells);
   Task<void> PlanLoop();
   Task<void> CommitLoop();
-  Task<bool> CommitChanges(const CellChanges& aChanges, bool aRelease);
   CommitIf MakeCommit(const CellChanges& aChanges) const;
-  bool Settle(const CommitRefused& aReply, TimePoint aSent);
   Task<void> Attend(std::string aWorker);
   Task<bool> RenewOnce(const std::string& aWorker);
   Task<void> RunLane(std::string aWorker);
@@ -116,13 +113,14 @@
   CellPorts mPorts;
   DirectoryService& mDirectory;
   std::string mPool;
-  CellTimes mTimes;
-  OwnerRow mRow;
-  Revision mRevision;
-  TimePoint mActUntil;
-  bool mLost = false;
+  Tenure mTenure;
   bool mLoaded = false;
   bool mReleasing = false;
+  /// A commit is wanted even if no row changed.
+  bool mRenewNow = false;
+  bool mSealsCommitted = true;
+  /// Changes of the commit that is under way.
+  std::optional<CellChanges> mInFlight;
   std::unique_ptr<Cell> mCell;
   TaskGroup mTasks;
   Signal mPlanDue;
--- a/src/services/cell_service.cpp
+++ b/src/services/cell_service.cpp
@@ -15,8 +15,6 @@
 
 constexpr std::string_view kPart = "cells";
 
-constexpr Duration kClaimTimeout = std::chrono::milliseconds(900);
-constexpr Duration kClaimRetry = std::chrono::milliseconds(150);
 /// A node that already owns cells lets others go first, so that cells spread;
 /// the random part keeps nodes from claiming all at the same moment.
 constexpr Duration kHesitationPerCell = std::chrono::milliseconds(250);
@@ -168,7 +166,7 @@
 }
 
 // Claims the cell under the condition that its row is still the one that was
-// judged. A claim whose answer is lost is sent again until the row tells.
+// judged.
 Task<void>
 CellService::TakeOver(std::string aPool)
 {
@@ -182,64 +180,22 @@
     mTaking.erase(aPool);
     co_return;
   }
-  const NodeSelf& self = mOwners->Self();
-  OwnerRow row;
-  row.mNode = self.mNode;
-  row.mPeers = self.mPeers;
-  row.mIncarnation = self.mIncarnation;
-  row.mTerm = sighting == nullptr ? 1 : sighting->mRow.mTerm + 1;
-  row.mSequence = 1;
+  std::optional<OwnerSighting> before;
   if (sighting != nullptr) {
-    row.mSealed = sighting->mRow.mSealed;
+    before = *sighting;
   }
-  RowName name{ std::string(kCellTable), aPool, std::string(kOwnerKey) };
-  CommitIf claim;
-  claim.mConditions.push_back(
-    { name, sighting == nullptr ? Revision{} : sighting->mRevision });
-  claim.mPuts.push_back({ name, EncodeOwnerRow(row) });
-  TimePoint firstSent = clock.Now();
-  bool settled = false;
-  while (!settled && !mStopping) {
-    TimePoint due = clock.Now() + kClaimTimeout;
-    auto reply = co_await CallStore(*mPorts.mStore, claim, due);
-    if (!Ok(reply)) {
-      LogWarn(kPart,
-              "claim pool={} term={} outcome={}",
-              aPool,
-              row.mTerm,
-              FailureName(std::get<Failure>(reply)));
-      co_await clock.Sleep(kClaimRetry);
-      continue;
-    }
-    const StoreReply& held = std::get<StoreReply>(reply);
-    std::optional<Revision> revision;
-    if (const auto* done = std::get_if<CommitDone>(&held)) {
-      revision = done->mRevision;
-    } else if (const auto* refused = std::get_if<CommitRefused>(&held)) {
-      for (const StoredRow& at : refused->mRows) {
-        auto now =
-          ToExpected<OwnerRow>([&] { return DecodeOwnerRow(at.mValue); });
-        if (at.mName == name && Ok(now)) {
-          mOwners->Note(aPool, std::get<OwnerRow>(now), at.mRevision);
-          if (std::get<OwnerRow>(now) == row) {
-            revision = at.mRevision;
-          }
-        }
-      }
-      LogInfo(kPart,
-              "claim pool={} term={} {}",
-              aPool,
-              row.mTerm,
-              revision ? "had taken effect" : "lost to another node");
-    }
-    settled = true;
-    if (revision && !mStopping) {
-      mOwners->Note(aPool, row, *revision);
-      auto runtime = std::make_shared<CellRuntime>(
-        mKernel, mPorts, *mDirectory, aPool, mTimes, row, *revision, firstSent);
-      mOwned.insert_or_assign(aPool, runtime);
-      runtime->Start();
-    }
+  std::optional<OwnerSighting> seen;
+  auto claim = co_await ClaimCell(
+    mKernel, *mPorts.mStore, aPool, mOwners->Self(), before, seen);
+  if (seen) {
+    mOwners->Note(aPool, seen->mRow, seen->mRevision);
+  }
+  if (claim && !mStopping) {
+    mOwners->Note(aPool, claim->mRow, claim->mRevision);
+    auto runtime = std::make_shared<CellRuntime>(
+      mKernel, mPorts, *mDirectory, aPool, mTimes, std::move(*claim));
+    mOwned.insert_or_assign(aPool, runtime);
+    runtime->Start();
   }
   mTaking.erase(aPool);
 }
--- a/src/services/directory_service.h
+++ b/src/services/directory_service.h
@@ -1,8 +1,8 @@
 #ifndef BUCKTHORNSHUNT_SERVICES_DIRECTORY_SERVICE_H
 #define BUCKTHORNSHUNT_SERVICES_DIRECTORY_SERVICE_H
 
-#include "kernel/kernel.h"
 #include "buckthornshunt/workload.h"
+#include "kernel/kernel.h"
 #include "ports/store.h"
 
 #include <map>
--- a/src/services/owner_service.h
+++ b/src/services/owner_service.h
@@ -5,6 +5,7 @@
 #include "kernel/kernel.h"
 #include "kernel/wait.h"
 #include "ports/store.h"
+#include "services/tenure.h"
 
 #include <map>
 #include <optional>
@@ -14,11 +15,6 @@
 
 namespace buckthornshunt {
 
-/// Table of the rows that say who owns a cell; the part is the cell's name.
-constexpr std::string_view kCellTable = "cells";
-constexpr std::string_view kOwnerKey = "owner";
-constexpr std::string_view kWorkersKey = "workers";
-
 /// Watches who owns which cell.
 class OwnerService
 {
