Move VMs after the demand and carry out maintenance waves

Change: one node owns the cell of the fleet. It asks the owners of the pools' cells for their use, has workers closed and emptied before their VM goes, records each order before it is sent, and follows waves with at most the allowed number of VMs down.

--- a/src/daemon/assembly.cpp
+++ b/src/daemon/assembly.cpp
@@ -47,6 +47,7 @@
   aKernel.Add<RelayService>(RelayService::kName, std::move(peers));
   aKernel.Add<EntryService>(EntryService::kName, aParts.mEndpoints);
   aKernel.Add<CellService>(CellService::kName, aParts.mCells, aParts.mTimes);
+  aKernel.Add<FleetService>(FleetService::kName, aParts.mFleet);
 }
 
 } // namespace buckthornshunt
--- a/src/daemon/assembly.h
+++ b/src/daemon/assembly.h
@@ -8,6 +8,7 @@
 #include "ports/platform.h"
 #include "services/cell_service.h"
 #include "services/entry_service.h"
+#include "services/fleet_service.h"
 #include "services/member_service.h"
 #include "services/peer_service.h"
 
@@ -38,6 +39,7 @@
   EntryEndpoints mEndpoints;
   CellPorts mCells;
   CellTimes mTimes;
+  FleetPorts mFleet;
 };
 
 /// Adds the services that run workloads on the platform. They stop in reverse:
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -59,13 +59,22 @@
 {
   Store mStore;
   Workers mWorkers;
+  Machines mMachines;
 };
 
+// Port 0 if there is no machine service.
+Endpoint
+MachineEndpoint(const Settings& aSettings)
+{
+  return aSettings.mWorkload ? aSettings.mWorkload->mMachines : Endpoint{};
+}
+
 WorkloadWorld
 MakeWorld(HttpClient& aClient, const Settings& aSettings)
 {
   return { platform::StoreClient(aClient, aSettings.mPlatform),
-           platform::WorkerClient(aClient) };
+           platform::WorkerClient(aClient),
+           platform::MachineClient(aClient, MachineEndpoint(aSettings)) };
 }
 
 void
@@ -83,6 +92,10 @@
   parts.mTimes.mStatusKept = workload.mStatusKept;
   parts.mTimes.mRunLease =
     std::min(parts.mTimes.mRunLease, workload.mLongestRunLease);
+  parts.mFleet = { &aWorld.mStore, nullptr, workload.mDutyLease };
+  if (workload.mMachines.mPort != 0) {
+    parts.mFleet.mMachines = &aWorld.mMachines;
+  }
   AddWorkloadServices(aKernel, std::move(parts));
 }
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -35,6 +35,17 @@
   return aText == "error" ? LogLevel::Error : LogLevel::Info;
 }
 
+Duration
+Millis(const Json& aSection, const char* aName, Duration aDefault)
+{
+  auto it = aSection.find(aName);
+  if (it == aSection.end()) {
+    return aDefault;
+  }
+  return std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double, std::milli>(it->get<double>()));
+}
+
 Duration
 Seconds(const Json& aSection, const char* aName, Duration aDefault)
 {
@@ -67,13 +78,13 @@
   workload.mStatusKept =
     Seconds(aSection, "status_kept_s", workload.mStatusKept);
   workload.mLongestRunLease =
-    Seconds(aSection, "longest_run_lease_s", workload.mLongestRunLease);
-  workload.mDutyLease = Seconds(aSection, "duty_lease_s", workload.mDutyLease);
+    Millis(aSection, "longest_run_lease_ms", workload.mLongestRunLease);
+  workload.mDutyLease = Millis(aSection, "duty_lease_ms", workload.mDutyLease);
   workload.mMoveTime = Seconds(aSection, "move_s", workload.mMoveTime);
   workload.mMaintenanceTime =
     Seconds(aSection, "maintenance_s", workload.mMaintenanceTime);
   workload.mMissNotice =
-    Seconds(aSection, "miss_notice_s", workload.mMissNotice);
+    Millis(aSection, "miss_notice_ms", workload.mMissNotice);
   return workload;
 }
 
--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -32,6 +32,9 @@
 /// Ended runs before their mean is believed.
 constexpr double kRunsToLearn = 10;
 constexpr double kLeastEstimateSeconds = 0.05;
+/// Seconds over which the demand is averaged: long enough for some jobs, short
+/// against a turn of the demand.
+constexpr double kAskedOver = 1.0;
 
 } // namespace
 
@@ -174,8 +177,12 @@
   job.mSubmitted = aSubmission.mNow;
   job.mFirstSeen = firstSeen;
   bool plain = !job.LongRunning() && job.mSpec.mOccurrences == 0;
-  if (plain && !ShouldAdmit(LoadNow(),
-                            DemandOf(job.mQueue, job.mSpec, firstSeen, aNow))) {
+  JobDemand demand = DemandOf(job.mQueue, job.mSpec, firstSeen, aNow);
+  if (plain && firstSeen == aNow) {
+    mAsked = AskedAt(aNow) + demand.mCoreSeconds / kAskedOver;
+    mAskedAt = aNow;
+  }
+  if (plain && !ShouldAdmit(LoadNow(), demand)) {
     ++mRefused;
     if (mTurnedAway.size() < kMostTurnedAway) {
       mTurnedAway.emplace(job.mId, firstSeen);
@@ -203,6 +210,36 @@
     aJitter);
 }
 
+double
+Cell::AskedAt(TimePoint aNow) const
+{
+  return mAsked * std::exp(-ToSeconds(aNow - mAskedAt) / kAskedOver);
+}
+
+PoolUse
+Cell::Use(TimePoint aNow) const
+{
+  PoolUse use;
+  use.mBacklog = Summary().mBacklogCoreSeconds;
+  use.mAsked = AskedAt(aNow);
+  for (const auto& [id, worker] : mWorkers) {
+    if (!worker.mListed) {
+      continue;
+    }
+    WorkerUse& at = use.mWorkers[id];
+    at.mRuns = static_cast<std::uint32_t>(worker.mRuns.size());
+    at.mSealed = worker.mSealed && worker.mContacted;
+    for (const auto& [task, run] : worker.mRuns) {
+      if (run.mLongRunning) {
+        at.mLasting = true;
+        use.mLastingCores +=
+          static_cast<double>(run.mReserved.mCpuMillis) / 1000;
+      }
+    }
+  }
+  return use;
+}
+
 PoolLoad
 Cell::LoadNow() const
 {
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -3,6 +3,7 @@
 
 #include "decide/admission.h"
 #include "decide/cell_job.h"
+#include "decide/fleet_plan.h"
 #include "decide/task_placement.h"
 #include "ports/worker_calls.h"
 
@@ -141,7 +142,7 @@
   std::vector<std::string> mWorkers;
 };
 
-/// Load of a pool, for the plan of the whole fleet.
+/// Load of a pool.
 struct PoolSummary
 {
   std::string mPool;
@@ -232,6 +233,8 @@
   /// Worker has something to renew a lease for, or must be asked first.
   bool NeedsRenewal(std::string_view aWorker) const;
   PoolSummary Summary() const;
+  /// Use of the pool, for the plan of the whole fleet.
+  PoolUse Use(TimePoint aNow) const;
   std::uint32_t TakeRefused();
 
 private:
@@ -250,6 +253,7 @@
   RunTimeModel ModelOf(std::string_view aQueue) const;
   Duration ObjectiveOf(std::string_view aQueue, const JobSpec& aSpec) const;
   PoolLoad LoadNow() const;
+  double AskedAt(TimePoint aNow) const;
   JobDemand DemandOf(std::string_view aQueue,
                      const JobSpec& aSpec,
                      TimePoint aFirstSeen,
@@ -320,6 +324,9 @@
   /// First attempts of jobs that were turned away.
   std::map<std::string, TimePoint, std::less<>> mTurnedAway;
   std::uint32_t mRefused = 0;
+  /// Core-seconds a second that callers ask for, decaying.
+  double mAsked = 0;
+  TimePoint mAskedAt;
 };
 
 } // namespace buckthornshunt
--- /dev/null
+++ b/src/decide/fleet_plan.cpp
@@ -0,0 +1,308 @@
+#include "decide/fleet_plan.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr double kMillisPerCore = 1000.0;
+/// Time in which a pool should work off what it has accepted.
+constexpr double kDrainSeconds = 1.5;
+/// Room above the demand, since jobs come in clumps.
+constexpr double kHeadroom = 1.2;
+/// Cores that stay free for the first moments of a rise.
+constexpr double kStandbyCores = 20;
+/// A move whose VM doesn't become empty within this time is given up.
+constexpr Duration kMovePatience = std::chrono::seconds(4);
+/// Part of a pool that may be on its way to maintenance at the same time.
+constexpr double kWaveShare = 0.34;
+/// Once this part of a wave's time is over, every pool gives what it can.
+constexpr double kWaveHurry = 0.5;
+/// Reports older than this aren't planned with.
+constexpr Duration kReportValid = std::chrono::seconds(2);
+
+double
+CoresOf(const PoolVm& aVm)
+{
+  return static_cast<double>(aVm.mCapacity.mCpuMillis) / kMillisPerCore;
+}
+
+/// Collects the changes and keeps count of what they leave.
+class Planner
+{
+public:
+  explicit Planner(const FleetView& aView)
+    : mView(aView)
+  {
+    for (const WorkerPoolConfig& pool : aView.mPoolConfigs) {
+      mSpare[pool.mName] = pool.mSpare;
+    }
+    for (const PoolVm& vm : aView.mVms) {
+      mVms.emplace(vm.mVm, &vm);
+      ++mPoolSize[vm.mPool];
+      bool leaving = aView.mIntents.contains(vm.mVm);
+      mLeaving[vm.mPool] += leaving ? 1 : 0;
+      if (vm.mUp && !leaving) {
+        mCores[vm.mPool] += CoresOf(vm);
+      }
+    }
+    for (const auto& [vm, intent] : aView.mIntents) {
+      auto it = mVms.find(vm);
+      if (it != mVms.end() && !intent.mToPool.empty()) {
+        mCores[intent.mToPool] += CoresOf(*it->second);
+      }
+    }
+  }
+
+  FleetPlanChange Make()
+  {
+    ReviewIntents();
+    for (const auto& [number, wave] : mView.mWaves) {
+      if (!wave.mCompleted) {
+        AdvanceWave(number, wave);
+      }
+    }
+    GrowPools();
+    ShrinkPools();
+    return std::move(mChange);
+  }
+
+private:
+  bool IsSpare(std::string_view aPool) const
+  {
+    auto it = mSpare.find(aPool);
+    return it != mSpare.end() && it->second;
+  }
+
+  const PoolUse* UseOf(std::string_view aPool) const
+  {
+    auto it = mView.mPools.find(aPool);
+    bool valid =
+      it != mView.mPools.end() && mView.mNow - it->second.mAt < kReportValid;
+    return valid ? &it->second : nullptr;
+  }
+
+  // What runs on the VM; null if that isn't known.
+  const WorkerUse* WorkerOf(const PoolVm& aVm) const
+  {
+    const PoolUse* use = UseOf(aVm.mPool);
+    if (use == nullptr) {
+      return nullptr;
+    }
+    auto it = use->mWorkers.find(aVm.mWorker);
+    return it == use->mWorkers.end() ? nullptr : &it->second;
+  }
+
+  bool Taken(std::string_view aVm) const
+  {
+    return mView.mIntents.contains(aVm) || mChange.mBegin.contains(aVm);
+  }
+
+  // No cell starts anything in the spare pool or in a pool without a queue.
+  bool NeedsSeal(const PoolVm& aVm) const
+  {
+    return !IsSpare(aVm.mPool) && mView.mPools.contains(aVm.mPool);
+  }
+
+  void ReviewIntents()
+  {
+    for (const auto& [name, intent] : mView.mIntents) {
+      auto it = mVms.find(name);
+      if (it == mVms.end()) {
+        if (!intent.mOrdered) {
+          mChange.mDrop.push_back(name);
+        }
+        continue;
+      }
+      const PoolVm& vm = *it->second;
+      if (intent.mOrdered) {
+        continue;
+      }
+      const WorkerUse* use = WorkerOf(vm);
+      bool empty =
+        !NeedsSeal(vm) || (use != nullptr && use->mSealed && use->mRuns == 0);
+      bool stale = vm.mWorker != intent.mWorker || !vm.mUp;
+      bool tooLong =
+        intent.mWave == 0 && mView.mNow > intent.mSince + kMovePatience;
+      if (stale || (tooLong && !empty)) {
+        mChange.mDrop.push_back(name);
+      } else if (empty) {
+        mChange.mOrder.push_back(name);
+      }
+    }
+  }
+
+  std::uint32_t InMaintenance(std::uint64_t aWave) const
+  {
+    std::uint32_t n = 0;
+    for (const auto& [vm, intent] : mView.mIntents) {
+      n += intent.mWave == aWave ? 1 : 0;
+    }
+    for (const auto& [vm, intent] : mChange.mBegin) {
+      n += intent.mWave == aWave ? 1 : 0;
+    }
+    return n;
+  }
+
+  void Begin(const PoolVm& aVm, FleetIntent aIntent)
+  {
+    aIntent.mSince = mView.mNow;
+    aIntent.mWorker = aVm.mWorker;
+    ++mLeaving[aVm.mPool];
+    mCores[aVm.mPool] -= CoresOf(aVm);
+    if (!aIntent.mToPool.empty()) {
+      mCores[aIntent.mToPool] += CoresOf(aVm);
+    }
+    mChange.mBegin.emplace(aVm.mVm, std::move(aIntent));
+  }
+
+  // VMs that are switched off go first, then those that run least.
+  void AdvanceWave(std::uint64_t aNumber, const WaveProgress& aWave)
+  {
+    std::vector<std::pair<int, const PoolVm*>> left;
+    bool allDone = true;
+    for (const std::string& name : aWave.mOrder.mVms) {
+      auto it = mVms.find(name);
+      if (it == mVms.end() || aWave.mDone.contains(name)) {
+        continue;
+      }
+      allDone = false;
+      const PoolVm& vm = *it->second;
+      if (!vm.mUp || Taken(name)) {
+        continue;
+      }
+      const WorkerUse* use = WorkerOf(vm);
+      int cost = 3;
+      if (!NeedsSeal(vm)) {
+        cost = 0;
+      } else if (use != nullptr) {
+        cost = use->mRuns == 0 ? 1 : use->mLasting ? 3 : 2;
+      }
+      left.emplace_back(cost, &vm);
+    }
+    if (allDone) {
+      mChange.mCompleted.push_back(aNumber);
+      return;
+    }
+    std::stable_sort(
+      left.begin(), left.end(), [](const auto& aA, const auto& aB) {
+        return aA.first < aB.first;
+      });
+    bool hurry = mView.mNow - aWave.mSeen > aWave.mOrder.mDeadline * kWaveHurry;
+    for (auto [cost, vm] : left) {
+      if (InMaintenance(aNumber) >= aWave.mOrder.mMostAtOnce) {
+        return;
+      }
+      double most =
+        std::max(1.0, std::floor(mPoolSize[vm->mPool] * kWaveShare));
+      bool crowded = cost > 0 && mLeaving[vm->mPool] >= most;
+      bool unknown = NeedsSeal(*vm) && UseOf(vm->mPool) == nullptr;
+      if (unknown || (crowded && !hurry)) {
+        continue;
+      }
+      FleetIntent intent;
+      intent.mWave = aNumber;
+      Begin(*vm, intent);
+    }
+  }
+
+  void GrowPools()
+  {
+    std::vector<std::pair<double, std::string_view>> lacking;
+    for (const auto& [pool, use] : mView.mPools) {
+      double lack = WantedCores(use) - mCores[pool];
+      if (UseOf(pool) != nullptr && !IsSpare(pool) && lack > 0) {
+        lacking.emplace_back(-lack, pool);
+      }
+    }
+    std::sort(lacking.begin(), lacking.end());
+    for (auto [negative, pool] : lacking) {
+      double lack = -negative;
+      while (lack > 0) {
+        const PoolVm* vm = FindGiver(pool);
+        if (vm == nullptr) {
+          return;
+        }
+        lack -= CoresOf(*vm);
+        FleetIntent intent;
+        intent.mToPool = pool;
+        Begin(*vm, intent);
+      }
+    }
+  }
+
+  // A VM that is switched off, or one that runs nothing in a pool which has
+  // more than it wants.
+  const PoolVm* FindGiver(std::string_view aTo)
+  {
+    const PoolVm* best = nullptr;
+    for (const PoolVm& vm : mView.mVms) {
+      if (!vm.mUp || vm.mPool == aTo || Taken(vm.mVm)) {
+        continue;
+      }
+      if (IsSpare(vm.mPool)) {
+        return &vm;
+      }
+      const PoolUse* use = UseOf(vm.mPool);
+      const WorkerUse* worker = WorkerOf(vm);
+      bool free = use != nullptr && worker != nullptr && worker->mRuns == 0 &&
+                  mCores[vm.mPool] - CoresOf(vm) >= WantedCores(*use);
+      if (free) {
+        best = &vm;
+      }
+    }
+    return best;
+  }
+
+  void ShrinkPools()
+  {
+    std::string_view spare;
+    for (const auto& [pool, isSpare] : mSpare) {
+      if (isSpare) {
+        spare = pool;
+      }
+    }
+    if (spare.empty()) {
+      return;
+    }
+    for (const PoolVm& vm : mView.mVms) {
+      const PoolUse* use = UseOf(vm.mPool);
+      const WorkerUse* worker = WorkerOf(vm);
+      bool idle = vm.mUp && !IsSpare(vm.mPool) && !Taken(vm.mVm) &&
+                  use != nullptr && worker != nullptr && worker->mRuns == 0;
+      if (idle &&
+          mCores[vm.mPool] - CoresOf(vm) >= WantedCores(*use) + kStandbyCores) {
+        FleetIntent intent;
+        intent.mToPool = spare;
+        Begin(vm, intent);
+      }
+    }
+  }
+
+  const FleetView& mView;
+  FleetPlanChange mChange;
+  std::map<std::string_view, const PoolVm*> mVms;
+  std::map<std::string, bool, std::less<>> mSpare;
+  std::map<std::string, int, std::less<>> mPoolSize;
+  std::map<std::string, int, std::less<>> mLeaving;
+  std::map<std::string, double, std::less<>> mCores;
+};
+
+} // namespace
+
+double
+WantedCores(const PoolUse& aUse)
+{
+  return aUse.mLastingCores + kHeadroom * std::max(aUse.mAsked, 0.0) +
+         aUse.mBacklog / kDrainSeconds;
+}
+
+FleetPlanChange
+PlanFleet(const FleetView& aView)
+{
+  return Planner(aView).Make();
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/decide/fleet_plan.h
@@ -0,0 +1,101 @@
+#ifndef BUCKTHORNSHUNT_DECIDE_FLEET_PLAN_H
+#define BUCKTHORNSHUNT_DECIDE_FLEET_PLAN_H
+
+#include "buckthornshunt/workload.h"
+#include "decide/cell_owner.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace buckthornshunt {
+
+/// What the owner of a pool's cell reports of one worker.
+struct WorkerUse
+{
+  /// Runs that are, or may be, on it.
+  std::uint32_t mRuns = 0;
+  /// Some of them last.
+  bool mLasting = false;
+  /// Nothing new starts on it, and that is recorded.
+  bool mSealed = false;
+};
+
+/// What the owner of a pool's cell reports of the pool.
+struct PoolUse
+{
+  /// Core-seconds that accepted jobs still need.
+  double mBacklog = 0;
+  /// Core-seconds a second that callers ask for, let in or not.
+  double mAsked = 0;
+  /// Cores held by tasks that last.
+  double mLastingCores = 0;
+  std::map<std::string, WorkerUse, std::less<>> mWorkers;
+  TimePoint mAt;
+};
+
+/// Why a VM is to leave its pool for a while or for good.
+struct FleetIntent
+{
+  /// Pool to move to; empty for maintenance.
+  std::string mToPool;
+  /// Wave of the maintenance; 0 for a move.
+  std::uint64_t mWave = 0;
+  /// The order was sent; it may have been carried out.
+  bool mOrdered = false;
+  /// The platform has confirmed the order.
+  bool mConfirmed = false;
+  TimePoint mSince;
+  TimePoint mConfirmedAt;
+  /// Worker on the VM when the intent was made.
+  std::string mWorker;
+};
+
+struct WaveProgress
+{
+  WaveOrder mOrder;
+  TimePoint mSeen;
+  std::set<std::string, std::less<>> mDone;
+  bool mCompleted = false;
+};
+
+/// Everything that a plan of the fleet is made from.
+struct FleetView
+{
+  TimePoint mNow;
+  std::vector<PoolVm> mVms;
+  std::map<std::string, PoolUse, std::less<>> mPools;
+  std::map<std::uint64_t, WaveProgress> mWaves;
+  std::map<std::string, FleetIntent, std::less<>> mIntents;
+  std::vector<WorkerPoolConfig> mPoolConfigs;
+};
+
+struct FleetPlanChange
+{
+  /// New intents, by VM.
+  std::map<std::string, FleetIntent, std::less<>> mBegin;
+  /// Intents to give up; they weren't ordered.
+  std::vector<std::string> mDrop;
+  /// Intents whose VM may go now: nothing runs on it and nothing will start.
+  std::vector<std::string> mOrder;
+  /// Waves that are done.
+  std::vector<std::uint64_t> mCompleted;
+};
+
+/// Cores that a pool should have for what callers ask for.
+double
+WantedCores(const PoolUse& aUse);
+
+/// Decides which VMs are maintained, moved or switched off next. Answers
+/// demand that rises in one pool at a time to several times its mean: VMs that
+/// run nothing follow the demand, and VMs that nobody needs are switched off.
+FleetPlanChange
+PlanFleet(const FleetView& aView);
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/services/fleet_service.cpp
@@ -0,0 +1,553 @@
+#include "services/fleet_service.h"
+
+#include "kernel/log.h"
+#include "platform/directory_codec.h"
+#include "services/cell_service.h"
+#include "services/directory_service.h"
+#include "services/owner_service.h"
+#include "services/relay_service.h"
+#include "wire/fleet_codec.h"
+
+#include <algorithm>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr std::string_view kPart = "fleet";
+/// Name of the cell whose owner gives orders for VMs.
+constexpr std::string_view kFleetCell = "fleet";
+constexpr std::string_view kFleetTable = "fleet";
+constexpr std::string_view kIntentsKey = "intents";
+constexpr std::string_view kWavePrefix = "wave/";
+
+constexpr Duration kCheckEvery = std::chrono::milliseconds(500);
+constexpr Duration kRenewEvery = std::chrono::milliseconds(900);
+constexpr Duration kSyncEvery = std::chrono::milliseconds(200);
+constexpr Duration kSyncTimeout = std::chrono::milliseconds(900);
+constexpr Duration kPlanEvery = std::chrono::milliseconds(100);
+/// The list of VMs lags behind by about as much.
+constexpr Duration kListEvery = std::chrono::milliseconds(500);
+constexpr Duration kListTimeout = std::chrono::milliseconds(1500);
+constexpr Duration kDutyTimeout = std::chrono::milliseconds(1200);
+constexpr Duration kDutyRetry = std::chrono::milliseconds(250);
+/// The owner of the fleet does little; any node may take it, after a moment.
+constexpr std::uint64_t kHesitationSpreadMs = 200;
+/// An order that the platform has confirmed shows in the list by then.
+constexpr Duration kSettled = std::chrono::seconds(12);
+
+RowName
+FleetRow(std::string_view aKey)
+{
+  return { std::string(kFleetTable),
+           std::string(kFleetCell),
+           std::string(aKey) };
+}
+
+} // namespace
+
+FleetService::FleetService(Kernel& aKernel, FleetPorts aPorts)
+  : mKernel(aKernel)
+  , mClock(aKernel.GetClock())
+  , mPorts(aPorts)
+  , mTasks(aKernel.Context(), &aKernel.Groups())
+  , mDuties(aKernel.Context(), &aKernel.Groups())
+  , mRecord(aKernel.Context())
+  , mRecorded(aKernel.Context())
+{
+}
+
+leaf::result<void>
+FleetService::Start()
+{
+  BOOST_LEAF_ASSIGN(mDirectory,
+                    mKernel.Find<DirectoryService>(DirectoryService::kName));
+  BOOST_LEAF_ASSIGN(mOwners, mKernel.Find<OwnerService>(OwnerService::kName));
+  BOOST_LEAF_ASSIGN(mRelay, mKernel.Find<RelayService>(RelayService::kName));
+  BOOST_LEAF_ASSIGN(mCells, mKernel.Find<CellService>(CellService::kName));
+  mRelay->Handle("fleet", [this](Json aBody, TimePoint aDeadline) {
+    return OnSync(std::move(aBody), aDeadline);
+  });
+  if (mPorts.mMachines != nullptr) {
+    mTasks.Spawn("watch", WatchOwner());
+  }
+  return {};
+}
+
+Task<void>
+FleetService::Stop()
+{
+  mStopping = true;
+  mTasks.CancelAll();
+  mDuties.CancelAll();
+  co_await mTasks.Drained();
+  co_await mDuties.Drained();
+  if (mTenure && !mTenure->Lost()) {
+    CommitIf nothing;
+    co_await mTenure->Commit(std::move(nothing), true);
+  }
+}
+
+// --- Ownership
+
+Task<void>
+FleetService::WatchOwner()
+{
+  while (!mStopping) {
+    mOwners->Watch(kFleetCell);
+    const OwnerSighting* sighting = mOwners->Sighting(kFleetCell);
+    bool free = mOwners->Looked(kFleetCell) &&
+                (sighting == nullptr ||
+                 JudgeOwner(*sighting, mOwners->Self(), mClock.Now()) ==
+                   OwnerStanding::Free);
+    if (free) {
+      auto random =
+        static_cast<std::int64_t>(mKernel.Random() % kHesitationSpreadMs);
+      co_await mClock.Sleep(std::chrono::milliseconds(random));
+      sighting = mOwners->Sighting(kFleetCell);
+      std::optional<OwnerSighting> before;
+      if (sighting != nullptr) {
+        before = *sighting;
+      }
+      free = !before || JudgeOwner(*before, mOwners->Self(), mClock.Now()) ==
+                          OwnerStanding::Free;
+      std::optional<ClaimWon> claim;
+      if (free) {
+        std::optional<OwnerSighting> seen;
+        claim = co_await ClaimCell(mKernel,
+                                   *mPorts.mStore,
+                                   std::string(kFleetCell),
+                                   mOwners->Self(),
+                                   before,
+                                   seen);
+        if (seen) {
+          mOwners->Note(kFleetCell, seen->mRow, seen->mRevision);
+        }
+      }
+      if (claim) {
+        mOwners->Note(kFleetCell, claim->mRow, claim->mRevision);
+        co_await Lead(std::move(*claim));
+      }
+    }
+    TimePoint due = mClock.Now() + kCheckEvery;
+    co_await WaitUntil(mOwners->Changed(), mClock, due);
+  }
+}
+
+// Everything that the owner of the fleet does, until the ownership is lost.
+Task<void>
+FleetService::Lead(ClaimWon aClaim)
+{
+  mView = FleetView{};
+  mSyncing.clear();
+  mInherited.clear();
+  mTenure = std::make_unique<Tenure>(mKernel,
+                                     *mPorts.mStore,
+                                     kFleetCell,
+                                     std::move(aClaim.mRow),
+                                     aClaim.mRevision,
+                                     aClaim.mSent);
+  mLedSince = mClock.Now();
+  LogInfo(kPart,
+          "taken over term={} token={}",
+          mTenure->Row().mTerm,
+          mTenure->Token());
+  bool loaded = false;
+  while (!loaded && !mTenure->Lost()) {
+    loaded = co_await LoadRows();
+    if (!loaded) {
+      co_await mClock.Sleep(kDutyRetry);
+    }
+  }
+  mDuties.Spawn("renew", RenewLoop());
+  mDuties.Spawn("list", ListLoop());
+  mDuties.Spawn("plan", PlanLoop());
+  for (const auto& [vm, intent] : mView.mIntents) {
+    mDuties.Spawn("carry out", CarryOut(vm));
+  }
+  while (!mTenure->Lost()) {
+    co_await WaitUntil(mRecorded, mClock, mClock.Now() + kCheckEvery);
+  }
+  mDuties.CancelAll();
+  co_await mDuties.Drained();
+}
+
+Task<bool>
+FleetService::LoadRows()
+{
+  ScanRows scan{ std::string(kFleetTable), std::string(kFleetCell), "" };
+  TimePoint due = mClock.Now() + kListTimeout;
+  auto reply = co_await CallStoreFor<RowsScanned>(*mPorts.mStore, scan, due);
+  if (!Ok(reply)) {
+    co_return false;
+  }
+  for (const StoredRow& row : std::get<RowsScanned>(reply).mRows) {
+    std::string_view key = row.mName.mKey;
+    if (key == kIntentsKey) {
+      auto intents =
+        ToExpected<IntentMap>([&] { return DecodeIntents(row.mValue); });
+      if (!Ok(intents)) {
+        LogError(kPart, "recorded orders can't be read");
+        continue;
+      }
+      for (auto& [vm, intent] : std::get<IntentMap>(intents)) {
+        intent.mSince = mLedSince;
+        mInherited.insert(vm);
+        mView.mIntents.insert_or_assign(vm, intent);
+      }
+    } else if (key.starts_with(kWavePrefix)) {
+      auto wave =
+        ToExpected<StoredWave>([&] { return DecodeStoredWave(row.mValue); });
+      if (!Ok(wave)) {
+        LogError(kPart, "progress of {} can't be read", key);
+        continue;
+      }
+      const StoredWave& held = std::get<StoredWave>(wave);
+      WaveProgress& progress = mView.mWaves[held.mNumber];
+      progress.mDone.insert(held.mDone.begin(), held.mDone.end());
+      progress.mCompleted = held.mCompleted;
+    }
+  }
+  LogInfo(kPart,
+          "loaded orders={} waves={}",
+          mView.mIntents.size(),
+          mView.mWaves.size());
+  co_return true;
+}
+
+Task<void>
+FleetService::RenewLoop()
+{
+  while (!mTenure->Lost()) {
+    TimePoint due = mClock.Now() + kRenewEvery;
+    bool record = co_await mRecord.TakeUntil(mClock, due);
+    CommitIf rows;
+    if (record) {
+      IntentMap ordered;
+      for (const auto& [vm, intent] : mView.mIntents) {
+        if (intent.mOrdered) {
+          ordered.emplace(vm, intent);
+        }
+      }
+      rows.mPuts.push_back({ FleetRow(kIntentsKey), EncodeIntents(ordered) });
+      for (const auto& [number, wave] : mView.mWaves) {
+        std::string key = platform::WaveStatusKey(number);
+        StoredWave stored{ number,
+                           { wave.mDone.begin(), wave.mDone.end() },
+                           wave.mCompleted };
+        rows.mPuts.push_back({ FleetRow(key), EncodeStoredWave(stored) });
+        RowName status{ std::string(platform::kStatusTable), "", key };
+        rows.mPuts.push_back(
+          { std::move(status),
+            platform::EncodeWaveStatus(number, wave.mCompleted) });
+      }
+    }
+    std::uint64_t covers = mWanted;
+    bool ok = co_await mTenure->Commit(std::move(rows), false);
+    if (ok && record) {
+      mCovered = covers;
+    }
+    mRecorded.NotifyAll();
+  }
+}
+
+// Returns once what is known now is in the store; false if the cell is lost.
+Task<bool>
+FleetService::Record()
+{
+  std::uint64_t wanted = ++mWanted;
+  mRecord.Set();
+  while (!mTenure->Lost() && mCovered < wanted) {
+    TimePoint due = mClock.Now() + kCheckEvery;
+    co_await WaitUntil(mRecorded, mClock, due);
+  }
+  co_return mCovered >= wanted;
+}
+
+// --- What is there
+
+Task<void>
+FleetService::ListLoop()
+{
+  while (!mTenure->Lost()) {
+    std::vector<PoolVm> vms;
+    std::string page;
+    bool ok = true;
+    bool more = true;
+    TimePoint asked = mClock.Now();
+    while (ok && more) {
+      TimePoint due = mClock.Now() + kListTimeout;
+      MachineCall call = ListPoolVms{ page };
+      auto reply =
+        co_await CallMachines(*mPorts.mMachines, std::move(call), due);
+      const MachineReply* held =
+        Ok(reply) ? &std::get<MachineReply>(reply) : nullptr;
+      const auto* list =
+        held != nullptr ? std::get_if<PoolVmPage>(held) : nullptr;
+      ok = list != nullptr;
+      if (ok) {
+        vms.insert(vms.end(), list->mVms.begin(), list->mVms.end());
+        page = list->mNextPage;
+        more = !page.empty();
+      } else if (!Ok(reply)) {
+        LogWarn(kPart,
+                "list of VMs outcome={}",
+                FailureName(std::get<Failure>(reply)));
+      }
+    }
+    if (ok) {
+      mView.mVms = std::move(vms);
+      mListedAt = asked;
+      ReviewConfirmed();
+    }
+    co_await mClock.Sleep(kListEvery);
+  }
+}
+
+// Forgets orders whose VM is up again. An order stays recorded for the duty
+// lease, so that a next owner doesn't order the same VM too soon.
+void
+FleetService::ReviewConfirmed()
+{
+  std::vector<std::string> over;
+  for (const auto& [vm, intent] : mView.mIntents) {
+    if (!intent.mConfirmed) {
+      continue;
+    }
+    auto it = std::find_if(mView.mVms.begin(),
+                           mView.mVms.end(),
+                           [&](const PoolVm& aVm) { return aVm.mVm == vm; });
+    bool gone = it == mView.mVms.end();
+    bool settled = !gone && it->mUp &&
+                   (intent.mToPool.empty() || it->mPool == intent.mToPool);
+    bool late = mListedAt > intent.mConfirmedAt + kSettled;
+    bool quiet = mListedAt > intent.mConfirmedAt + mPorts.mDutyLease;
+    if (quiet && (gone || settled || late)) {
+      over.push_back(vm);
+    }
+  }
+  for (const std::string& vm : over) {
+    mView.mIntents.erase(vm);
+    mInherited.erase(vm);
+  }
+  if (!over.empty()) {
+    ++mWanted;
+    mRecord.Set();
+  }
+}
+
+void
+FleetService::FollowWaves()
+{
+  for (const auto& [number, order] : mDirectory->Waves()) {
+    auto [it, added] = mView.mWaves.try_emplace(number);
+    bool fresh = it->second.mOrder.mVms.empty();
+    it->second.mOrder = order;
+    it->second.mSeen = mDirectory->WaveSeen(number);
+    if (added || fresh) {
+      ++mWanted;
+      mRecord.Set();
+    }
+  }
+}
+
+std::vector<std::string>
+FleetService::SealedIn(std::string_view aPool) const
+{
+  std::vector<std::string> sealed;
+  auto use = mView.mPools.find(aPool);
+  for (const auto& [vm, intent] : mView.mIntents) {
+    bool here = false;
+    for (const PoolVm& at : mView.mVms) {
+      here = here || (at.mVm == vm && at.mPool == aPool);
+    }
+    bool known = use != mView.mPools.end() &&
+                 use->second.mWorkers.contains(intent.mWorker);
+    if (!intent.mWorker.empty() && (here || known)) {
+      sealed.push_back(intent.mWorker);
+    }
+  }
+  return sealed;
+}
+
+Task<void>
+FleetService::SyncLoop(std::string aPool)
+{
+  while (!mTenure->Lost()) {
+    co_await SyncOnce(aPool);
+    co_await mClock.Sleep(kSyncEvery);
+  }
+}
+
+Task<bool>
+FleetService::SyncOnce(const std::string& aPool)
+{
+  FleetSync sync{ aPool, mTenure->Token(), SealedIn(aPool) };
+  Json body = FleetSyncToJson(sync);
+  TimePoint due = mClock.Now() + kSyncTimeout;
+  const OwnerSighting* sighting = mOwners->Sighting(aPool);
+  Json answer;
+  if (mCells->Find(aPool)) {
+    answer = co_await OnSync(std::move(body), due);
+  } else if (sighting != nullptr && !sighting->mRow.mReleased) {
+    Endpoint peer = sighting->mRow.mPeers;
+    auto reply = co_await mRelay->Ask(peer, "fleet", std::move(body), due);
+    if (Ok(reply)) {
+      answer = std::get<Json>(std::move(reply));
+    }
+  }
+  auto use = ToExpected<PoolUse>([&] { return PoolUseFromJson(answer); });
+  if (!Ok(use)) {
+    co_return false;
+  }
+  PoolUse held = std::get<PoolUse>(std::move(use));
+  held.mAt = mClock.Now();
+  mView.mPools.insert_or_assign(aPool, std::move(held));
+  co_return true;
+}
+
+// The cell's side: closes the workers that the fleet's owner names.
+Task<Json>
+FleetService::OnSync(Json aBody, TimePoint aDeadline)
+{
+  auto sync = ToExpected<FleetSync>([&] { return FleetSyncFromJson(aBody); });
+  if (!Ok(sync)) {
+    LogWarn(kPart, "sync ignored: {}", Describe(std::get<Failure>(sync)));
+    co_return Json();
+  }
+  FleetSync held = std::get<FleetSync>(std::move(sync));
+  std::shared_ptr<CellRuntime> runtime = mCells->Find(held.mPool);
+  bool usable = runtime && runtime->Loaded() && runtime->MayAct() &&
+                held.mToken >= mHeardToken;
+  if (!usable) {
+    co_return Json();
+  }
+  mHeardToken = held.mToken;
+  bool sealed = co_await runtime->Seal(held.mSealed, aDeadline);
+  PoolUse use = runtime->State().Use(mClock.Now());
+  for (auto& [id, worker] : use.mWorkers) {
+    worker.mSealed = worker.mSealed && sealed;
+  }
+  co_return PoolUseToJson(use);
+}
+
+// --- Planning and orders
+
+Task<void>
+FleetService::PlanLoop()
+{
+  while (!mTenure->Lost()) {
+    if (auto config = mDirectory->Config()) {
+      mView.mPoolConfigs = config->mPools;
+      for (const QueueConfig& queue : config->mQueues) {
+        if (mSyncing.insert(queue.mPool).second) {
+          mDuties.Spawn("sync", SyncLoop(queue.mPool));
+        }
+      }
+    }
+    FollowWaves();
+    if (mTenure->MayAct() && !mView.mVms.empty()) {
+      mView.mNow = mClock.Now();
+      ApplyPlan(PlanFleet(mView));
+    }
+    co_await mClock.Sleep(kPlanEvery);
+  }
+}
+
+void
+FleetService::ApplyPlan(FleetPlanChange aChange)
+{
+  for (const std::string& vm : aChange.mDrop) {
+    LogInfo(kPart, "vm={} intent dropped", vm);
+    mView.mIntents.erase(vm);
+  }
+  for (auto& [vm, intent] : aChange.mBegin) {
+    LogInfo(kPart,
+            "vm={} worker={} intent to={} wave={}",
+            vm,
+            intent.mWorker,
+            intent.mToPool,
+            intent.mWave);
+    mView.mIntents.insert_or_assign(vm, std::move(intent));
+  }
+  for (const std::string& vm : aChange.mOrder) {
+    mView.mIntents[vm].mOrdered = true;
+    mDuties.Spawn("carry out", CarryOut(vm));
+  }
+  for (std::uint64_t number : aChange.mCompleted) {
+    LogInfo(kPart, "wave {} completed", number);
+    mView.mWaves[number].mCompleted = true;
+    ++mWanted;
+    mRecord.Set();
+  }
+}
+
+bool
+FleetService::MayOrder(std::string_view aVm) const
+{
+  return !mInherited.contains(aVm) ||
+         mClock.Now() > mLedSince + mPorts.mDutyLease + kCheckEvery;
+}
+
+// Sends one order until its outcome is known. It is recorded first, so that a
+// next owner sends it again instead of another one.
+Task<void>
+FleetService::CarryOut(std::string aVm)
+{
+  bool recorded = co_await Record();
+  FleetIntent intent = mView.mIntents[aVm];
+  while (recorded && !mTenure->Lost()) {
+    if (!mTenure->MayAct() || !MayOrder(aVm)) {
+      co_await mClock.Sleep(kDutyRetry);
+      continue;
+    }
+    FencingToken token{ mTenure->Token() };
+    MachineCall call =
+      MaintainVm{ aVm, intent.mWave, mOwners->Self().mNode, token };
+    if (intent.mWave == 0) {
+      call = MoveVmToPool{ aVm, intent.mToPool, mOwners->Self().mNode, token };
+    }
+    TimePoint due = mClock.Now() + kDutyTimeout;
+    auto reply = co_await CallMachines(*mPorts.mMachines, call, due);
+    const MachineReply* held =
+      Ok(reply) ? &std::get<MachineReply>(reply) : nullptr;
+    const auto* refused =
+      held != nullptr ? std::get_if<DutyRefused>(held) : nullptr;
+    std::string outcome =
+      held == nullptr ? std::string(FailureName(std::get<Failure>(reply)))
+      : refused == nullptr
+        ? "done"
+        : FormatText("refused_{}", static_cast<int>(refused->mReason));
+    LogInfo(kPart,
+            "vm={} order to={} wave={} token={} outcome={}",
+            aVm,
+            intent.mToPool,
+            intent.mWave,
+            ToNumber(token),
+            outcome);
+    if (held == nullptr) {
+      co_await mClock.Sleep(kDutyRetry);
+      continue;
+    }
+    if (refused != nullptr && refused->mReason == DutyRefusal::Fenced) {
+      mTenure->MarkLost("a higher token was used for a VM");
+      co_return;
+    }
+    FleetIntent& now = mView.mIntents[aVm];
+    if (refused != nullptr && refused->mReason != DutyRefusal::NotInWave) {
+      mView.mIntents.erase(aVm);
+    } else {
+      now.mConfirmed = true;
+      now.mConfirmedAt = mClock.Now();
+    }
+    if (intent.mWave != 0 &&
+        (refused == nullptr || refused->mReason == DutyRefusal::NotInWave)) {
+      mView.mWaves[intent.mWave].mDone.insert(aVm);
+    }
+    ++mWanted;
+    mRecord.Set();
+    co_return;
+  }
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/services/fleet_service.h
@@ -0,0 +1,94 @@
+#ifndef BUCKTHORNSHUNT_SERVICES_FLEET_SERVICE_H
+#define BUCKTHORNSHUNT_SERVICES_FLEET_SERVICE_H
+
+#include "decide/fleet_plan.h"
+#include "kernel/kernel.h"
+#include "kernel/wait.h"
+#include "ports/store.h"
+#include "ports/workers.h"
+#include "services/tenure.h"
+#include "wire/json_fields.h"
+
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <string_view>
+
+namespace buckthornshunt {
+
+class CellService;
+class DirectoryService;
+class OwnerService;
+class RelayService;
+
+/// What the fleet's owner works with.
+struct FleetPorts
+{
+  Store* mStore = nullptr;
+  Machines* mMachines = nullptr;
+  /// Least time between orders of different owners for one VM.
+  Duration mDutyLease = std::chrono::seconds(3);
+};
+
+/// Moves VMs between pools and takes them to their maintenance, on the one
+/// node that owns the cell of the fleet; tells the cells' owners which workers
+/// to empty, and reports their use to the fleet's owner.
+class FleetService
+{
+public:
+  static constexpr std::string_view kName = "fleet";
+
+  FleetService(Kernel& aKernel, FleetPorts aPorts);
+
+  leaf::result<void> Start();
+  Task<void> Stop();
+
+private:
+  Task<void> WatchOwner();
+  Task<void> Lead(ClaimWon aClaim);
+  Task<bool> LoadRows();
+  Task<void> RenewLoop();
+  Task<void> ListLoop();
+  Task<void> SyncLoop(std::string aPool);
+  Task<bool> SyncOnce(const std::string& aPool);
+  Task<void> PlanLoop();
+  Task<void> CarryOut(std::string aVm);
+  Task<bool> Record();
+  Task<Json> OnSync(Json aBody, TimePoint aDeadline);
+  void ReviewConfirmed();
+  void ApplyPlan(FleetPlanChange aChange);
+  void FollowWaves();
+  std::vector<std::string> SealedIn(std::string_view aPool) const;
+  bool MayOrder(std::string_view aVm) const;
+
+  Kernel& mKernel;
+  Clock& mClock;
+  FleetPorts mPorts;
+  DirectoryService* mDirectory = nullptr;
+  OwnerService* mOwners = nullptr;
+  RelayService* mRelay = nullptr;
+  CellService* mCells = nullptr;
+  TaskGroup mTasks;
+  TaskGroup mDuties;
+  bool mStopping = false;
+  std::unique_ptr<Tenure> mTenure;
+  TimePoint mLedSince;
+  /// VMs that an earlier owner may have ordered just before.
+  std::set<std::string, std::less<>> mInherited;
+  FleetView mView;
+  std::set<std::string> mSyncing;
+  /// Changes that want to be recorded, and those that are.
+  std::uint64_t mWanted = 0;
+  std::uint64_t mCovered = 0;
+  /// When the present list of VMs was asked for.
+  TimePoint mListedAt;
+  Signal mRecord;
+  Event mRecorded;
+  /// Highest token of a fleet owner that this node's cells have heard from.
+  std::uint64_t mHeardToken = 0;
+};
+
+} // namespace buckthornshunt
+
+#endif
--- /dev/null
+++ b/src/wire/fleet_codec.cpp
@@ -0,0 +1,141 @@
+#include "wire/fleet_codec.h"
+
+namespace buckthornshunt {
+
+namespace {
+
+leaf::result<std::vector<std::string>>
+ReadNames(const Json& aObject, const char* aName)
+{
+  BOOST_LEAF_AUTO(list, ReadArray(aObject, aName));
+  std::vector<std::string> names;
+  for (const Json& at : *list) {
+    if (!at.is_string()) {
+      return Fail(MessageFailure{ MessageFault::WrongType, aName });
+    }
+    names.push_back(at.get<std::string>());
+  }
+  return names;
+}
+
+leaf::result<double>
+ReadReal(const Json& aObject, const char* aName)
+{
+  BOOST_LEAF_AUTO(at, Member(aObject, aName));
+  if (!at->is_number()) {
+    return Fail(MessageFailure{ MessageFault::WrongType, aName });
+  }
+  return at->get<double>();
+}
+
+// A worker is id, runs, lasting, sealed.
+constexpr std::size_t kWorkerFields = 4;
+
+} // namespace
+
+std::string
+EncodeIntents(const IntentMap& aIntents)
+{
+  Json list = Json::array();
+  for (const auto& [vm, intent] : aIntents) {
+    list.push_back({ { "v", vm },
+                     { "p", intent.mToPool },
+                     { "w", intent.mWave },
+                     { "i", intent.mWorker } });
+  }
+  return ToCbor({ { "orders", std::move(list) } });
+}
+
+leaf::result<IntentMap>
+DecodeIntents(std::string_view aBytes)
+{
+  BOOST_LEAF_AUTO(json, ParseCbor(aBytes));
+  BOOST_LEAF_AUTO(list, ReadArray(json, "orders"));
+  IntentMap intents;
+  for (const Json& at : *list) {
+    FleetIntent intent;
+    BOOST_LEAF_AUTO(vm, ReadString(at, "v"));
+    BOOST_LEAF_ASSIGN(intent.mToPool, ReadString(at, "p"));
+    BOOST_LEAF_ASSIGN(intent.mWave, ReadNumber(at, "w"));
+    BOOST_LEAF_ASSIGN(intent.mWorker, ReadString(at, "i"));
+    intent.mOrdered = true;
+    intents.emplace(std::move(vm), std::move(intent));
+  }
+  return intents;
+}
+
+std::string
+EncodeStoredWave(const StoredWave& aWave)
+{
+  return ToCbor({ { "n", aWave.mNumber },
+                  { "d", aWave.mDone },
+                  { "c", aWave.mCompleted } });
+}
+
+leaf::result<StoredWave>
+DecodeStoredWave(std::string_view aBytes)
+{
+  BOOST_LEAF_AUTO(json, ParseCbor(aBytes));
+  StoredWave wave;
+  BOOST_LEAF_ASSIGN(wave.mNumber, ReadNumber(json, "n"));
+  BOOST_LEAF_ASSIGN(wave.mDone, ReadNames(json, "d"));
+  BOOST_LEAF_ASSIGN(wave.mCompleted, ReadBool(json, "c"));
+  return wave;
+}
+
+Json
+FleetSyncToJson(const FleetSync& aSync)
+{
+  return { { "pool", aSync.mPool },
+           { "token", aSync.mToken },
+           { "sealed", aSync.mSealed } };
+}
+
+leaf::result<FleetSync>
+FleetSyncFromJson(const Json& aJson)
+{
+  FleetSync sync;
+  BOOST_LEAF_ASSIGN(sync.mPool, ReadString(aJson, "pool"));
+  BOOST_LEAF_ASSIGN(sync.mToken, ReadNumber(aJson, "token"));
+  BOOST_LEAF_ASSIGN(sync.mSealed, ReadNames(aJson, "sealed"));
+  return sync;
+}
+
+Json
+PoolUseToJson(const PoolUse& aUse)
+{
+  Json workers = Json::array();
+  for (const auto& [id, worker] : aUse.mWorkers) {
+    workers.push_back(
+      Json::array({ id, worker.mRuns, worker.mLasting, worker.mSealed }));
+  }
+  return { { "backlog", aUse.mBacklog },
+           { "asked", aUse.mAsked },
+           { "lasting", aUse.mLastingCores },
+           { "workers", std::move(workers) } };
+}
+
+leaf::result<PoolUse>
+PoolUseFromJson(const Json& aJson)
+{
+  PoolUse use;
+  BOOST_LEAF_ASSIGN(use.mBacklog, ReadReal(aJson, "backlog"));
+  BOOST_LEAF_ASSIGN(use.mAsked, ReadReal(aJson, "asked"));
+  BOOST_LEAF_ASSIGN(use.mLastingCores, ReadReal(aJson, "lasting"));
+  BOOST_LEAF_AUTO(workers, ReadArray(aJson, "workers"));
+  for (const Json& at : *workers) {
+    bool ok = at.is_array() && at.size() == kWorkerFields &&
+              at[0].is_string() && at[1].is_number_unsigned() &&
+              at[2].is_boolean() && at[3].is_boolean();
+    if (!ok) {
+      return Fail(MessageFailure{ MessageFault::WrongType, "workers" });
+    }
+    use.mWorkers.emplace(at[0].get<std::string>(),
+                         WorkerUse{ at[1].get<std::uint32_t>(),
+                                    at[2].get<bool>(),
+                                    at[3].get<bool>() });
+  }
+  return use;
+}
+
+} // namespace buckthornshunt
--- /dev/null
+++ b/src/wire/fleet_codec.h
@@ -0,0 +1,57 @@
+#ifndef BUCKTHORNSHUNT_WIRE_FLEET_CODEC_H
+#define BUCKTHORNSHUNT_WIRE_FLEET_CODEC_H
+
+#include "decide/fleet_plan.h"
+#include "wire/json_fields.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace buckthornshunt {
+
+using IntentMap = std::map<std::string, FleetIntent, std::less<>>;
+
+/// What is kept of a wave.
+struct StoredWave
+{
+  std::uint64_t mNumber = 0;
+  std::vector<std::string> mDone;
+  bool mCompleted = false;
+};
+
+/// What the fleet's owner tells the owner of a pool's cell.
+struct FleetSync
+{
+  std::string mPool;
+  std::uint64_t mToken = 0;
+  std::vector<std::string> mSealed;
+};
+
+/// Rows, in CBOR; readers fail with MessageFailure. Of an intent only the
+/// order is kept.
+std::string
+EncodeIntents(const IntentMap& aIntents);
+leaf::result<IntentMap>
+DecodeIntents(std::string_view aBytes);
+
+std::string
+EncodeStoredWave(const StoredWave& aWave);
+leaf::result<StoredWave>
+DecodeStoredWave(std::string_view aBytes);
+
+/// Messages between nodes.
+Json
+FleetSyncToJson(const FleetSync& aSync);
+leaf::result<FleetSync>
+FleetSyncFromJson(const Json& aJson);
+
+Json
+PoolUseToJson(const PoolUse& aUse);
+leaf::result<PoolUse>
+PoolUseFromJson(const Json& aJson);
+
+} // namespace buckthornshunt
+
+#endif
