Measure the demand by a quick and a slow mean with their errors

Change: two means, each with its error: VMs are taken in for what the arrivals surely support and given away beyond what they may mean; every pool keeps four VMs.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -32,9 +32,6 @@
 /// Ended runs before their mean is believed.
 constexpr double kRunsToLearn = 10;
 constexpr double kLeastEstimateSeconds = 0.05;
-/// Seconds over which the demand is averaged: long enough for some jobs, short
-/// against a turn of the demand.
-constexpr double kAskedOver = 1.0;
 
 } // namespace
 
@@ -179,8 +176,7 @@
   bool plain = !job.LongRunning() && job.mSpec.mOccurrences == 0;
   JobDemand demand = DemandOf(job.mQueue, job.mSpec, firstSeen, aNow);
   if (plain && firstSeen == aNow) {
-    mAsked = AskedAt(aNow) + demand.mCoreSeconds / kAskedOver;
-    mAskedAt = aNow;
+    mDemand.Note(demand.mCoreSeconds, aNow);
   }
   if (plain && !ShouldAdmit(LoadNow(), demand)) {
     ++mRefused;
@@ -210,18 +206,14 @@
     aJitter);
 }
 
-double
-Cell::AskedAt(TimePoint aNow) const
-{
-  return mAsked * std::exp(-ToSeconds(aNow - mAskedAt) / kAskedOver);
-}
-
 PoolUse
 Cell::Use(TimePoint aNow) const
 {
   PoolUse use;
   use.mBacklog = Summary().mBacklogCoreSeconds;
-  use.mAsked = AskedAt(aNow);
+  DemandRange asked = mDemand.At(aNow);
+  use.mAskedLeast = asked.mLeast;
+  use.mAskedMost = asked.mMost;
   for (const auto& [id, worker] : mWorkers) {
     if (!worker.mListed) {
       continue;
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -3,6 +3,7 @@
 
 #include "decide/admission.h"
 #include "decide/cell_job.h"
+#include "decide/demand.h"
 #include "decide/fleet_plan.h"
 #include "decide/task_placement.h"
 #include "ports/worker_calls.h"
@@ -253,7 +254,6 @@
   RunTimeModel ModelOf(std::string_view aQueue) const;
   Duration ObjectiveOf(std::string_view aQueue, const JobSpec& aSpec) const;
   PoolLoad LoadNow() const;
-  double AskedAt(TimePoint aNow) const;
   JobDemand DemandOf(std::string_view aQueue,
                      const JobSpec& aSpec,
                      TimePoint aFirstSeen,
@@ -324,9 +324,7 @@
   /// First attempts of jobs that were turned away.
   std::map<std::string, TimePoint, std::less<>> mTurnedAway;
   std::uint32_t mRefused = 0;
-  /// Core-seconds a second that callers ask for, decaying.
-  double mAsked = 0;
-  TimePoint mAskedAt;
+  DemandMeter mDemand;
 };
 
 } // namespace buckthornshunt
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -12,8 +12,9 @@
 constexpr double kDrainSeconds = 1.5;
 /// Room above the demand, since jobs come in clumps.
 constexpr double kHeadroom = 1.2;
-/// Cores that stay free for the first moments of a rise.
-constexpr double kStandbyCores = 20;
+/// VMs that every pool keeps, since a rise of the demand is met by what is
+/// there until the first VM has moved.
+constexpr int kStandbyVms = 4;
 /// A move whose VM doesn't become empty within this time is given up.
 constexpr Duration kMovePatience = std::chrono::seconds(4);
 /// Part of a pool that may be on its way to maintenance at the same time.
@@ -212,7 +213,7 @@
   {
     std::vector<std::pair<double, std::string_view>> lacking;
     for (const auto& [pool, use] : mView.mPools) {
-      double lack = WantedCores(use) - mCores[pool];
+      double lack = NeededCores(use) - mCores[pool];
       if (UseOf(pool) != nullptr && !IsSpare(pool) && lack > 0) {
         lacking.emplace_back(-lack, pool);
       }
@@ -248,7 +249,7 @@
       const PoolUse* use = UseOf(vm.mPool);
       const WorkerUse* worker = WorkerOf(vm);
       bool free = use != nullptr && worker != nullptr && worker->mRuns == 0 &&
-                  mCores[vm.mPool] - CoresOf(vm) >= WantedCores(*use);
+                  mCores[vm.mPool] - CoresOf(vm) >= KeptCores(*use);
       if (free) {
         best = &vm;
       }
@@ -272,8 +273,8 @@
       const WorkerUse* worker = WorkerOf(vm);
       bool idle = vm.mUp && !IsSpare(vm.mPool) && !Taken(vm.mVm) &&
                   use != nullptr && worker != nullptr && worker->mRuns == 0;
-      if (idle &&
-          mCores[vm.mPool] - CoresOf(vm) >= WantedCores(*use) + kStandbyCores) {
+      if (idle && mPoolSize[vm.mPool] - mLeaving[vm.mPool] > kStandbyVms &&
+          mCores[vm.mPool] - CoresOf(vm) >= KeptCores(*use)) {
         FleetIntent intent;
         intent.mToPool = spare;
         Begin(vm, intent);
@@ -293,9 +294,15 @@
 } // namespace
 
 double
-WantedCores(const PoolUse& aUse)
+NeededCores(const PoolUse& aUse)
 {
-  return aUse.mLastingCores + kHeadroom * std::max(aUse.mAsked, 0.0) +
+  return aUse.mLastingCores + kHeadroom * aUse.mAskedLeast;
+}
+
+double
+KeptCores(const PoolUse& aUse)
+{
+  return aUse.mLastingCores + kHeadroom * aUse.mAskedMost +
          aUse.mBacklog / kDrainSeconds;
 }
 
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -30,8 +30,10 @@
 {
   /// Core-seconds that accepted jobs still need.
   double mBacklog = 0;
-  /// Core-seconds a second that callers ask for, let in or not.
-  double mAsked = 0;
+  /// Cores that callers ask for, let in or not: what the arrivals surely
+  /// support, and what they may mean.
+  double mAskedLeast = 0;
+  double mAskedMost = 0;
   /// Cores held by tasks that last.
   double mLastingCores = 0;
   std::map<std::string, WorkerUse, std::less<>> mWorkers;
@@ -86,9 +88,14 @@
   std::vector<std::uint64_t> mCompleted;
 };
 
-/// Cores that a pool should have for what callers ask for.
+/// Cores that a pool surely needs for what callers ask for; below this it
+/// takes VMs in. A single large job is no demand.
 double
-WantedCores(const PoolUse& aUse);
+NeededCores(const PoolUse& aUse);
+
+/// Cores that a pool may need; what it has beyond this it gives away.
+double
+KeptCores(const PoolUse& aUse);
 
 /// Decides which VMs are maintained, moved or switched off next. Answers
 /// demand that rises in one pool at a time to several times its mean: VMs that
--- a/src/services/directory_service.cpp
+++ b/src/services/directory_service.cpp
@@ -87,7 +87,10 @@
                 ToNumber(aTable.mRevision));
       }
     }
-    if (!ok) {
+    // Each worker writes its entry every second or two, so the table changes
+    // all the time; a pause lets one call bring many changes.
+    bool busy = &aTable == &mWorkerTable;
+    if (!ok || busy) {
       co_await mKernel.GetClock().Sleep(kRetryPause);
     }
   }
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -26,6 +26,7 @@
 constexpr Duration kSyncEvery = std::chrono::milliseconds(200);
 constexpr Duration kSyncTimeout = std::chrono::milliseconds(900);
 constexpr Duration kPlanEvery = std::chrono::milliseconds(100);
+constexpr Duration kViewLogEvery = std::chrono::seconds(1);
 /// The list of VMs lags behind by about as much.
 constexpr Duration kListEvery = std::chrono::milliseconds(500);
 constexpr Duration kListTimeout = std::chrono::milliseconds(1500);
@@ -446,6 +447,7 @@
       }
     }
     FollowWaves();
+    LogView();
     if (mTenure->MayAct() && !mView.mVms.empty()) {
       mView.mNow = mClock.Now();
       ApplyPlan(PlanFleet(mView));
@@ -454,6 +456,33 @@
   }
 }
 
+// What the plan is made from, once a second.
+void
+FleetService::LogView()
+{
+  TimePoint now = mClock.Now();
+  if (now < mViewLogged + kViewLogEvery) {
+    return;
+  }
+  mViewLogged = now;
+  for (const auto& [pool, use] : mView.mPools) {
+    auto vms = std::count_if(
+      mView.mVms.begin(), mView.mVms.end(), [&, &at = pool](const PoolVm& aVm) {
+        return aVm.mPool == at && aVm.mUp;
+      });
+    LogInfo(kPart,
+            "pool={} vms={} asked_least={} asked_most={} backlog_core_s={} "
+            "lasting_cores={} report_age_ms={}",
+            pool,
+            vms,
+            use.mAskedLeast,
+            use.mAskedMost,
+            use.mBacklog,
+            use.mLastingCores,
+            ToMillis(now - use.mAt));
+  }
+}
+
 void
 FleetService::ApplyPlan(FleetPlanChange aChange)
 {
--- a/src/services/fleet_service.h
+++ b/src/services/fleet_service.h
@@ -59,6 +59,7 @@
   void ReviewConfirmed();
   void ApplyPlan(FleetPlanChange aChange);
   void FollowWaves();
+  void LogView();
   std::vector<std::string> SealedIn(std::string_view aPool) const;
   bool MayOrder(std::string_view aVm) const;
 
@@ -83,6 +84,7 @@
   std::uint64_t mCovered = 0;
   /// When the present list of VMs was asked for.
   TimePoint mListedAt;
+  TimePoint mViewLogged;
   Signal mRecord;
   Event mRecorded;
   /// Highest token of a fleet owner that this node's cells have heard from.
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -110,7 +110,8 @@
       Json::array({ id, worker.mRuns, worker.mLasting, worker.mSealed }));
   }
   return { { "backlog", aUse.mBacklog },
-           { "asked", aUse.mAsked },
+           { "least", aUse.mAskedLeast },
+           { "most", aUse.mAskedMost },
            { "lasting", aUse.mLastingCores },
            { "workers", std::move(workers) } };
 }
@@ -120,7 +121,8 @@
 {
   PoolUse use;
   BOOST_LEAF_ASSIGN(use.mBacklog, ReadReal(aJson, "backlog"));
-  BOOST_LEAF_ASSIGN(use.mAsked, ReadReal(aJson, "asked"));
+  BOOST_LEAF_ASSIGN(use.mAskedLeast, ReadReal(aJson, "least"));
+  BOOST_LEAF_ASSIGN(use.mAskedMost, ReadReal(aJson, "most"));
   BOOST_LEAF_ASSIGN(use.mLastingCores, ReadReal(aJson, "lasting"));
   BOOST_LEAF_AUTO(workers, ReadArray(aJson, "workers"));
   for (const Json& at : *workers) {
