Keep an even share of the fleet in every pool

Cause: a pool that was shrunk to what it needed had too little for the first two seconds of its turn, and too few VMs for tasks that must be apart.

Change: a pool keeps 0.95 of an even share of all VMs, and one VM more than the limits of tasks on one VM ask for.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -214,6 +214,15 @@
   DemandRange asked = mDemand.At(aNow);
   use.mAskedLeast = asked.mLeast;
   use.mAskedMost = asked.mMost;
+  for (const std::string& id : mLive) {
+    for (const StepSpec& step : mJobs.find(id)->second.mSpec.mSteps) {
+      if (step.mMostPerWorker > 0) {
+        std::uint32_t vms =
+          (step.mTasks + step.mMostPerWorker - 1) / step.mMostPerWorker;
+        use.mLeastVms = std::max(use.mLeastVms, vms);
+      }
+    }
+  }
   for (const auto& [id, worker] : mWorkers) {
     if (!worker.mListed) {
       continue;
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -12,9 +12,9 @@
 constexpr double kDrainSeconds = 1.5;
 /// Room above the demand, since jobs come in clumps.
 constexpr double kHeadroom = 1.2;
-/// VMs that every pool keeps, since a rise of the demand is met by what is
-/// there until the first VM has moved.
-constexpr int kStandbyVms = 4;
+/// Part of an even share of the fleet that every pool keeps, since a rise of
+/// the demand is met by what is there until the first VM has moved.
+constexpr double kStandbyShare = 0.95;
 /// A move whose VM doesn't become empty within this time is given up.
 constexpr Duration kMovePatience = std::chrono::seconds(4);
 /// Part of a pool that may be on its way to maintenance at the same time.
@@ -101,6 +101,29 @@
     return mView.mIntents.contains(aVm) || mChange.mBegin.contains(aVm);
   }
 
+  // VMs that a pool is not to fall below.
+  int StandbyOf(std::string_view aPool) const
+  {
+    double even = static_cast<double>(mView.mVms.size()) /
+                  static_cast<double>(std::max<std::size_t>(mSpare.size(), 1));
+    auto standby = static_cast<int>(std::floor(kStandbyShare * even));
+    return std::max(standby, LeastVmsOf(aPool));
+  }
+
+  // One more than the limits of tasks on one VM need, so that a lost VM leaves
+  // room for its tasks.
+  int LeastVmsOf(std::string_view aPool) const
+  {
+    const PoolUse* use = UseOf(aPool);
+    bool limited = use != nullptr && use->mLeastVms > 0;
+    return limited ? static_cast<int>(use->mLeastVms) + 1 : 0;
+  }
+
+  int StayingIn(const std::string& aPool)
+  {
+    return mPoolSize[aPool] - mLeaving[aPool];
+  }
+
   // No cell starts anything in the spare pool or in a pool without a queue.
   bool NeedsSeal(const PoolVm& aVm) const
   {
@@ -214,6 +237,9 @@
     std::vector<std::pair<double, std::string_view>> lacking;
     for (const auto& [pool, use] : mView.mPools) {
       double lack = NeededCores(use) - mCores[pool];
+      if (StayingIn(pool) < LeastVmsOf(pool)) {
+        lack = std::max(lack, 1.0);
+      }
       if (UseOf(pool) != nullptr && !IsSpare(pool) && lack > 0) {
         lacking.emplace_back(-lack, pool);
       }
@@ -249,6 +275,7 @@
       const PoolUse* use = UseOf(vm.mPool);
       const WorkerUse* worker = WorkerOf(vm);
       bool free = use != nullptr && worker != nullptr && worker->mRuns == 0 &&
+                  StayingIn(vm.mPool) > LeastVmsOf(vm.mPool) &&
                   mCores[vm.mPool] - CoresOf(vm) >= KeptCores(*use);
       if (free) {
         best = &vm;
@@ -273,7 +300,7 @@
       const WorkerUse* worker = WorkerOf(vm);
       bool idle = vm.mUp && !IsSpare(vm.mPool) && !Taken(vm.mVm) &&
                   use != nullptr && worker != nullptr && worker->mRuns == 0;
-      if (idle && mPoolSize[vm.mPool] - mLeaving[vm.mPool] > kStandbyVms &&
+      if (idle && StayingIn(vm.mPool) > StandbyOf(vm.mPool) &&
           mCores[vm.mPool] - CoresOf(vm) >= KeptCores(*use)) {
         FleetIntent intent;
         intent.mToPool = spare;
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -36,6 +36,8 @@
   double mAskedMost = 0;
   /// Cores held by tasks that last.
   double mLastingCores = 0;
+  /// Fewest VMs on which the jobs' limits of tasks on one VM can be kept.
+  std::uint32_t mLeastVms = 0;
   std::map<std::string, WorkerUse, std::less<>> mWorkers;
   TimePoint mAt;
 };
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -109,11 +109,9 @@
     workers.push_back(
       Json::array({ id, worker.mRuns, worker.mLasting, worker.mSealed }));
   }
-  return { { "backlog", aUse.mBacklog },
-           { "least", aUse.mAskedLeast },
-           { "most", aUse.mAskedMost },
-           { "lasting", aUse.mLastingCores },
-           { "workers", std::move(workers) } };
+  return { { "backlog", aUse.mBacklog }, { "least", aUse.mAskedLeast },
+           { "most", aUse.mAskedMost },  { "lasting", aUse.mLastingCores },
+           { "vms", aUse.mLeastVms },    { "workers", std::move(workers) } };
 }
 
 leaf::result<PoolUse>
@@ -124,6 +122,8 @@
   BOOST_LEAF_ASSIGN(use.mAskedLeast, ReadReal(aJson, "least"));
   BOOST_LEAF_ASSIGN(use.mAskedMost, ReadReal(aJson, "most"));
   BOOST_LEAF_ASSIGN(use.mLastingCores, ReadReal(aJson, "lasting"));
+  BOOST_LEAF_AUTO(vms, ReadNumber(aJson, "vms"));
+  use.mLeastVms = static_cast<std::uint32_t>(vms);
   BOOST_LEAF_AUTO(workers, ReadArray(aJson, "workers"));
   for (const Json& at : *workers) {
     bool ok = at.is_array() && at.size() == kWorkerFields &&
