Give an earlier fleet owner's orders again only to an empty VM

Cause: a new owner of the fleet sent recorded orders again although the cell had been told of no seal, so tasks that last were ended (AVAIL).

Change: recorded orders become intents that need an empty, sealed worker; seals go to every cell; cells are told which workers a confirmed order has ended, and keep the workers' addresses, so that a take-over can ask them.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -140,11 +140,12 @@
 }
 
 void
-Cell::RestoreWorkers(std::span<const std::string> aIds, TimePoint aNow)
+Cell::RestoreWorkers(std::span<const WorkerAddress> aWorkers, TimePoint aNow)
 {
-  for (const std::string& id : aIds) {
-    CellWorker& worker = mWorkers[id];
-    worker.mReport.mId = id;
+  for (const WorkerAddress& address : aWorkers) {
+    CellWorker& worker = mWorkers[address.mId];
+    worker.mReport.mId = address.mId;
+    worker.mReport.mEndpoint = address.mEndpoint;
     worker.mDurable = true;
     worker.mInherited = true;
     worker.mLeaseOver = aNow +
@@ -338,7 +339,7 @@
     CellWorker& worker = mWorkers[report.mId];
     bool reborn = report.mBorn > worker.mBorn && worker.mBorn != 0;
     worker.mReport = report;
-    worker.mListed = true;
+    worker.mListed = !worker.mEnded;
     if (reborn) {
       StartNewLife(worker, aNow);
     }
@@ -369,6 +370,9 @@
     return false;
   }
   const CellWorker& worker = it->second;
+  if (worker.mEnded) {
+    return false;
+  }
   return !worker.mRuns.empty() || !worker.mContacted ||
          worker.mSeenEnds > worker.mCommittedEnds;
 }
@@ -826,6 +830,23 @@
   }
 }
 
+bool
+Cell::EndWorker(std::string_view aWorker, TimePoint aNow)
+{
+  CellWorker* worker = FindWorker(aWorker);
+  if (worker == nullptr || worker->mEnded) {
+    return false;
+  }
+  worker->mEnded = true;
+  worker->mListed = false;
+  worker->mInherited = false;
+  worker->mLeaseOver = aNow;
+  while (!worker->mRuns.empty()) {
+    LoseRun(*worker, worker->mRuns.begin()->first);
+  }
+  return true;
+}
+
 void
 Cell::OnOrder(std::string_view aWorker,
               const WorkerCall& aCall,
@@ -963,7 +984,7 @@
     mWorkersDirty = false;
     changes.mWorkers.emplace();
     for (const auto& [id, worker] : mWorkers) {
-      changes.mWorkers->push_back(id);
+      changes.mWorkers->push_back({ id, worker.mReport.mEndpoint });
     }
   }
   if (mDirty.empty()) {
@@ -1000,8 +1021,8 @@
     mJobs.erase(id);
   }
   if (aChanges.mWorkers) {
-    for (const std::string& id : *aChanges.mWorkers) {
-      if (CellWorker* worker = FindWorker(id)) {
+    for (const WorkerAddress& address : *aChanges.mWorkers) {
+      if (CellWorker* worker = FindWorker(address.mId)) {
         worker->mDurable = true;
       }
     }
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -75,6 +75,8 @@
   bool mSealed = false;
   /// Runs may be on it that an earlier owner started.
   bool mInherited = false;
+  /// It is surely gone.
+  bool mEnded = false;
   std::int64_t mBorn = 0;
   std::int64_t mClock = 0;
   /// When mClock was received.
@@ -111,7 +113,7 @@
   /// Jobs that nobody can ask for any more.
   std::vector<std::string> mForgotten;
   /// Durable set of workers, if it changed.
-  std::optional<std::vector<std::string>> mWorkers;
+  std::optional<std::vector<WorkerAddress>> mWorkers;
   /// Ends that the rows cover, by worker.
   std::map<std::string, std::uint64_t> mEnds;
 
@@ -174,7 +176,7 @@
   void RestoreEnded(std::string_view aId,
                     const StoredProgress& aProgress,
                     TimePoint aNow);
-  void RestoreWorkers(std::span<const std::string> aIds, TimePoint aNow);
+  void RestoreWorkers(std::span<const WorkerAddress> aWorkers, TimePoint aNow);
 
   // Callers.
   SubmitResult Submit(Submission aSubmission, TimePoint aNow);
@@ -201,6 +203,8 @@
                  TimePoint aNow);
   void OnNoAnswer(std::string_view aWorker, TimePoint aNow);
   void OnOtherLife(std::string_view aWorker, TimePoint aNow);
+  /// The worker is surely gone; false if that was known.
+  bool EndWorker(std::string_view aWorker, TimePoint aNow);
   void OnOrder(std::string_view aWorker,
                const WorkerCall& aCall,
                const Expected<WorkerReply>& aReply,
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -233,10 +233,10 @@
     if (row.mName.mKey != kWorkersKey) {
       continue;
     }
-    auto names = ToExpected<std::vector<std::string>>(
-      [&] { return DecodeNames(row.mValue); });
-    if (Ok(names)) {
-      mCell->RestoreWorkers(std::get<0>(names), now);
+    auto workers = ToExpected<std::vector<WorkerAddress>>(
+      [&] { return DecodeWorkerSet(row.mValue); });
+    if (Ok(workers)) {
+      mCell->RestoreWorkers(std::get<0>(workers), now);
     } else {
       LogError(kPart, "pool={} list of workers can't be read", mPool);
     }
@@ -513,7 +513,7 @@
   }
   if (aChanges.mWorkers) {
     commit.mPuts.push_back(
-      { Name(kCellTable, kWorkersKey), EncodeNames(*aChanges.mWorkers) });
+      { Name(kCellTable, kWorkersKey), EncodeWorkerSet(*aChanges.mWorkers) });
   }
   return commit;
 }
@@ -578,6 +578,17 @@
   }
 }
 
+void
+CellRuntime::EndWorker(std::string_view aWorker)
+{
+  if (mCell->EndWorker(aWorker, mClock.Now())) {
+    LogInfo(
+      kPart, "worker={} pool={} ended by an order for its VM", aWorker, mPool);
+    mPlanDue.Set();
+    mCommitDue.Set();
+  }
+}
+
 Task<bool>
 CellRuntime::Seal(std::vector<std::string> aWorkers, TimePoint aDeadline)
 {
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -71,6 +71,9 @@
   /// Says that the workers or the configuration changed.
   void OnDirectoryChange();
 
+  /// Takes a worker for gone, with everything on it.
+  void EndWorker(std::string_view aWorker);
+
   /// Closes workers for new starts, and records it before it returns true.
   Task<bool> Seal(std::vector<std::string> aWorkers, TimePoint aDeadline);
 
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -163,9 +163,6 @@
   mDuties.Spawn("renew", RenewLoop());
   mDuties.Spawn("list", ListLoop());
   mDuties.Spawn("plan", PlanLoop());
-  for (const auto& [vm, intent] : mView.mIntents) {
-    mDuties.Spawn("carry out", CarryOut(vm));
-  }
   while (!mTenure->Lost()) {
     co_await WaitUntil(mRecorded, mClock, mClock.Now() + kCheckEvery);
   }
@@ -192,6 +189,8 @@
         continue;
       }
       for (auto& [vm, intent] : std::get<IntentMap>(intents)) {
+        // The order may have been carried out or not; it is given again once
+        // the VM is found to be empty.
         intent.mSince = mLedSince;
         mInherited.insert(vm);
         mView.mIntents.insert_or_assign(vm, intent);
@@ -352,23 +351,21 @@
   }
 }
 
-std::vector<std::string>
-FleetService::SealedIn(std::string_view aPool) const
+// Every cell gets the whole list: which pool a worker is in may not be known
+// here yet, and a cell ignores workers that it doesn't know.
+FleetSync
+FleetService::SyncFor(std::string_view aPool) const
 {
-  std::vector<std::string> sealed;
-  auto use = mView.mPools.find(aPool);
+  FleetSync sync;
+  sync.mPool = aPool;
+  sync.mToken = mTenure->Token();
   for (const auto& [vm, intent] : mView.mIntents) {
-    bool here = false;
-    for (const PoolVm& at : mView.mVms) {
-      here = here || (at.mVm == vm && at.mPool == aPool);
-    }
-    bool known = use != mView.mPools.end() &&
-                 use->second.mWorkers.contains(intent.mWorker);
-    if (!intent.mWorker.empty() && (here || known)) {
-      sealed.push_back(intent.mWorker);
+    if (!intent.mWorker.empty()) {
+      auto& list = intent.mConfirmed ? sync.mEnded : sync.mSealed;
+      list.push_back(intent.mWorker);
     }
   }
-  return sealed;
+  return sync;
 }
 
 Task<void>
@@ -383,8 +380,7 @@
 Task<bool>
 FleetService::SyncOnce(const std::string& aPool)
 {
-  FleetSync sync{ aPool, mTenure->Token(), SealedIn(aPool) };
-  Json body = FleetSyncToJson(sync);
+  Json body = FleetSyncToJson(SyncFor(aPool));
   TimePoint due = mClock.Now() + kSyncTimeout;
   const OwnerSighting* sighting = mOwners->Sighting(aPool);
   Json answer;
@@ -424,6 +420,9 @@
     co_return Json();
   }
   mHeardToken = held.mToken;
+  for (const std::string& id : held.mEnded) {
+    runtime->EndWorker(id);
+  }
   bool sealed = co_await runtime->Seal(held.mSealed, aDeadline);
   PoolUse use = runtime->State().Use(mClock.Now());
   for (auto& [id, worker] : use.mWorkers) {
@@ -438,7 +437,8 @@
 FleetService::PlanLoop()
 {
   while (!mTenure->Lost()) {
-    if (auto config = mDirectory->Config()) {
+    auto config = mDirectory->Config();
+    if (config && !mView.mVms.empty()) {
       mView.mPoolConfigs = config->mPools;
       for (const QueueConfig& queue : config->mQueues) {
         if (mSyncing.insert(queue.mPool).second) {
--- a/src/services/fleet_service.h
+++ b/src/services/fleet_service.h
@@ -7,7 +7,7 @@
 #include "ports/store.h"
 #include "ports/workers.h"
 #include "services/tenure.h"
-#include "wire/json_fields.h"
+#include "wire/fleet_codec.h"
 
 #include <map>
 #include <memory>
@@ -60,7 +60,7 @@
   void ApplyPlan(FleetPlanChange aChange);
   void FollowWaves();
   void LogView();
-  std::vector<std::string> SealedIn(std::string_view aPool) const;
+  FleetSync SyncFor(std::string_view aPool) const;
   bool MayOrder(std::string_view aVm) const;
 
   Kernel& mKernel;
--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -258,30 +258,34 @@
 }
 
 std::string
-EncodeNames(std::span<const std::string> aNames)
+EncodeWorkerSet(std::span<const WorkerAddress> aWorkers)
 {
   Json list = Json::array();
-  for (const std::string& name : aNames) {
-    list.push_back(name);
+  for (const WorkerAddress& worker : aWorkers) {
+    list.push_back(Json::array(
+      { worker.mId, worker.mEndpoint.mHost, worker.mEndpoint.mPort }));
   }
   return ToCbor(list);
 }
 
-leaf::result<std::vector<std::string>>
-DecodeNames(std::string_view aBytes)
+leaf::result<std::vector<WorkerAddress>>
+DecodeWorkerSet(std::string_view aBytes)
 {
   BOOST_LEAF_AUTO(json, ParseCbor(aBytes));
-  std::vector<std::string> names;
+  std::vector<WorkerAddress> workers;
   if (!json.is_array()) {
     return Fail(MessageFailure{ MessageFault::WrongType, {} });
   }
   for (const Json& at : json) {
-    if (!at.is_string()) {
+    bool ok = at.is_array() && at.size() == 3 && at[0].is_string() &&
+              at[1].is_string() && at[2].is_number_unsigned();
+    if (!ok) {
       return Fail(MessageFailure{ MessageFault::WrongType, {} });
     }
-    names.push_back(at.get<std::string>());
+    Endpoint endpoint{ at[1].get<std::string>(), at[2].get<std::uint16_t>() };
+    workers.push_back({ at[0].get<std::string>(), std::move(endpoint) });
   }
-  return names;
+  return workers;
 }
 
 } // namespace buckthornshunt
--- a/src/wire/cell_codec.h
+++ b/src/wire/cell_codec.h
@@ -3,6 +3,7 @@
 
 #include "decide/cell_job.h"
 #include "decide/cell_owner.h"
+#include "ports/worker_calls.h"
 #include "wire/json_fields.h"
 
 #include <span>
@@ -30,9 +31,9 @@
 DecodeOwnerRow(std::string_view aBytes);
 
 std::string
-EncodeNames(std::span<const std::string> aNames);
-leaf::result<std::vector<std::string>>
-DecodeNames(std::string_view aBytes);
+EncodeWorkerSet(std::span<const WorkerAddress> aWorkers);
+leaf::result<std::vector<WorkerAddress>>
+DecodeWorkerSet(std::string_view aBytes);
 
 /// A job as peers hand it to each other.
 Json
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -58,7 +58,6 @@
     BOOST_LEAF_ASSIGN(intent.mToPool, ReadString(at, "p"));
     BOOST_LEAF_ASSIGN(intent.mWave, ReadNumber(at, "w"));
     BOOST_LEAF_ASSIGN(intent.mWorker, ReadString(at, "i"));
-    intent.mOrdered = true;
     intents.emplace(std::move(vm), std::move(intent));
   }
   return intents;
@@ -88,7 +87,8 @@
 {
   return { { "pool", aSync.mPool },
            { "token", aSync.mToken },
-           { "sealed", aSync.mSealed } };
+           { "sealed", aSync.mSealed },
+           { "ended", aSync.mEnded } };
 }
 
 leaf::result<FleetSync>
@@ -98,6 +98,7 @@
   BOOST_LEAF_ASSIGN(sync.mPool, ReadString(aJson, "pool"));
   BOOST_LEAF_ASSIGN(sync.mToken, ReadNumber(aJson, "token"));
   BOOST_LEAF_ASSIGN(sync.mSealed, ReadNames(aJson, "sealed"));
+  BOOST_LEAF_ASSIGN(sync.mEnded, ReadNames(aJson, "ended"));
   return sync;
 }
 
--- a/src/wire/fleet_codec.h
+++ b/src/wire/fleet_codec.h
@@ -26,7 +26,11 @@
 {
   std::string mPool;
   std::uint64_t mToken = 0;
+  /// Workers on which nothing may start.
   std::vector<std::string> mSealed;
+  /// Workers that are gone, since the platform confirmed an order for their
+  /// VM.
+  std::vector<std::string> mEnded;
 };
 
 /// Rows, in CBOR; readers fail with MessageFailure. Of an intent only the
