--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -127,7 +127,7 @@
   // No cell starts anything in the spare pool or in a pool without a queue.
   bool NeedsSeal(const PoolVm& aVm) const
   {
-    return !IsSpare(aVm.mPool) && mView.mPools.contains(aVm.mPool);
+    return !IsSpare(aVm.mPool) && mView.mCells.contains(aVm.mPool);
   }
 
   void ReviewIntents()
@@ -167,6 +167,13 @@
     for (const auto& [vm, intent] : mChange.mBegin) {
       n += intent.mWave == aWave ? 1 : 0;
     }
+    // A VM that is down without an intent may be down for an order of an
+    // earlier owner.
+    for (const std::string& name : mView.mWaves.at(aWave).mOrder.mVms) {
+      auto it = mVms.find(name);
+      bool down = it != mVms.end() && !it->second->mUp;
+      n += down && !mView.mIntents.contains(name) ? 1 : 0;
+    }
     return n;
   }
 
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -76,6 +76,8 @@
   std::map<std::uint64_t, WaveProgress> mWaves;
   std::map<std::string, FleetIntent, std::less<>> mIntents;
   std::vector<WorkerPoolConfig> mPoolConfigs;
+  /// Pools with a cell, whether its owner has reported or not.
+  std::set<std::string, std::less<>> mCells;
 };
 
 struct FleetPlanChange
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -140,7 +140,6 @@
 FleetService::Lead(ClaimWon aClaim)
 {
   mView = FleetView{};
-  mSyncing.clear();
   mInherited.clear();
   mTenure = std::make_unique<Tenure>(mKernel,
                                      *mPorts.mStore,
@@ -149,6 +148,7 @@
                                      aClaim.mRevision,
                                      aClaim.mSent);
   mLedSince = mClock.Now();
+  mLedBefore = mTenure->Row().mTerm - 1;
   LogInfo(kPart,
           "taken over term={} token={}",
           mTenure->Row().mTerm,
@@ -441,7 +441,7 @@
     if (config && !mView.mVms.empty()) {
       mView.mPoolConfigs = config->mPools;
       for (const QueueConfig& queue : config->mQueues) {
-        if (mSyncing.insert(queue.mPool).second) {
+        if (mView.mCells.insert(queue.mPool).second) {
           mDuties.Spawn("sync", SyncLoop(queue.mPool));
         }
       }
@@ -511,10 +511,14 @@
   }
 }
 
+// An earlier owner's orders show in the list of VMs after a while. Until then
+// the VMs that it may have ordered are left alone, and no VM is taken down for
+// maintenance, since those that are down already can't be counted.
 bool
-FleetService::MayOrder(std::string_view aVm) const
+FleetService::MayOrder(std::string_view aVm, const FleetIntent& aIntent) const
 {
-  return !mInherited.contains(aVm) ||
+  bool free = aIntent.mWave == 0 && !mInherited.contains(aVm);
+  return free || mLedBefore == 0 ||
          mClock.Now() > mLedSince + mPorts.mDutyLease + kCheckEvery;
 }
 
@@ -526,7 +530,7 @@
   bool recorded = co_await Record();
   FleetIntent intent = mView.mIntents[aVm];
   while (recorded && !mTenure->Lost()) {
-    if (!mTenure->MayAct() || !MayOrder(aVm)) {
+    if (!mTenure->MayAct() || !MayOrder(aVm, intent)) {
       co_await mClock.Sleep(kDutyRetry);
       continue;
     }
--- a/src/services/fleet_service.h
+++ b/src/services/fleet_service.h
@@ -61,7 +61,7 @@
   void FollowWaves();
   void LogView();
   FleetSync SyncFor(std::string_view aPool) const;
-  bool MayOrder(std::string_view aVm) const;
+  bool MayOrder(std::string_view aVm, const FleetIntent& aIntent) const;
 
   Kernel& mKernel;
   Clock& mClock;
@@ -75,10 +75,11 @@
   bool mStopping = false;
   std::unique_ptr<Tenure> mTenure;
   TimePoint mLedSince;
+  /// Owners of the fleet before this one.
+  std::uint32_t mLedBefore = 0;
   /// VMs that an earlier owner may have ordered just before.
   std::set<std::string, std::less<>> mInherited;
   FleetView mView;
-  std::set<std::string> mSyncing;
   /// Changes that want to be recorded, and those that are.
   std::uint64_t mWanted = 0;
   std::uint64_t mCovered = 0;
