--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -310,7 +310,8 @@
   std::uint32_t TasksAway(const CellJob& aJob,
                           std::uint32_t aOccurrence,
                           std::uint32_t aStep,
-                          const TaskId& aBut) const;
+                          const TaskId& aBut,
+                          TimePoint aNow) const;
 
   CellTimes mTimes;
   FencingToken mToken;
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -23,6 +23,9 @@
 constexpr Duration kPaceInterval = std::chrono::milliseconds(500);
 constexpr int kFullPace = 100;
 constexpr int kPaceStep = 20;
+/// A worker that answered within this time is there; renewals wait at most
+/// half as long.
+constexpr Duration kHeardWithin = std::chrono::seconds(3);
 /// Tasks that save their progress are stopped on a worker that is to be
 /// emptied after this time; others when it has nearly passed.
 constexpr Duration kEvacuateSaved = std::chrono::milliseconds(600);
@@ -371,7 +374,8 @@
 Cell::TasksAway(const CellJob& aJob,
                 std::uint32_t aOccurrence,
                 std::uint32_t aStep,
-                const TaskId& aBut) const
+                const TaskId& aBut,
+                TimePoint aNow) const
 {
   const StepRecord& step =
     aJob.mOccurrences.find(aOccurrence)->second.mSteps[aStep];
@@ -383,8 +387,10 @@
     }
     bool atWork = false;
     auto worker = mWorkers.find(step.mTasks[i].mWorker);
-    if (step.mTasks[i].mStage == TaskStage::Active &&
-        worker != mWorkers.end()) {
+    // What a silent worker was last seen to run may be gone.
+    bool heard = worker != mWorkers.end() && worker->second.mMissed == 0 &&
+                 aNow - worker->second.mLastAnswer < kHeardWithin;
+    if (step.mTasks[i].mStage == TaskStage::Active && heard) {
       auto run = worker->second.mRuns.find(task);
       atWork = run != worker->second.mRuns.end() &&
                run->second.mStage == ActiveRun::Stage::Running &&
@@ -417,7 +423,8 @@
       if (spec.mLongRunning) {
         bool allowed =
           draining || spec.mMayMiss == 0 ||
-          TasksAway(*job, task.mOccurrence, task.mStep, task) < spec.mMayMiss;
+          TasksAway(*job, task.mOccurrence, task.mStep, task, aNow) <
+            spec.mMayMiss;
         if (allowed) {
           StopRunOn(run, aNow);
         }
