Count each failed run once by its number; end only the life that an order ended

Change: the failed runs of a task are kept by number; an order names the start of the life that it ended.

Tests: 'a run that was given up and failed after a later one counts too', 'an order for a VM ends only the life that it was given for'.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -339,10 +339,10 @@
     CellWorker& worker = mWorkers[report.mId];
     bool reborn = report.mBorn > worker.mBorn && worker.mBorn != 0;
     worker.mReport = report;
-    worker.mListed = !worker.mEnded;
     if (reborn) {
       StartNewLife(worker, aNow);
     }
+    worker.mListed = !worker.mEnded;
     worker.mBorn = std::max(worker.mBorn, report.mBorn);
   }
   std::erase_if(mWorkers, [&](const auto& aEntry) {
@@ -431,6 +431,7 @@
     LoseRun(aWorker, task);
   }
   aWorker.mContacted = false;
+  aWorker.mEnded = false;
   aWorker.mInherited = false;
   aWorker.mSeenEnds = 0;
   aWorker.mCommittedEnds = 0;
@@ -600,21 +601,15 @@
     return;
   }
   // A failure that is committed is listed again until it is acknowledged, to
-  // the next owner too.
-  if (aEnd.mRun <= task.mLastFailedRun) {
+  // the next owner too; and a run that was given up may turn out to have
+  // failed after a later one did.
+  std::vector<std::uint64_t>& runs = task.mFailedRuns;
+  if (std::find(runs.begin(), runs.end(), aEnd.mRun) != runs.end()) {
     return;
   }
-  task.mLastFailedRun = aEnd.mRun;
-  std::uint32_t failures = ++task.mFailures;
-  if (spec.mGang) {
-    if (aEnd.mRun != step.mLastFailedGangRun) {
-      step.mLastFailedGangRun = aEnd.mRun;
-      ++step.mGangFailures;
-    }
-    task.mFailures = step.mGangFailures;
-    failures = step.mGangFailures;
-  }
-  task.mNotBefore = aNow + kRetryPause * failures;
+  runs.push_back(aEnd.mRun);
+  std::size_t failures = FailuresOf(spec, step, aEnd.mTask.mIndex);
+  task.mNotBefore = aNow + kRetryPause * static_cast<int>(failures);
   const QueueConfig* queue = QueueOf(aJob);
   std::uint32_t most = queue == nullptr ? 1 : queue->mMaxAttempts;
   if (failures >= most && aJob.Live()) {
@@ -845,11 +840,13 @@
   }
 }
 
+// The next worker of the VM may have the same id, so only the life that was
+// ended is taken for gone.
 bool
-Cell::EndWorker(std::string_view aWorker, TimePoint aNow)
+Cell::EndWorker(std::string_view aWorker, std::int64_t aBorn, TimePoint aNow)
 {
   CellWorker* worker = FindWorker(aWorker);
-  if (worker == nullptr || worker->mEnded) {
+  if (worker == nullptr || worker->mEnded || worker->mBorn != aBorn) {
     return false;
   }
   worker->mEnded = true;
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -203,8 +203,9 @@
                  TimePoint aNow);
   void OnNoAnswer(std::string_view aWorker, TimePoint aNow);
   void OnOtherLife(std::string_view aWorker, TimePoint aNow);
-  /// The worker is surely gone; false if that was known.
-  bool EndWorker(std::string_view aWorker, TimePoint aNow);
+  /// The worker's life that began at aBorn is surely over; false if that was
+  /// known or another life is there.
+  bool EndWorker(std::string_view aWorker, std::int64_t aBorn, TimePoint aNow);
   void OnOrder(std::string_view aWorker,
                const WorkerCall& aCall,
                const Expected<WorkerReply>& aReply,
--- a/src/decide/cell_job.cpp
+++ b/src/decide/cell_job.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <set>
 
 namespace buckthornshunt {
 
@@ -84,6 +85,19 @@
          std::pow(mMeanSeconds, 1 - kEstimateWeight);
 }
 
+std::size_t
+FailuresOf(const StepSpec& aSpec, const StepRecord& aStep, std::uint32_t aTask)
+{
+  if (!aSpec.mGang) {
+    return aStep.mTasks[aTask].mFailedRuns.size();
+  }
+  std::set<std::uint64_t> runs;
+  for (const TaskRecord& task : aStep.mTasks) {
+    runs.insert(task.mFailedRuns.begin(), task.mFailedRuns.end());
+  }
+  return runs.size();
+}
+
 OccurrenceRecord
 MakeOccurrence(const JobSpec& aSpec)
 {
@@ -120,13 +134,12 @@
       for (std::uint32_t i = 0; i < tasks.size(); ++i) {
         const TaskRecord& task = tasks[i];
         bool done = task.mStage == TaskStage::Done;
-        if (done || task.mFailures > 0 || !task.mCheckpoint.empty()) {
+        if (done || !task.mFailedRuns.empty() || !task.mCheckpoint.empty()) {
           progress.mTasks.push_back({ number,
                                       s,
                                       i,
                                       done,
-                                      task.mFailures,
-                                      task.mLastFailedRun,
+                                      task.mFailedRuns,
                                       done ? "" : task.mCheckpoint });
         }
       }
@@ -161,15 +174,9 @@
     }
     StepRecord& step = it->second.mSteps[task.mStep];
     TaskRecord& record = step.mTasks[task.mIndex];
-    record.mFailures = task.mFailures;
-    record.mLastFailedRun = task.mLastFailedRun;
+    record.mFailedRuns = task.mFailedRuns;
     record.mCheckpoint = task.mCheckpoint;
     job.mStarted = true;
-    if (job.mSpec.mSteps[task.mStep].mGang) {
-      step.mGangFailures = std::max(step.mGangFailures, task.mFailures);
-      step.mLastFailedGangRun =
-        std::max(step.mLastFailedGangRun, task.mLastFailedRun);
-    }
     if (task.mDone) {
       record.mStage = TaskStage::Done;
       ++step.mDone;
--- a/src/decide/cell_job.h
+++ b/src/decide/cell_job.h
@@ -28,8 +28,7 @@
   std::uint32_t mStep = 0;
   std::uint32_t mIndex = 0;
   bool mDone = false;
-  std::uint32_t mFailures = 0;
-  std::uint64_t mLastFailedRun = 0;
+  std::vector<std::uint64_t> mFailedRuns;
   std::string mCheckpoint;
 
   friend bool operator==(const StoredTask&, const StoredTask&) = default;
@@ -56,9 +55,8 @@
 struct TaskRecord
 {
   TaskStage mStage = TaskStage::Idle;
-  std::uint32_t mFailures = 0;
-  /// Number of the last run that counted as a failure.
-  std::uint64_t mLastFailedRun = 0;
+  /// Runs that failed, each counted once however often it is listed.
+  std::vector<std::uint64_t> mFailedRuns;
   /// Starts in this term.
   std::uint32_t mStarts = 0;
   std::string mCheckpoint;
@@ -74,10 +72,8 @@
   std::vector<TaskRecord> mTasks;
   std::uint32_t mDone = 0;
   std::uint32_t mActive = 0;
-  /// Starts and failures of the gang as a whole.
+  /// Starts of the gang as a whole in this term.
   std::uint32_t mGangStarts = 0;
-  std::uint32_t mGangFailures = 0;
-  std::uint64_t mLastFailedGangRun = 0;
   /// Ticket of each worker that may run the step, where advice is needed.
   std::map<std::string, std::string, std::less<>> mTickets;
   TimePoint mTicketsUntil;
@@ -127,6 +123,10 @@
   JobPhase NextPhase() const;
 };
 
+/// Failed runs of a task; of a gang, the runs that failed in any member.
+std::size_t
+FailuresOf(const StepSpec& aSpec, const StepRecord& aStep, std::uint32_t aTask);
+
 /// Occurrence with every task idle.
 OccurrenceRecord
 MakeOccurrence(const JobSpec& aSpec);
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -55,8 +55,10 @@
   bool mConfirmed = false;
   TimePoint mSince;
   TimePoint mConfirmedAt;
-  /// Worker on the VM when the intent was made.
+  /// Worker on the VM when the intent was made, and the start of its life; 0
+  /// if that isn't known.
   std::string mWorker;
+  std::int64_t mBorn = 0;
 };
 
 struct WaveProgress
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -579,9 +579,9 @@
 }
 
 void
-CellRuntime::EndWorker(std::string_view aWorker)
+CellRuntime::EndWorker(std::string_view aWorker, std::int64_t aBorn)
 {
-  if (mCell->EndWorker(aWorker, mClock.Now())) {
+  if (mCell->EndWorker(aWorker, aBorn, mClock.Now())) {
     LogInfo(
       kPart, "worker={} pool={} ended by an order for its VM", aWorker, mPool);
     mPlanDue.Set();
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -72,7 +72,7 @@
   void OnDirectoryChange();
 
   /// Takes a worker for gone, with everything on it.
-  void EndWorker(std::string_view aWorker);
+  void EndWorker(std::string_view aWorker, std::int64_t aBorn);
 
   /// Closes workers for new starts, and records it before it returns true.
   Task<bool> Seal(std::vector<std::string> aWorkers, TimePoint aDeadline);
--- a/src/services/directory_service.cpp
+++ b/src/services/directory_service.cpp
@@ -56,6 +56,13 @@
   return reports;
 }
 
+std::int64_t
+DirectoryService::BornOf(std::string_view aWorker) const
+{
+  auto it = mWorkers.find(aWorker);
+  return it == mWorkers.end() ? 0 : it->second.mBorn;
+}
+
 TimePoint
 DirectoryService::WaveSeen(std::uint64_t aNumber) const
 {
--- a/src/services/directory_service.h
+++ b/src/services/directory_service.h
@@ -31,6 +31,9 @@
   /// Workers listed at present.
   std::vector<WorkerReport> Workers() const;
 
+  /// Start of a worker's present life; 0 if it isn't known.
+  std::int64_t BornOf(std::string_view aWorker) const;
+
   const std::map<std::uint64_t, WaveOrder>& Waves() const { return mWaves; }
 
   /// When a wave was first seen.
@@ -70,7 +73,7 @@
   std::shared_ptr<const WorkloadConfig> mConfig;
   std::map<std::uint64_t, WaveOrder> mWaves;
   std::map<std::uint64_t, TimePoint> mWaveSeen;
-  std::map<std::string, WorkerReport> mWorkers;
+  std::map<std::string, WorkerReport, std::less<>> mWorkers;
   TimePoint mWorkersReadAt;
 };
 
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -360,9 +360,13 @@
   sync.mPool = aPool;
   sync.mToken = mTenure->Token();
   for (const auto& [vm, intent] : mView.mIntents) {
-    if (!intent.mWorker.empty()) {
-      auto& list = intent.mConfirmed ? sync.mEnded : sync.mSealed;
-      list.push_back(intent.mWorker);
+    if (intent.mWorker.empty()) {
+      continue;
+    }
+    if (!intent.mConfirmed) {
+      sync.mSealed.push_back(intent.mWorker);
+    } else if (intent.mBorn != 0) {
+      sync.mEnded.emplace(intent.mWorker, intent.mBorn);
     }
   }
   return sync;
@@ -420,8 +424,8 @@
     co_return Json();
   }
   mHeardToken = held.mToken;
-  for (const std::string& id : held.mEnded) {
-    runtime->EndWorker(id);
+  for (const auto& [id, born] : held.mEnded) {
+    runtime->EndWorker(id, born);
   }
   bool sealed = co_await runtime->Seal(held.mSealed, aDeadline);
   PoolUse use = runtime->State().Use(mClock.Now());
@@ -491,6 +495,7 @@
     mView.mIntents.erase(vm);
   }
   for (auto& [vm, intent] : aChange.mBegin) {
+    intent.mBorn = mDirectory->BornOf(intent.mWorker);
     LogInfo(kPart,
             "vm={} worker={} intent to={} wave={}",
             vm,
--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -84,9 +84,8 @@
   return step;
 }
 
-// Tasks are arrays: occurrence, step, index, done, failures, last failed run,
-// checkpoint.
-constexpr std::size_t kTaskFields = 7;
+// Tasks are arrays: occurrence, step, index, done, failed runs, checkpoint.
+constexpr std::size_t kTaskFields = 6;
 
 Json
 TaskToJson(const StoredTask& aTask)
@@ -95,28 +94,34 @@
                        aTask.mStep,
                        aTask.mIndex,
                        aTask.mDone ? 1U : 0U,
-                       aTask.mFailures,
-                       aTask.mLastFailedRun,
+                       aTask.mFailedRuns,
                        aTask.mCheckpoint });
 }
 
 leaf::result<StoredTask>
 TaskFromJson(const Json& aJson)
 {
-  bool ok =
-    aJson.is_array() && aJson.size() == kTaskFields && aJson[6].is_string();
-  for (std::size_t i = 0; ok && i + 1 < kTaskFields; ++i) {
+  bool ok = aJson.is_array() && aJson.size() == kTaskFields &&
+            aJson[4].is_array() && aJson[5].is_string();
+  for (std::size_t i = 0; ok && i < 4; ++i) {
     ok = aJson[i].is_number_unsigned();
   }
   if (!ok) {
     return Fail(MessageFailure{ MessageFault::WrongType, "t" });
   }
-  return StoredTask{
-    aJson[0].get<std::uint32_t>(), aJson[1].get<std::uint32_t>(),
-    aJson[2].get<std::uint32_t>(), aJson[3].get<std::uint32_t>() != 0,
-    aJson[4].get<std::uint32_t>(), aJson[5].get<std::uint64_t>(),
-    aJson[6].get<std::string>()
-  };
+  StoredTask task;
+  task.mOccurrence = aJson[0].get<std::uint32_t>();
+  task.mStep = aJson[1].get<std::uint32_t>();
+  task.mIndex = aJson[2].get<std::uint32_t>();
+  task.mDone = aJson[3].get<std::uint32_t>() != 0;
+  for (const Json& run : aJson[4]) {
+    if (!run.is_number_unsigned()) {
+      return Fail(MessageFailure{ MessageFault::WrongType, "t" });
+    }
+    task.mFailedRuns.push_back(run.get<std::uint64_t>());
+  }
+  task.mCheckpoint = aJson[5].get<std::string>();
+  return task;
 }
 
 } // namespace
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -41,7 +41,8 @@
     list.push_back({ { "v", vm },
                      { "p", intent.mToPool },
                      { "w", intent.mWave },
-                     { "i", intent.mWorker } });
+                     { "i", intent.mWorker },
+                     { "b", intent.mBorn } });
   }
   return ToCbor({ { "orders", std::move(list) } });
 }
@@ -58,6 +59,7 @@
     BOOST_LEAF_ASSIGN(intent.mToPool, ReadString(at, "p"));
     BOOST_LEAF_ASSIGN(intent.mWave, ReadNumber(at, "w"));
     BOOST_LEAF_ASSIGN(intent.mWorker, ReadString(at, "i"));
+    BOOST_LEAF_ASSIGN(intent.mBorn, ReadSigned(at, "b"));
     intents.emplace(std::move(vm), std::move(intent));
   }
   return intents;
@@ -85,10 +87,14 @@
 Json
 FleetSyncToJson(const FleetSync& aSync)
 {
+  Json ended = Json::object();
+  for (const auto& [id, born] : aSync.mEnded) {
+    ended[id] = born;
+  }
   return { { "pool", aSync.mPool },
            { "token", aSync.mToken },
            { "sealed", aSync.mSealed },
-           { "ended", aSync.mEnded } };
+           { "ended", std::move(ended) } };
 }
 
 leaf::result<FleetSync>
@@ -98,7 +104,13 @@
   BOOST_LEAF_ASSIGN(sync.mPool, ReadString(aJson, "pool"));
   BOOST_LEAF_ASSIGN(sync.mToken, ReadNumber(aJson, "token"));
   BOOST_LEAF_ASSIGN(sync.mSealed, ReadNames(aJson, "sealed"));
-  BOOST_LEAF_ASSIGN(sync.mEnded, ReadNames(aJson, "ended"));
+  BOOST_LEAF_AUTO(ended, Member(aJson, "ended"));
+  for (const auto& [id, born] : ended->items()) {
+    if (!born.is_number_integer()) {
+      return Fail(MessageFailure{ MessageFault::WrongType, "ended" });
+    }
+    sync.mEnded.emplace(id, born.get<std::int64_t>());
+  }
   return sync;
 }
 
--- a/src/wire/fleet_codec.h
+++ b/src/wire/fleet_codec.h
@@ -29,8 +29,8 @@
   /// Workers on which nothing may start.
   std::vector<std::string> mSealed;
   /// Workers that are gone, since the platform confirmed an order for their
-  /// VM.
-  std::vector<std::string> mEnded;
+  /// VM, with the start of the life that was ended.
+  std::map<std::string, std::int64_t> mEnded;
 };
 
 /// Rows, in CBOR; readers fail with MessageFailure. Of an intent only the
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -255,6 +255,35 @@
   CHECK(std::get<StartRun>(orders[0].mCall).mTask.mStep == 1);
 }
 
+TEST_CASE("a run that was given up and failed after a later one counts too")
+{
+  OneWorker world;
+  world.Submit("a", ChainOf({ 1 }));
+  world.PlanAndAnswer();
+  EndedRun later = DoneEnd(1, 0);
+  later.mRun = 2;
+  later.mEnd = RunEnd::Failed;
+  EndedRun earlier = DoneEnd(2, 0);
+  earlier.mEnd = RunEnd::Failed;
+  world.List({}, { later, earlier });
+  world.Commit();
+  CHECK(world.mCell.PhaseOf("a") == JobPhase::Failed);
+}
+
+TEST_CASE("an order for a VM ends only the life that it was given for")
+{
+  OneWorker world;
+  world.Submit("a", ChainOf({ 1 }));
+  REQUIRE(world.PlanAndAnswer().size() == 1);
+  CHECK_FALSE(world.mCell.EndWorker("w", 4, world.mNow));
+  CHECK(world.Plan().empty());
+  CHECK(world.mCell.EndWorker("w", 5, world.mNow));
+  CHECK(world.mCell.WorkersNow().find("w")->second.mRuns.empty());
+  world.mReports[0].mBorn = 6;
+  world.mCell.SetWorkers(world.mReports, world.mNow);
+  CHECK_FALSE(world.mCell.EndWorker("w", 5, world.mNow));
+}
+
 TEST_CASE("a start without an answer is closed before the task runs elsewhere")
 {
   OneWorker world;
