--- a/src/cli/request_commands.cpp
+++ b/src/cli/request_commands.cpp
@@ -3,10 +3,14 @@
 #include "wire/api_codec.h"
 #include "wire/peer_codec.h"
 
+#include <algorithm>
 #include <fstream>
 #include <iomanip>
 #include <iostream>
 #include <sstream>
+#include <string>
+#include <string_view>
+#include <vector>
 
 namespace buckthornshunt {
 
@@ -104,13 +108,77 @@
   return std::visit(ExitOf{}, std::get<Outcome>(outcome));
 }
 
+namespace {
+
+/// Length of the time at the start of a log line, to the millisecond.
+constexpr std::size_t kTimeLength = 23;
+
+/// A line of a log and the file that it is from.
+struct LoggedLine
+{
+  std::string mText;
+  std::string_view mFile;
+};
+
+// Prints the lines of all files that name the id, in the order of their times.
+int
+TraceLogs(const CommandLine& aLine,
+          std::string_view aId,
+          std::span<const std::string> aFiles)
+{
+  std::vector<LoggedLine> lines;
+  for (const std::string& file : aFiles) {
+    std::ifstream in(file);
+    if (!in) {
+      return Report(
+        aLine, ConfigFailure{ ConfigFault::FileUnreadable, file, {}, "log" });
+    }
+    std::string text;
+    while (std::getline(in, text)) {
+      if (text.find(aId) != std::string::npos) {
+        lines.push_back({ text, file });
+      }
+    }
+  }
+  std::stable_sort(
+    lines.begin(), lines.end(), [](const auto& aA, const auto& aB) {
+      return std::string_view(aA.mText).substr(0, kTimeLength) <
+             std::string_view(aB.mText).substr(0, kTimeLength);
+    });
+  Json list = Json::array();
+  for (const LoggedLine& line : lines) {
+    if (aLine.mJson) {
+      list.push_back({ { "file", line.mFile }, { "line", line.mText } });
+    } else {
+      std::cout << line.mFile << ": " << line.mText << "\n";
+    }
+  }
+  if (aLine.mJson) {
+    std::cout << list.dump(-1, ' ', false, Json::error_handler_t::replace)
+              << "\n";
+  }
+  return lines.empty() ? kExitRefused : kExitOk;
+}
+
+} // namespace
+
 int
 RunTrace(std::span<const char*> aArguments)
 {
   CommandLine line;
-  if (!ParseCommandLine("trace", "[options] ID", aArguments, {}, line)) {
+  TextOption options[] = {
+    { "logs", "look in this log, and in those after ID, instead", "FILE" },
+  };
+  if (!ParseCommandLine(
+        "trace", "[options] ID [FILE...]", aArguments, options, line)) {
     return kExitInvalid;
   }
+  if (!options[0].mValue.empty() && !line.mArguments.empty()) {
+    std::vector<std::string> files(line.mArguments.begin() + 1,
+                                   line.mArguments.end());
+    files.push_back(options[0].mValue);
+    return TraceLogs(line, line.mArguments[0], files);
+  }
   if (line.mArguments.size() != 1) {
     std::cerr << "buckthornshunt trace: name one trace\n";
     return kExitInvalid;
--- a/src/decide/admission.cpp
+++ b/src/decide/admission.cpp
@@ -13,6 +13,10 @@
 /// that are too short.
 constexpr double kUsableTime = 0.9;
 
+/// VMs on their way are there after this time: half of the platform's 1.5 s for
+/// a move, and some time to be found.
+constexpr double kArrivalSeconds = 1.0;
+
 Duration
 FromSeconds(double aSeconds)
 {
@@ -31,9 +35,14 @@
   if (aLoad.mCores <= 0) {
     return Duration::max();
   }
-  Duration drained =
-    FromSeconds((aLoad.mBacklog + aJob.mCoreSeconds) / aLoad.mCores);
-  return std::max(drained, aJob.mChain);
+  double work = aLoad.mBacklog + aJob.mCoreSeconds;
+  double before = aLoad.mCores * kArrivalSeconds;
+  double seconds = work / aLoad.mCores;
+  if (work > before) {
+    seconds =
+      kArrivalSeconds + (work - before) / (aLoad.mCores + aLoad.mIncomingCores);
+  }
+  return std::max(FromSeconds(seconds), aJob.mChain);
 }
 
 bool
--- a/src/decide/admission.h
+++ b/src/decide/admission.h
@@ -16,6 +16,8 @@
   double mCores = 0;
   /// Cores of those that are free now.
   double mFreeCores = 0;
+  /// Cores of VMs that are on their way into the pool.
+  double mIncomingCores = 0;
 };
 
 /// What the job needs.
--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -249,6 +249,7 @@
   PoolLoad load;
   load.mBacklog = summary.mBacklogCoreSeconds;
   load.mCores = summary.mCapacityCores;
+  load.mIncomingCores = mIncomingCores;
   load.mFreeCores = summary.mCapacityCores - summary.mBusyCores;
   for (const std::string& id : mLive) {
     const CellJob& job = mJobs.find(id)->second;
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -180,6 +180,8 @@
 
   // Callers.
   SubmitResult Submit(Submission aSubmission, TimePoint aNow);
+  /// Cores of VMs that are on their way into the pool.
+  void SetIncoming(double aCores) { mIncomingCores = aCores; }
   /// When to come back after a refusal; aJitter of 0 to 1.
   Duration RetryAfterFor(const Submission& aSubmission,
                          TimePoint aNow,
@@ -333,6 +335,7 @@
   std::map<std::string, TimePoint, std::less<>> mTurnedAway;
   std::uint32_t mRefused = 0;
   DemandMeter mDemand;
+  double mIncomingCores = 0;
 };
 
 } // namespace buckthornshunt
--- a/src/services/entry_service.cpp
+++ b/src/services/entry_service.cpp
@@ -20,8 +20,10 @@
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
 
-/// Answers leave this much before the caller stops waiting.
+/// Answers leave this much before the caller stops waiting, but no earlier than
+/// after most of its patience.
 constexpr Duration kAnswerMargin = std::chrono::milliseconds(150);
+constexpr int kMarginPart = 8;
 /// Longest wait for a cell to get an owner.
 constexpr Duration kOwnerWait = std::chrono::milliseconds(900);
 /// Time for one call to an owner.
@@ -175,7 +177,8 @@
     co_return platform::EncodeCallerFailure(failure);
   }
   platform::DecodedCall held = std::get<0>(std::move(decoded));
-  TimePoint due = began + std::max(held.mPatience - kAnswerMargin, kAskAgain);
+  Duration margin = std::min(kAnswerMargin, held.mPatience / kMarginPart);
+  TimePoint due = began + held.mPatience - margin;
   std::string pool = config->FindQueueByName(QueueName(held.mCall))->mPool;
   CallerCall call = held.mCall;
   CallerReply reply =
@@ -227,7 +230,7 @@
   }
   Endpoint peer = sighting->mRow.mPeers;
   // The owner gives up a little earlier than this node does.
-  relayed.mPatience -= kAskAgain;
+  relayed.mPatience -= std::min(kAskAgain, relayed.mPatience / kMarginPart);
   Json body = RelayedCallToJson(relayed);
   auto answer = co_await mRelay->Ask(peer, "job", std::move(body), due);
   if (!Ok(answer)) {
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -360,6 +360,12 @@
   sync.mPool = aPool;
   sync.mToken = mTenure->Token();
   for (const auto& [vm, intent] : mView.mIntents) {
+    if (intent.mToPool == aPool) {
+      for (const PoolVm& at : mView.mVms) {
+        bool coming = at.mVm == vm && (at.mPool != aPool || !at.mUp);
+        sync.mIncomingCores += coming ? at.mCapacity.mCpuMillis / 1000.0 : 0;
+      }
+    }
     if (intent.mWorker.empty()) {
       continue;
     }
@@ -427,6 +433,7 @@
   for (const auto& [id, born] : held.mEnded) {
     runtime->EndWorker(id, born);
   }
+  runtime->State().SetIncoming(held.mIncomingCores);
   bool sealed = co_await runtime->Seal(held.mSealed, aDeadline);
   PoolUse use = runtime->State().Use(mClock.Now());
   for (auto& [id, worker] : use.mWorkers) {
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -94,7 +94,8 @@
   return { { "pool", aSync.mPool },
            { "token", aSync.mToken },
            { "sealed", aSync.mSealed },
-           { "ended", std::move(ended) } };
+           { "ended", std::move(ended) },
+           { "incoming", aSync.mIncomingCores } };
 }
 
 leaf::result<FleetSync>
@@ -104,6 +105,7 @@
   BOOST_LEAF_ASSIGN(sync.mPool, ReadString(aJson, "pool"));
   BOOST_LEAF_ASSIGN(sync.mToken, ReadNumber(aJson, "token"));
   BOOST_LEAF_ASSIGN(sync.mSealed, ReadNames(aJson, "sealed"));
+  BOOST_LEAF_ASSIGN(sync.mIncomingCores, ReadReal(aJson, "incoming"));
   BOOST_LEAF_AUTO(ended, Member(aJson, "ended"));
   for (const auto& [id, born] : ended->items()) {
     if (!born.is_number_integer()) {
--- a/src/wire/fleet_codec.h
+++ b/src/wire/fleet_codec.h
@@ -31,6 +31,8 @@
   /// Workers that are gone, since the platform confirmed an order for their
   /// VM, with the start of the life that was ended.
   std::map<std::string, std::int64_t> mEnded;
+  /// Cores of VMs that are on their way into the pool.
+  double mIncomingCores = 0;
 };
 
 /// Rows, in CBOR; readers fail with MessageFailure. Of an intent only the
--- /dev/null
+++ b/tests/fake_store.cpp
@@ -0,0 +1,95 @@
+#include "fake_store.h"
+
+namespace buckthornshunt::tests {
+
+using namespace std::chrono_literals;
+
+Store
+FakeStore::Port()
+{
+  return InProcessStore{ [this](StoreCall aCall, TimePoint aDeadline) {
+    return Call(std::move(aCall), aDeadline);
+  } };
+}
+
+StoreReply
+FakeStore::Commit(const CommitIf& aCommit)
+{
+  CommitRefused refused;
+  bool holds = true;
+  for (const RowCondition& condition : aCommit.mConditions) {
+    auto it = mRows.find(condition.mName);
+    Revision now = it == mRows.end() ? Revision{} : it->second.mRevision;
+    holds = holds && now == condition.mRevision;
+    if (it != mRows.end()) {
+      refused.mRows.push_back(it->second);
+    }
+  }
+  if (!holds) {
+    return refused;
+  }
+  ++mCommits;
+  ++mRevision;
+  for (const RowPut& put : aCommit.mPuts) {
+    mRows[put.mName] = { put.mName, put.mValue, Revision(mRevision), false };
+  }
+  for (const RowName& name : aCommit.mRemoves) {
+    mRows.erase(name);
+  }
+  return CommitDone{ Revision(mRevision) };
+}
+
+StoreReply
+FakeStore::Scan(const ScanRows& aScan) const
+{
+  RowsScanned scanned;
+  for (const auto& [name, row] : mRows) {
+    if (name.mTable == aScan.mTable && name.mPart == aScan.mPart &&
+        name.mKey >= aScan.mFrom) {
+      scanned.mRows.push_back(row);
+    }
+  }
+  scanned.mRevision = Revision(mRevision);
+  return scanned;
+}
+
+StoreReply
+FakeStore::Follow(const FollowRows& aFollow) const
+{
+  RowsFollowed news;
+  for (const auto& [name, row] : mRows) {
+    if (name.mTable == aFollow.mTable && row.mRevision > aFollow.mAfter) {
+      news.mRows.push_back(row);
+    }
+  }
+  news.mRevision = Revision(mRevision);
+  return news;
+}
+
+Task<Expected<StoreReply>>
+FakeStore::Call(StoreCall aCall, TimePoint aDeadline)
+{
+  co_await mClock.Sleep(4ms);
+  if (mSilent) {
+    co_await mClock.SleepUntil(aDeadline);
+    co_return Failure(TimeoutFailure{});
+  }
+  if (mRefuse > 0) {
+    --mRefuse;
+    co_return Failure(StoreUnavailable{});
+  }
+  if (const auto* commit = std::get_if<CommitIf>(&aCall)) {
+    StoreReply reply = Commit(*commit);
+    if (mLoseAnswers > 0) {
+      --mLoseAnswers;
+      co_return Failure(ConnectionLost{});
+    }
+    co_return reply;
+  }
+  if (const auto* scan = std::get_if<ScanRows>(&aCall)) {
+    co_return Scan(*scan);
+  }
+  co_return Follow(std::get<FollowRows>(aCall));
+}
+
+} // namespace buckthornshunt::tests
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,180 @@
+// The plan of the fleet, and the measure of demand that it is made from.
+
+#include "decide/cell_owner.h"
+#include "decide/demand.h"
+#include "decide/fleet_plan.h"
+
+#include <doctest/doctest.h>
+
+using namespace buckthornshunt;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Two pools with a queue and a spare pool, of four VMs each.
+struct Fleet
+{
+  Fleet()
+  {
+    mView.mNow = TimePoint(100s);
+    mView.mPoolConfigs = { { "a", true, false },
+                           { "b", true, false },
+                           { "off", true, true } };
+    mView.mCells = { "a", "b" };
+    for (const char* pool : { "a", "b", "off" }) {
+      for (int i = 0; i < 4; ++i) {
+        std::string name = std::string(pool) + std::to_string(i);
+        mView.mVms.push_back(
+          { name, pool, true, "w-" + name, "rack", { 32000, 100000, 0 } });
+      }
+    }
+    Report("a");
+    Report("b");
+  }
+
+  PoolUse& Report(std::string_view aPool)
+  {
+    PoolUse use;
+    use.mAt = mView.mNow;
+    for (const PoolVm& vm : mView.mVms) {
+      if (vm.mPool == aPool) {
+        use.mWorkers[vm.mWorker] = {};
+      }
+    }
+    return mView.mPools[std::string(aPool)] = use;
+  }
+
+  void Wave(std::vector<std::string> aVms, std::uint32_t aMostAtOnce)
+  {
+    WaveProgress wave;
+    wave.mOrder = { 1, std::move(aVms), 20s, aMostAtOnce };
+    wave.mSeen = mView.mNow;
+    mView.mWaves[1] = wave;
+  }
+
+  FleetView mView;
+};
+
+std::size_t
+InWave(const FleetPlanChange& aChange)
+{
+  std::size_t n = 0;
+  for (const auto& [vm, intent] : aChange.mBegin) {
+    n += intent.mWave != 0 ? 1 : 0;
+  }
+  return n;
+}
+
+} // namespace
+
+TEST_CASE("a wave takes no more VMs than may be down at once")
+{
+  Fleet fleet;
+  fleet.Wave({ "off0", "off1", "off2", "a0", "b0" }, 2);
+  CHECK(InWave(PlanFleet(fleet.mView)) == 2);
+}
+
+TEST_CASE("VMs that are down already count against a wave's limit")
+{
+  Fleet fleet;
+  fleet.Wave({ "off0", "off1", "a0" }, 2);
+  fleet.mView.mVms[8].mUp = false;
+  CHECK(InWave(PlanFleet(fleet.mView)) == 1);
+}
+
+TEST_CASE("a pool whose cell hasn't reported is not taken for empty")
+{
+  Fleet fleet;
+  fleet.mView.mPools.clear();
+  fleet.Wave({ "a0", "b0" }, 2);
+  FleetPlanChange change = PlanFleet(fleet.mView);
+  CHECK(change.mBegin.empty());
+  CHECK(change.mOrder.empty());
+}
+
+TEST_CASE("an order goes out only for a sealed and empty worker")
+{
+  Fleet fleet;
+  FleetIntent intent;
+  intent.mWave = 1;
+  intent.mWorker = "w-a0";
+  intent.mSince = fleet.mView.mNow;
+  fleet.mView.mIntents["a0"] = intent;
+  CHECK(PlanFleet(fleet.mView).mOrder.empty());
+  WorkerUse& use = fleet.mView.mPools["a"].mWorkers["w-a0"];
+  use.mSealed = true;
+  use.mRuns = 1;
+  CHECK(PlanFleet(fleet.mView).mOrder.empty());
+  use.mRuns = 0;
+  CHECK(PlanFleet(fleet.mView).mOrder.size() == 1);
+}
+
+TEST_CASE("a wave is completed only when every VM that is left is done")
+{
+  Fleet fleet;
+  fleet.Wave({ "off0", "gone" }, 1);
+  CHECK(PlanFleet(fleet.mView).mCompleted.empty());
+  fleet.mView.mWaves[1].mDone.insert("off0");
+  CHECK(PlanFleet(fleet.mView).mCompleted.size() == 1);
+}
+
+TEST_CASE("VMs that are off are moved to a pool whose demand has risen")
+{
+  Fleet fleet;
+  fleet.mView.mPools["a"].mAskedLeast = 250;
+  fleet.mView.mPools["a"].mAskedMost = 300;
+  FleetPlanChange change = PlanFleet(fleet.mView);
+  int off = 0;
+  for (const auto& [vm, intent] : change.mBegin) {
+    CHECK(intent.mToPool == "a");
+    off += vm.starts_with("off") ? 1 : 0;
+  }
+  CHECK(off == 4);
+}
+
+TEST_CASE("a pool keeps the VMs that its tasks need to stay apart")
+{
+  Fleet fleet;
+  fleet.mView.mPools["a"].mAskedLeast = 1000;
+  fleet.mView.mPools["b"].mLeastVms = 3;
+  for (const auto& [vm, intent] : PlanFleet(fleet.mView).mBegin) {
+    CHECK_FALSE(vm.starts_with("b"));
+  }
+}
+
+TEST_CASE("a single large job is no demand, a stream of jobs is")
+{
+  DemandMeter meter;
+  TimePoint now(100s);
+  meter.Note(500, now);
+  CHECK(meter.At(now).mLeast == doctest::Approx(0));
+  DemandMeter stream;
+  for (int i = 0; i < 50; ++i) {
+    now += 40ms;
+    stream.Note(10, now);
+  }
+  DemandRange range = stream.At(now);
+  CHECK(range.mLeast > 150);
+  CHECK(range.mMost < 400);
+  CHECK(stream.At(now + 10s).mMost < 1);
+}
+
+TEST_CASE("a cell is free after its row stood still, at once for a successor")
+{
+  NodeSelf self{ "n", { "10.0.0.1", 7 }, Incarnation(2) };
+  OwnerSighting sighting;
+  sighting.mRow.mNode = "m";
+  sighting.mRow.mPeers = { "10.0.0.2", 7 };
+  sighting.mUnchangedSince = TimePoint(100s);
+  TimePoint soon = TimePoint(100s) + kOwnerLease;
+  CHECK(JudgeOwner(sighting, self, soon) == OwnerStanding::Held);
+  TimePoint late = TimePoint(100s) + kTakeOverAfter + 1ms;
+  CHECK(JudgeOwner(sighting, self, late) == OwnerStanding::Free);
+  sighting.mRow.mReleased = true;
+  CHECK(JudgeOwner(sighting, self, soon) == OwnerStanding::Free);
+  sighting.mRow.mReleased = false;
+  sighting.mRow.mNode = "n";
+  sighting.mRow.mPeers = self.mPeers;
+  sighting.mRow.mIncarnation = Incarnation(1);
+  CHECK(JudgeOwner(sighting, self, soon) == OwnerStanding::Free);
+}
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,334 @@
+// The adapter to the platform: what its messages mean, and that damaged ones
+// are refused.
+
+#include "daemon/settings.h"
+#include "platform/caller_codec.h"
+#include "platform/directory_codec.h"
+#include "platform/store_codec.h"
+#include "platform/worker_codec.h"
+#include "wire/cell_codec.h"
+#include "wire/fleet_codec.h"
+#include "wire/relay_codec.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace buckthornshunt;
+using namespace buckthornshunt::platform;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view kConfigText = R"({"version":7,"routes":[
+  {"name":"r1","host":"a.example","path_prefix":"/x/","service":"p",
+   "max_attempts":4,"stretch":1.6,"target_latency_ms":600,"priority":1},
+  {"name":"r2","host":"a.example","path_prefix":"/x/y/","service":"p"}],
+  "services":[{"name":"p","enforces_capacity":true},
+              {"name":"s","spare":true}]})";
+
+constexpr std::string_view kWorkerText =
+  R"({"service":"p","address":"10.0.0.9:8080","zone":"a","state":"ready",
+  "capacity":{"cpu":16000,"mem_mb":32768},"labels":["k","r1"],
+  "machine":"m1","born":1700000000000,"seq":4})";
+
+constexpr std::string_view kJobText =
+  R"({"spec":"s","steps":[{"count":4,"cpu":500},
+  {"count":2,"after":[0],"checkpointing":true,"may_miss":1}]})";
+
+constexpr std::string_view kListingText =
+  R"({"clock_ms":482113,"born":5,"running":[["5c0e7a21d94b36f8.0.1.17",2,"c",41,12]],
+  "ended":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})";
+
+WorkloadConfig
+Config()
+{
+  auto config = ToExpected<WorkloadConfig>(
+    [] { return DecodeWorkloadConfig(kConfigText); });
+  REQUIRE(Ok(config));
+  return std::get<WorkloadConfig>(config);
+}
+
+Expected<DecodedCall>
+Decode(std::string_view aMethod,
+       std::string_view aTarget,
+       std::string_view aBody)
+{
+  HttpRequest request{ std::string(aMethod),
+                       std::string(aTarget),
+                       { { "Host", "a.example" }, { "X-Deadline-Ms", "2500" } },
+                       std::string(aBody) };
+  WorkloadConfig config = Config();
+  return ToExpected<DecodedCall>(
+    [&] { return DecodeCallerRequest(request, config); });
+}
+
+// Damages a text at seeded places; a reader must refuse or accept it, and
+// nothing worse.
+template<class Read>
+void
+Damage(std::string_view aText, Read aRead)
+{
+  std::mt19937_64 random(11);
+  for (int i = 0; i < 400; ++i) {
+    std::string text(aText);
+    int changes = 1 + static_cast<int>(random() % 4);
+    for (int k = 0; k < changes; ++k) {
+      std::size_t at = random() % text.size();
+      switch (random() % 3) {
+        case 0:
+          text[at] = static_cast<char>(random());
+          break;
+        case 1:
+          text.erase(at, 1 + random() % 8);
+          break;
+        default:
+          text.insert(at, text.substr(0, random() % 16));
+      }
+      if (text.empty()) {
+        text = " ";
+      }
+    }
+    aRead(text);
+  }
+}
+
+} // namespace
+
+TEST_CASE("the longest path prefix names the queue")
+{
+  WorkloadConfig config = Config();
+  CHECK(config.FindQueue("a.example", "/x/1")->mName == "r1");
+  CHECK(config.FindQueue("a.example", "/x/y/1")->mName == "r2");
+  CHECK(config.FindQueue("b.example", "/x/1") == nullptr);
+  CHECK(config.FindQueueByName("r1")->mLatency == 600ms);
+  CHECK(config.FindPool("s")->mSpare);
+}
+
+TEST_CASE("a caller's request is read into a call")
+{
+  auto submit = Decode("POST", "/x/5c0e7a21d94b36f8", kJobText);
+  REQUIRE(Ok(submit));
+  const DecodedCall& call = std::get<DecodedCall>(submit);
+  CHECK(call.mPatience == 2500ms);
+  const auto& job = std::get<SubmitJob>(call.mCall);
+  CHECK(job.mQueue == "r1");
+  REQUIRE(job.mSpec.mSteps.size() == 2);
+  CHECK(job.mSpec.mSteps[0].mTasks == 4);
+  CHECK(job.mSpec.mSteps[1].mCheckpoints);
+  CHECK(job.mSpec.mSteps[1].mMayMiss == 1);
+  auto waiting = Decode("GET", "/x/", "");
+  CHECK(
+    std::holds_alternative<CountWaiting>(std::get<DecodedCall>(waiting).mCall));
+  auto cancel = Decode("DELETE", "/x/5c0e7a21d94b36f8", "");
+  CHECK(std::holds_alternative<CancelJob>(std::get<DecodedCall>(cancel).mCall));
+}
+
+TEST_CASE("malformed requests of callers are refused by type")
+{
+  auto none = Decode("GET", "/nowhere/", "");
+  CHECK(std::holds_alternative<NotFound>(std::get<Failure>(none)));
+  CHECK(EncodeCallerFailure(std::get<Failure>(none)).mStatus == 404);
+  auto id = Decode("POST", "/x/short", kJobText);
+  CHECK(EncodeCallerFailure(std::get<Failure>(id)).mStatus == 400);
+  auto later = Decode(
+    "POST", "/x/5c0e7a21d94b36f8", R"({"steps":[{"count":1,"after":[0]}]})");
+  CHECK_FALSE(Ok(later));
+  auto method = Decode("PATCH", "/x/5c0e7a21d94b36f8", "");
+  CHECK(EncodeCallerFailure(std::get<Failure>(method)).mStatus == 405);
+}
+
+TEST_CASE("a refusal says when to come back, an unsettled call doesn't")
+{
+  HttpReply refused = EncodeCallerReply(JobRefused{ 1200ms });
+  CHECK(refused.mStatus == 429);
+  CHECK(FindField(refused.mFields, "Retry-After") == "2");
+  CHECK(EncodeCallerReply(CallUnavailable{ 1s }).mStatus == 503);
+  CHECK(EncodeCallerReply(CallUnsettled{}).mStatus == 504);
+  CHECK(EncodeCallerReply(JobUnknown{}).mStatus == 410);
+  CHECK(EncodeCallerReply(JobPhaseIs{ JobPhase::Cancelled }).mBody ==
+        R"({"state":"canceled"})");
+}
+
+TEST_CASE("a worker's entry is read, an entry of another writer is not")
+{
+  auto read = ToExpected<WorkerReport>(
+    [] { return DecodeWorkerReport("i-1", kWorkerText); });
+  REQUIRE(Ok(read));
+  const WorkerReport& report = std::get<WorkerReport>(read);
+  CHECK(report.mPool == "p");
+  CHECK(report.mVm == "m1");
+  CHECK(report.mRack == "r1");
+  CHECK(report.mBorn == 1700000000000);
+  for (const char* text :
+       { "", "[]", R"({"service":1})", R"({"service":"p","state":"odd"})" }) {
+    auto other =
+      ToExpected<WorkerReport>([&] { return DecodeWorkerReport("i", text); });
+    CHECK_FALSE(Ok(other));
+  }
+}
+
+TEST_CASE("a worker's listing is read by place")
+{
+  HttpReply reply = MakeReply(200, kJsonType, std::string(kListingText));
+  auto read = ToExpected<WorkerReply>(
+    [&] { return DecodeWorkerReply(RenewLease{}, reply); });
+  REQUIRE(Ok(read));
+  const auto& listing = std::get<WorkerListing>(std::get<WorkerReply>(read));
+  REQUIRE(listing.mPresent.size() == 1);
+  CHECK(listing.mPresent[0].mTask.mIndex == 17);
+  CHECK(listing.mPresent[0].mPercent == 41);
+  CHECK(listing.mEnded[0].mEnd == RunEnd::Done);
+}
+
+TEST_CASE("refusals of workers are told apart")
+{
+  auto reason = [](int aStatus, std::string_view aBody) {
+    HttpReply reply = MakeReply(aStatus, kJsonType, std::string(aBody));
+    auto read = ToExpected<WorkerReply>(
+      [&] { return DecodeWorkerReply(StartRun{}, reply); });
+    REQUIRE(Ok(read));
+    return std::get<OrderRefused>(std::get<WorkerReply>(read)).mReason;
+  };
+  CHECK(reason(409, R"({"reason":"fence"})") == StartRefusal::Fenced);
+  CHECK(reason(409, R"({"reason":"room"})") == StartRefusal::NoRoom);
+  CHECK(reason(503, "") == StartRefusal::Rejected);
+}
+
+TEST_CASE("the store's refusals leave no doubt, its other failures do")
+{
+  auto fail = [](const StoreCall& aCall, int aStatus) {
+    auto read = ToExpected<StoreReply>(
+      [&] { return DecodeStoreReply(aCall, aStatus, ""); });
+    return std::holds_alternative<StoreUnavailable>(std::get<Failure>(read));
+  };
+  CHECK(fail(CommitIf{}, 503));
+  CHECK(fail(CommitIf{}, 429));
+  CHECK_FALSE(fail(CommitIf{}, 500));
+  CommitIf two;
+  two.mPuts.push_back({ { "t", "p", "k" }, "v" });
+  CHECK(EncodeStoreCall(two).mBody.find("across") == std::string::npos);
+  two.mPuts.push_back({ { "t", "q", "k" }, "v" });
+  CHECK(EncodeStoreCall(two).mBody.find("across") != std::string::npos);
+}
+
+TEST_CASE("damaged bytes from the platform are refused or read")
+{
+  Damage(kConfigText, [](std::string_view aText) {
+    (void)ToExpected<WorkloadConfig>(
+      [&] { return DecodeWorkloadConfig(aText); });
+  });
+  Damage(kWorkerText, [](std::string_view aText) {
+    (void)ToExpected<WorkerReport>(
+      [&] { return DecodeWorkerReport("i", aText); });
+  });
+  Damage(kJobText, [](std::string_view aText) {
+    (void)Decode("POST", "/x/5c0e7a21d94b36f8", aText);
+  });
+  Damage(kListingText, [](std::string_view aText) {
+    HttpReply reply = MakeReply(200, kJsonType, std::string(aText));
+    (void)ToExpected<WorkerReply>(
+      [&] { return DecodeWorkerReply(RenewLease{}, reply); });
+  });
+}
+
+TEST_CASE("rows of a cell survive their encoding, damaged ones are refused")
+{
+  StoredJob job;
+  job.mId = "j";
+  job.mQueue = "q";
+  job.mAcceptedTerm = 3;
+  job.mSubmitted = { 12345 };
+  job.mSpec.mWork = "w";
+  StepSpec step;
+  step.mTasks = 7;
+  step.mPerTask = { 1500, 2000, 1 };
+  step.mEstimate = 250ms;
+  step.mGang = true;
+  step.mFills = true;
+  step.mRequiredLabel = "l";
+  step.mPreferredRack = "r";
+  step.mMostPerWorker = 2;
+  step.mTailTarget = 30ms;
+  step.mMayMiss = 1;
+  job.mSpec.mSteps = { step };
+  std::string bytes = EncodeStoredJob(job);
+  auto read =
+    ToExpected<StoredJob>([&] { return DecodeStoredJob("j", bytes); });
+  REQUIRE(Ok(read));
+  CHECK(std::get<StoredJob>(read).mSpec == job.mSpec);
+  StoredProgress progress;
+  progress.mPhase = JobPhase::Running;
+  progress.mQueue = "q";
+  progress.mTasks = { { 0, 1, 2, true, { 4, 1004 }, "c" } };
+  std::string far = EncodeProgress(progress);
+  auto back = ToExpected<StoredProgress>([&] { return DecodeProgress(far); });
+  REQUIRE(Ok(back));
+  CHECK(std::get<StoredProgress>(back).mTasks == progress.mTasks);
+  Damage(bytes, [](std::string_view aText) {
+    (void)ToExpected<StoredJob>([&] { return DecodeStoredJob("j", aText); });
+  });
+  Damage(far, [](std::string_view aText) {
+    (void)ToExpected<StoredProgress>([&] { return DecodeProgress(aText); });
+  });
+}
+
+TEST_CASE("calls and answers between nodes survive the wire")
+{
+  RelayedCall call{ "p", CancelJob{ "q", "5c0e7a21d94b36f8" }, 900ms };
+  Json json = RelayedCallToJson(call);
+  auto read =
+    ToExpected<RelayedCall>([&] { return RelayedCallFromJson(json); });
+  REQUIRE(Ok(read));
+  CHECK(std::get<CancelJob>(std::get<RelayedCall>(read).mCall).mId ==
+        "5c0e7a21d94b36f8");
+  std::vector<OwnerReply> replies = { JobAccepted{},
+                                      JobRefused{ 2s },
+                                      JobPhaseIs{ JobPhase::Failed },
+                                      JobCancelled{},
+                                      JobUnknown{},
+                                      WaitingCount{ 3 },
+                                      QueueUnknown{},
+                                      CallUnavailable{ 1s },
+                                      CallUnsettled{},
+                                      OwnerReply(NotOwner{}) };
+  for (const OwnerReply& reply : replies) {
+    Json text = OwnerReplyToJson(reply);
+    auto back =
+      ToExpected<OwnerReply>([&] { return OwnerReplyFromJson(text); });
+    REQUIRE(Ok(back));
+    CHECK(std::get<OwnerReply>(back).index() == reply.index());
+  }
+  FleetSync sync{ "p", 9, { "w" }, { { "v", 17 } } };
+  auto held = ToExpected<FleetSync>(
+    [&] { return FleetSyncFromJson(FleetSyncToJson(sync)); });
+  REQUIRE(Ok(held));
+  CHECK(std::get<FleetSync>(held).mEnded.at("v") == 17);
+}
+
+TEST_CASE("settings of an entry VM are checked")
+{
+  Json settings{ { "node", "n" },
+                 { "data_centre", "d" },
+                 { "callers", "127.0.0.1:1" },
+                 { "peers", "127.0.0.1:2" },
+                 { "platform", "127.0.0.1:3" },
+                 { "workload",
+                   { { "ready", "127.0.0.1:4" },
+                     { "metrics", "127.0.0.1:5" },
+                     { "duty_lease_ms", 3000 },
+                     { "move_s", 1.5 } } } };
+  auto read =
+    ToExpected<Settings>([&] { return SettingsFromJson("f.json", settings); });
+  REQUIRE(Ok(read));
+  CHECK(std::get<Settings>(read).mWorkload->mDutyLease == 3s);
+  settings["workload"]["ready"] = "nowhere";
+  auto bad =
+    ToExpected<Settings>([&] { return SettingsFromJson("f.json", settings); });
+  CHECK(std::get<ConfigFailure>(std::get<Failure>(bad)).mPointer ==
+        "/workload/ready");
+  settings["workload"]["redy"] = 1;
+  auto unknown =
+    ToExpected<Settings>([&] { return SettingsFromJson("f.json", settings); });
+  CHECK_FALSE(Ok(unknown));
+}
