Let a worker that an order ended hold nothing up; mend four faults of the cell

Found by reading on the way: a renewal used the worker's record after the cell had forgotten it; a task could start where an earlier run of it was being stopped, which counted its room twice; jobs of a queue that was sent to another pool no longer started.

Test: 'a worker of an earlier owner that an order ended holds nothing up'.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -13,8 +13,6 @@
 constexpr double kClockDrift = 0.02;
 /// Allowance for answers that were read late.
 constexpr Duration kLeaseSlack = std::chrono::milliseconds(200);
-/// Missed answers after which a worker gets nothing new.
-constexpr int kMissesUntilSuspect = 2;
 /// A start that several workers failed says nothing about them; a worker that
 /// failed this many jobs in a row is left alone for a while.
 constexpr int kFailuresUntilAvoided = 3;
@@ -25,8 +23,6 @@
 constexpr Duration kRestartPause = std::chrono::milliseconds(100);
 /// First attempts remembered for jobs that were turned away.
 constexpr std::size_t kMostTurnedAway = 20'000;
-/// Run numbers of a term, for one task: later terms use higher ones.
-constexpr std::uint64_t kRunsPerTerm = 1000;
 /// Weight of a new observation in a mean.
 constexpr double kLearningRate = 0.005;
 /// Ended runs before their mean is believed.
@@ -453,9 +449,9 @@
 void
 Cell::LoseRun(CellWorker& aWorker, const TaskId& aTask)
 {
-  TaskId task = aTask;
-  ReleaseRun(aWorker, task);
-  TaskGone(task, aWorker.mReport.mId);
+  // The task may be named by the entry that goes last.
+  TaskGone(aTask, aWorker.mReport.mId);
+  ReleaseRun(aWorker, aTask);
 }
 
 // The task's active run is surely over without an end that counts.
@@ -847,7 +843,11 @@
 Cell::EndWorker(std::string_view aWorker, std::int64_t aBorn, TimePoint aNow)
 {
   CellWorker* worker = FindWorker(aWorker);
-  if (worker == nullptr || worker->mEnded || worker->mBorn != aBorn) {
+  // A worker that an earlier owner used and that isn't listed has no known
+  // life; the one that was ended is the last it had.
+  bool matches = worker != nullptr && !worker->mEnded &&
+                 (worker->mBorn == aBorn || worker->mBorn == 0);
+  if (!matches) {
     return false;
   }
   worker->mEnded = true;
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -18,6 +18,10 @@
 
 namespace buckthornshunt {
 
+/// Missed answers after which a worker gets nothing new: one may be a
+/// connection that was reset.
+constexpr int kMissesUntilSuspect = 2;
+
 /// Times of the platform that a cell plans with.
 struct CellTimes
 {
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-constexpr int kMissesUntilSuspect = 2;
+/// Run numbers of a term, for one task: later terms use higher ones.
 constexpr std::uint64_t kRunsPerTerm = 1000;
 /// A stop without an answer is sent again after this time.
 constexpr Duration kStopAgain = std::chrono::milliseconds(700);
@@ -156,8 +156,10 @@
   for (const std::string& id : mLive) {
     CellJob& job = mJobs.find(id)->second;
     const QueueConfig* queue = QueueOf(job);
-    bool ready = job.mStored && queue != nullptr && queue->mPool == mPool &&
-                 (settled || !job.mInherited);
+    // A job stays in the cell that accepted it, wherever its queue sends new
+    // jobs now.
+    bool ready =
+      job.mStored && queue != nullptr && (settled || !job.mInherited);
     if (!ready) {
       continue;
     }
@@ -316,18 +318,18 @@
     }
     need.mAvoid = task.mFailedOn;
     need.mPreferredRack = rack;
+    TaskId id{ job.mId, aCandidate.mOccurrence, aCandidate.mStep, i };
     std::vector<bool> closed;
-    if (advised) {
-      for (WorkerRoom& room : aRooms) {
-        closed.push_back(room.mClosed);
-        room.mClosed = room.mClosed || !step.mTickets.contains(room.mId);
-      }
+    for (WorkerRoom& room : aRooms) {
+      closed.push_back(room.mClosed);
+      bool barred = advised && !step.mTickets.contains(room.mId);
+      // An earlier run of the task that is being stopped there.
+      bool occupied = FindWorker(room.mId)->mRuns.contains(id);
+      room.mClosed = room.mClosed || barred || occupied;
     }
     std::optional<std::size_t> at = PickWorker(aRooms, need);
-    if (advised) {
-      for (std::size_t w = 0; w < aRooms.size(); ++w) {
-        aRooms[w].mClosed = closed[w];
-      }
+    for (std::size_t w = 0; w < aRooms.size(); ++w) {
+      aRooms[w].mClosed = closed[w];
     }
     if (!at) {
       whole = false;
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -24,12 +24,6 @@
 /// Reports older than this aren't planned with.
 constexpr Duration kReportValid = std::chrono::seconds(2);
 
-double
-CoresOf(const PoolVm& aVm)
-{
-  return static_cast<double>(aVm.mCapacity.mCpuMillis) / kMillisPerCore;
-}
-
 /// Collects the changes and keeps count of what they leave.
 class Planner
 {
@@ -327,6 +321,12 @@
 
 } // namespace
 
+double
+CoresOf(const PoolVm& aVm)
+{
+  return static_cast<double>(aVm.mCapacity.mCpuMillis) / kMillisPerCore;
+}
+
 double
 NeededCores(const PoolUse& aUse)
 {
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -94,6 +94,9 @@
   std::vector<std::uint64_t> mCompleted;
 };
 
+double
+CoresOf(const PoolVm& aVm);
+
 /// Cores that a pool surely needs for what callers ask for; below this it
 /// takes VMs in. A single large job is no demand.
 double
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -36,7 +36,7 @@
 } // namespace
 
 CellRuntime::CellRuntime(Kernel& aKernel,
-                         CellPorts aPorts,
+                         const CellPorts& aPorts,
                          DirectoryService& aDirectory,
                          std::string_view aPool,
                          CellTimes aTimes,
@@ -425,12 +425,12 @@
 Task<bool>
 CellRuntime::RenewOnce(const std::string& aWorker)
 {
-  const CellWorker& worker = mCell->WorkersNow().find(aWorker)->second;
-  WorkerAddress address{ aWorker, worker.mReport.mEndpoint };
+  const CellWorker& asked = mCell->WorkersNow().find(aWorker)->second;
+  WorkerAddress address{ aWorker, asked.mReport.mEndpoint };
+  bool firstContact = !asked.mContacted;
   TimePoint sent = mClock.Now();
   RenewLease renewal = mCell->NextRenewal(aWorker, kRenewalWait, sent);
   TimePoint due = sent + renewal.mWait + kRenewalGrace;
-  bool firstContact = !worker.mContacted;
   auto reply =
     co_await CallWorker(*mPorts.mWorkers, std::move(address), renewal, due);
   TimePoint now = mClock.Now();
@@ -462,9 +462,12 @@
     co_return false;
   }
   const auto* listing = std::get_if<WorkerListing>(&held);
-  if (listing == nullptr) {
+  // The cell may have forgotten the worker meanwhile.
+  auto known = mCell->WorkersNow().find(aWorker);
+  if (listing == nullptr || known == mCell->WorkersNow().end()) {
     co_return false;
   }
+  const CellWorker& worker = known->second;
   if (firstContact) {
     LogInfo(kPart,
             "contact worker={} pool={} born={} present={} ended={}",
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -42,7 +42,7 @@
 {
 public:
   CellRuntime(Kernel& aKernel,
-              CellPorts aPorts,
+              const CellPorts& aPorts,
               DirectoryService& aDirectory,
               std::string_view aPool,
               CellTimes aTimes,
--- a/src/services/cell_service.cpp
+++ b/src/services/cell_service.cpp
@@ -25,7 +25,7 @@
 
 CellService::CellService(Kernel& aKernel, CellPorts aPorts, CellTimes aTimes)
   : mKernel(aKernel)
-  , mPorts(aPorts)
+  , mPorts(std::move(aPorts))
   , mTimes(aTimes)
   , mTasks(aKernel.Context(), &aKernel.Groups())
 {
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -363,7 +363,7 @@
     if (intent.mToPool == aPool) {
       for (const PoolVm& at : mView.mVms) {
         bool coming = at.mVm == vm && (at.mPool != aPool || !at.mUp);
-        sync.mIncomingCores += coming ? at.mCapacity.mCpuMillis / 1000.0 : 0;
+        sync.mIncomingCores += coming ? CoresOf(at) : 0;
       }
     }
     if (intent.mWorker.empty()) {
@@ -495,13 +495,14 @@
 }
 
 void
-FleetService::ApplyPlan(FleetPlanChange aChange)
+FleetService::ApplyPlan(const FleetPlanChange& aChange)
 {
   for (const std::string& vm : aChange.mDrop) {
     LogInfo(kPart, "vm={} intent dropped", vm);
     mView.mIntents.erase(vm);
   }
-  for (auto& [vm, intent] : aChange.mBegin) {
+  for (const auto& [vm, planned] : aChange.mBegin) {
+    FleetIntent intent = planned;
     intent.mBorn = mDirectory->BornOf(intent.mWorker);
     LogInfo(kPart,
             "vm={} worker={} intent to={} wave={}",
--- a/src/services/fleet_service.h
+++ b/src/services/fleet_service.h
@@ -57,7 +57,7 @@
   Task<bool> Record();
   Task<Json> OnSync(Json aBody, TimePoint aDeadline);
   void ReviewConfirmed();
-  void ApplyPlan(FleetPlanChange aChange);
+  void ApplyPlan(const FleetPlanChange& aChange);
   void FollowWaves();
   void LogView();
   FleetSync SyncFor(std::string_view aPool) const;
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -255,6 +255,18 @@
   CHECK(std::get<StartRun>(orders[0].mCall).mTask.mStep == 1);
 }
 
+TEST_CASE("a worker of an earlier owner that an order ended holds nothing up")
+{
+  OneWorker world;
+  std::vector<WorkerAddress> inherited = { { "gone", { "127.0.0.1", 9 } } };
+  world.mCell.RestoreWorkers(inherited, world.mNow);
+  StoredJob stored{ "a", "q", ChainOf({ 1 }), 1, {} };
+  world.mCell.Restore(RestoreJob(stored, {}), world.mNow, {});
+  CHECK(world.Plan().empty());
+  CHECK(world.mCell.EndWorker("gone", 77, world.mNow));
+  CHECK(world.Plan().size() == 1);
+}
+
 TEST_CASE("a run that was given up and failed after a later one counts too")
 {
   OneWorker world;
