Leave room to tasks that last in a full pool

Change: the worker with most room is closed to others until such a task fits. Silent workers are asked less often.

Test: 'a task that lasts gets room on a worker full of shorter tasks'.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -307,6 +307,8 @@
                  std::vector<WorkerRoom>& aRooms,
                  TimePoint aNow,
                  std::vector<CellOrder>& aOrders);
+  static void ReserveRoom(const Candidate& aCandidate,
+                          std::vector<WorkerRoom>& aRooms);
   std::vector<WorkerRoom> Rooms(TimePoint aNow) const;
   bool Usable(const CellWorker& aWorker, TimePoint aNow) const;
   void StartTask(CellWorker& aWorker,
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -208,6 +208,9 @@
   for (const Candidate& candidate : candidates) {
     bool whole = PlaceStep(candidate, rooms, aNow, aOrders);
     misfits += whole ? 0 : 1;
+    if (!whole && candidate.mUrgency == Urgency::Lasting) {
+      ReserveRoom(candidate, rooms);
+    }
     if (misfits > kMostMisfits) {
       return;
     }
@@ -259,6 +262,32 @@
   aOrders.push_back({ aWorker.mReport.mId, std::move(start) });
 }
 
+// Short tasks would take each piece of room as it comes free, so that a larger
+// task that lasts never found enough on one worker while the pool is full. The
+// worker with most room is left to it until it fits.
+void
+Cell::ReserveRoom(const Candidate& aCandidate, std::vector<WorkerRoom>& aRooms)
+{
+  const StepSpec& spec = aCandidate.mJob->mSpec.mSteps[aCandidate.mStep];
+  TaskNeed need;
+  need.mResources = ReservedBy(spec);
+  need.mRequiredLabel = spec.mRequiredLabel;
+  WorkerRoom* best = nullptr;
+  for (WorkerRoom& room : aRooms) {
+    bool full = spec.mMostPerWorker > 0 && room.mOfStep >= spec.mMostPerWorker;
+    bool fits = CouldEverRun(std::span<const WorkerRoom>(&room, 1), need);
+    bool better =
+      best == nullptr || room.mCapacity.mCpuMillis - room.mUsed.mCpuMillis >
+                           best->mCapacity.mCpuMillis - best->mUsed.mCpuMillis;
+    if (!room.mClosed && !full && fits && better) {
+      best = &room;
+    }
+  }
+  if (best != nullptr) {
+    best->mClosed = true;
+  }
+}
+
 // Places the idle tasks of a step; true if all of them found room. A gang is
 // placed whole or not at all.
 bool
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -28,6 +28,7 @@
 /// Least time between two renewals at a worker: bounds the looks at it.
 constexpr Duration kRenewalGap = std::chrono::milliseconds(60);
 constexpr Duration kRenewalRetry = std::chrono::milliseconds(250);
+constexpr int kMostRetryPauses = 4;
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(800);
 /// Orders to one worker that are under way at the same time.
 constexpr int kMostLanes = 4;
@@ -414,7 +415,7 @@
     TimePoint began = mClock.Now();
     bool answered = co_await RenewOnce(aWorker);
     TimePoint next =
-      answered ? began + kRenewalGap : mClock.Now() + kRenewalRetry;
+      answered ? began + kRenewalGap : mClock.Now() + RetryPause(aWorker);
     if (mClock.Now() < next) {
       co_await mClock.SleepUntil(next);
     }
@@ -422,6 +423,16 @@
   mLanes[aWorker].mAttended = false;
 }
 
+// A worker that is gone stays in the directory for some seconds; it is asked
+// less often the longer it doesn't answer.
+Duration
+CellRuntime::RetryPause(std::string_view aWorker) const
+{
+  auto it = mCell->WorkersNow().find(aWorker);
+  int missed = it == mCell->WorkersNow().end() ? 1 : it->second.mMissed;
+  return kRenewalRetry * std::clamp(missed, 1, kMostRetryPauses);
+}
+
 Task<bool>
 CellRuntime::RenewOnce(const std::string& aWorker)
 {
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -96,6 +96,7 @@
   CommitIf MakeCommit(const CellChanges& aChanges) const;
   Task<void> Attend(std::string aWorker);
   Task<bool> RenewOnce(const std::string& aWorker);
+  Duration RetryPause(std::string_view aWorker) const;
   Task<void> RunLane(std::string aWorker);
   Task<void> Advise(AdviceRequest aRequest);
   void Dispatch(std::vector<CellOrder> aOrders);
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -352,6 +352,32 @@
   CHECK(world.PlanAndAnswer().empty());
 }
 
+TEST_CASE("a task that lasts gets room on a worker full of shorter tasks")
+{
+  OneWorker world;
+  JobSpec filler = ChainOf({ 15 }, 10ms);
+  filler.mSteps[0].mPerTask = { 2000, 100, 0 };
+  world.Submit("a", filler);
+  std::vector<CellOrder> started = world.PlanAndAnswer();
+  REQUIRE(started.size() == 15);
+  JobSpec lasting = ChainOf({ 1 });
+  lasting.mSteps[0].mLongRunning = true;
+  lasting.mSteps[0].mPerTask = { 4000, 100, 0 };
+  world.Submit("b", lasting);
+  world.Submit("c", ChainOf({ 1 }, 10ms));
+  // One core pair is free: too little for the task that lasts, and the other
+  // job must not take it.
+  CHECK(world.PlanAndAnswer().empty());
+  std::vector<PresentRun> present;
+  for (std::uint32_t i = 1; i < 15; ++i) {
+    present.push_back({ { "a", 0, 0, i }, 1, "", 100, std::nullopt });
+  }
+  world.List(present, { DoneEnd(1, 0) });
+  std::vector<CellOrder> orders = world.PlanAndAnswer();
+  REQUIRE(orders.size() == 1);
+  CHECK(std::get<StartRun>(orders[0].mCall).mTask.mJob == "b");
+}
+
 TEST_CASE("tasks on a silent worker count as missed")
 {
   OneWorker world;
