Take a worker that answers for present, whatever order was confirmed

Cause: the platform also confirms an order that was carried out before, for an earlier owner of the fleet.

Change: a cell never ends a worker that answers; the fleet tells of an ended worker only when a later list shows that it is gone.

Test: 'an order for a VM ends only the life that it was given for' now asks first that an answering worker stays, which failed before.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -845,7 +845,11 @@
   CellWorker* worker = FindWorker(aWorker);
   // A worker that an earlier owner used and that isn't listed has no known
   // life; the one that was ended is the last it had.
-  bool matches = worker != nullptr && !worker->mEnded &&
+  // One that answers is there: the platform also confirms an order that was
+  // carried out before this life began.
+  bool answers =
+    worker != nullptr && worker->mContacted && worker->mMissed == 0;
+  bool matches = worker != nullptr && !answers && !worker->mEnded &&
                  (worker->mBorn == aBorn || worker->mBorn == 0);
   if (!matches) {
     return false;
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -371,13 +371,26 @@
     }
     if (!intent.mConfirmed) {
       sync.mSealed.push_back(intent.mWorker);
-    } else if (intent.mBorn != 0) {
+    } else if (intent.mBorn != 0 && SeenGone(vm, intent)) {
       sync.mEnded.emplace(intent.mWorker, intent.mBorn);
     }
   }
   return sync;
 }
 
+// A confirmed order may have been carried out long before, for an earlier
+// owner; only a later list shows that the worker is gone.
+bool
+FleetService::SeenGone(std::string_view aVm, const FleetIntent& aIntent) const
+{
+  auto it = std::find_if(mView.mVms.begin(),
+                         mView.mVms.end(),
+                         [&](const PoolVm& aAt) { return aAt.mVm == aVm; });
+  bool there =
+    it != mView.mVms.end() && it->mUp && it->mWorker == aIntent.mWorker;
+  return mListedAt > aIntent.mConfirmedAt && !there;
+}
+
 Task<void>
 FleetService::SyncLoop(std::string aPool)
 {
--- a/src/services/fleet_service.h
+++ b/src/services/fleet_service.h
@@ -61,6 +61,7 @@
   void FollowWaves();
   void LogView();
   FleetSync SyncFor(std::string_view aPool) const;
+  bool SeenGone(std::string_view aVm, const FleetIntent& aIntent) const;
   bool MayOrder(std::string_view aVm, const FleetIntent& aIntent) const;
 
   Kernel& mKernel;
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -287,6 +287,9 @@
   OneWorker world;
   world.Submit("a", ChainOf({ 1 }));
   REQUIRE(world.PlanAndAnswer().size() == 1);
+  // A worker that answers is there, whatever was confirmed.
+  CHECK_FALSE(world.mCell.EndWorker("w", 5, world.mNow));
+  world.mCell.OnNoAnswer("w", world.mNow);
   CHECK_FALSE(world.mCell.EndWorker("w", 4, world.mNow));
   CHECK(world.Plan().empty());
   CHECK(world.mCell.EndWorker("w", 5, world.mNow));
