Ask a silent worker until it answers; check that the explored jobs end

Cause: a worker that missed two answers and whose runs had lapsed needed no renewal any more, so it was never asked again and stayed unusable until it was reborn. Found by a check that was missing: the exploration didn't ask whether every stored job ends, or whether one that lasts runs.

Change: a worker with a missed answer needs a renewal. The exploration settles without faults at its end and checks that jobs end, tasks that last run, and none is ordered after its job's stored cancel. Two tests could not fail for what their names say and now can: 'an end that is listed again counts once', 'tasks on a silent worker count as missed'.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -370,7 +370,8 @@
   if (worker.mEnded) {
     return false;
   }
-  return !worker.mRuns.empty() || !worker.mContacted ||
+  // A silent worker is asked until it answers; only then is it used again.
+  return !worker.mRuns.empty() || !worker.mContacted || worker.mMissed > 0 ||
          worker.mSeenEnds > worker.mCommittedEnds;
 }
 
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -24,6 +24,10 @@
 {
   CellWorld world(aSeed, aFaults, 4);
   world.Run(500ms);
+  JobSpec lasting = ChainOf({ 3 });
+  lasting.mSteps[0].mLongRunning = true;
+  lasting.mSteps[0].mMostPerWorker = 1;
+  world.Submit("lasting", lasting);
   for (int i = 0; i < 20; ++i) {
     std::string id = "job" + std::to_string(i);
     world.Submit(id, ChainOf({ 3, 2 }));
@@ -33,7 +37,7 @@
     }
     world.Run(1s);
   }
-  world.Run(40s);
+  world.Settle(40s);
   CheckWorld(world);
   CHECK(world.Starts() > 0);
 }
@@ -214,7 +218,7 @@
 TEST_CASE("an end that is listed again counts once")
 {
   OneWorker world;
-  world.Submit("a", ChainOf({ 1, 1, 1 }));
+  world.Submit("a", ChainOf({ 1, 1 }));
   world.PlanAndAnswer();
   world.List({}, { DoneEnd(1, 0) });
   EndedRun again = DoneEnd(2, 0);
@@ -355,6 +359,25 @@
   CHECK(world.PlanAndAnswer().empty());
 }
 
+TEST_CASE("a worker that was silent and holds nothing is asked again")
+{
+  OneWorker world;
+  CHECK_FALSE(world.mCell.NeedsRenewal("w"));
+  world.Submit("a", ChainOf({ 1 }));
+  world.mCell.OnNoAnswer("w", world.mNow);
+  world.mCell.OnNoAnswer("w", world.mNow);
+  CHECK(world.mCell.NeedsRenewal("w"));
+  CHECK(world.Plan().empty());
+  world.List({}, {});
+  CHECK(world.Plan().size() == 1);
+}
+
+TEST_CASE("every job ends though workers were cut off, seed 1245")
+{
+  // A worker that lost its runs while it was silent was never asked again.
+  Explore(1245, { .mWorkerCut = 0.002 });
+}
+
 TEST_CASE("a task that lasts gets room on a worker full of shorter tasks")
 {
   OneWorker world;
@@ -402,6 +425,12 @@
     world.mCell.OnOrder(
       order.mWorker, order.mCall, WorkerReply(OrderDone{ 1 }), world.mNow);
   }
+  std::uint32_t there = orders[0].mWorker == "v"
+                          ? std::get<StartRun>(orders[0].mCall).mTask.mIndex
+                          : std::get<StartRun>(orders[1].mCall).mTask.mIndex;
+  world.mNow += 10ms;
+  empty.mPresent.push_back({ { "a", 0, 0, there }, 1, "", 100, std::nullopt });
+  world.mCell.OnListing("v", empty, world.mNow, world.mNow);
   world.mCell.OnNoAnswer("v", world.mNow);
   std::uint32_t here = orders[0].mWorker == "w"
                          ? std::get<StartRun>(orders[0].mCall).mTask.mIndex
--- a/tests/cell_world.cpp
+++ b/tests/cell_world.cpp
@@ -97,6 +97,29 @@
   }
 }
 
+void
+CellWorld::Settle(Duration aFor)
+{
+  mFaults = WorldFaults{ .mTaskFails = 0 };
+  Run(aFor);
+  for (const auto& [id, job] : mJobRows) {
+    for (std::uint32_t s = 0; s < job.mSpec.mSteps.size(); ++s) {
+      for (std::uint32_t i = 0; i < job.mSpec.mSteps[s].mTasks; ++i) {
+        TaskId task{ id, 0, s, i };
+        auto runs =
+          std::count_if(mWorkers.begin(), mWorkers.end(), [&](const auto& aAt) {
+            return aAt.mRuns.contains(task);
+          });
+        if (!job.mSpec.mSteps[s].mLongRunning) {
+          Violate(id + " has not ended");
+        } else if (runs != 1) {
+          Violate(ToString(task) + " should last and doesn't run");
+        }
+      }
+    }
+  }
+}
+
 void
 CellWorld::Step()
 {
@@ -143,7 +166,6 @@
   aWorker.mUsed = {};
   aWorker.mFence = 0;
   aWorker.mNextEnd = 1;
-  aWorker.mAcknowledged = 0;
   aWorker.mLeaseEnd = 0;
   aWorker.mClock = {};
   aWorker.mAlive = false;
@@ -343,6 +365,14 @@
   std::weak_ptr<Cell> owner = mOwner;
   std::string id = aOrder.mWorker;
   WorkerCall call = std::move(aOrder.mCall);
+  if (const auto* start = std::get_if<StartRun>(&call)) {
+    auto progress = mProgressRows.find(start->mTask.mJob);
+    bool cancelled = progress != mProgressRows.end() &&
+                     progress->second.mPhase == JobPhase::Cancelled;
+    if (cancelled) {
+      Violate(ToString(start->mTask) + " is ordered after its cancel");
+    }
+  }
   bool lost = Chance(mFaults.mLostAnswer);
   bool late = Chance(mFaults.mLateOrder);
   // An order that a worker holds back ends with the worker's life.
--- a/tests/cell_world.h
+++ b/tests/cell_world.h
@@ -37,7 +37,6 @@
   std::map<TaskId, std::uint64_t> mClosed;
   std::vector<EndedRun> mEnded;
   std::uint64_t mNextEnd = 1;
-  std::uint64_t mAcknowledged = 0;
 };
 
 /// Chances of each fault in a step of the world, in parts of one.
@@ -54,8 +53,8 @@
 
 /// A cell, its workers and its rows in simulated time. Checks after each step
 /// that no task runs twice, none starts before what it waits for, none after
-/// too many failures, and that a job is recorded as completed only when every
-/// task has ended so.
+/// too many failures or after its job's cancel was stored, and that a job is
+/// recorded as completed only when every task has ended so.
 class CellWorld
 {
 public:
@@ -67,6 +66,10 @@
   /// Moves time on, 10 ms at a time.
   void Run(Duration aFor);
 
+  /// Ends all faults, lets the world go on, and checks that every stored job
+  /// has ended, or runs whole if it lasts.
+  void Settle(Duration aFor);
+
   /// Replaces the owner by one that knows only the committed rows.
   void ChangeOwner();
 
@@ -80,11 +83,6 @@
   WorkloadConfig mConfig;
 
 private:
-  struct Event
-  {
-    TimePoint mAt;
-    std::function<void()> mCall;
-  };
   using OwnerPtr = std::shared_ptr<Cell>;
 
   void At(Duration aIn, std::function<void()> aCall);
