Take a worker for gone when another answers at its address

Cause: the missed answers that such a worker was given were reset by the code for a new life, so what was unclear there was never freed (LOST for tasks that last), its renewals went on four times a second and its stop every 6 ms.

Change: the life ends, with everything on it, at the first such answer to a renewal or an order; a stop that fails is sent again after its pause.

Tests, each failing before: 'another worker at the address frees what the earlier one held', 'an order that another worker answers shows that its worker is gone', 'a stop that fails is not sent again at once'.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -826,15 +826,25 @@
   }
 }
 
+// The address belongs to another worker, so the earlier one has ended.
 void
 Cell::OnOtherLife(std::string_view aWorker, TimePoint aNow)
 {
   if (CellWorker* worker = FindWorker(aWorker)) {
-    // The address belongs to another worker now, so this one is gone.
-    worker->mMissed = kMissesUntilSuspect;
-    worker->mListed = false;
-    StartNewLife(*worker, aNow);
-    worker->mLeaseOver = aNow;
+    EndLife(*worker, aNow);
+  }
+}
+
+// Everything that the life held is gone, orders that it held back as well.
+void
+Cell::EndLife(CellWorker& aWorker, TimePoint aNow)
+{
+  aWorker.mEnded = true;
+  aWorker.mListed = false;
+  aWorker.mInherited = false;
+  aWorker.mLeaseOver = aNow;
+  while (!aWorker.mRuns.empty()) {
+    LoseRun(aWorker, aWorker.mRuns.begin()->first);
   }
 }
 
@@ -855,13 +865,7 @@
   if (!matches) {
     return false;
   }
-  worker->mEnded = true;
-  worker->mListed = false;
-  worker->mInherited = false;
-  worker->mLeaseOver = aNow;
-  while (!worker->mRuns.empty()) {
-    LoseRun(*worker, worker->mRuns.begin()->first);
-  }
+  EndLife(*worker, aNow);
   return true;
 }
 
@@ -896,11 +900,14 @@
     mFenced = true;
     return;
   }
+  if (reply != nullptr && std::holds_alternative<OtherWorker>(*reply)) {
+    EndLife(*worker, aNow);
+    return;
+  }
   if (stop != nullptr) {
-    run.mStopSent = false;
+    // One that fails is due again after a pause.
     if (done || refused != nullptr) {
       run.mStoppedAt = aNow;
-      run.mStopSent = true;
     }
     return;
   }
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -274,6 +274,7 @@
   /// The occurrence's record; null if it is done or doesn't exist.
   OccurrenceRecord* OpenOccurrence(CellJob& aJob, std::uint32_t aNumber);
   void StartNewLife(CellWorker& aWorker, TimePoint aNow);
+  void EndLife(CellWorker& aWorker, TimePoint aNow);
   void ReleaseRun(CellWorker& aWorker, const TaskId& aTask);
   void LoseRun(CellWorker& aWorker, const TaskId& aTask);
   void TaskGone(const TaskId& aTask, std::string_view aWorker);
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -359,6 +359,46 @@
   CHECK(world.PlanAndAnswer().empty());
 }
 
+TEST_CASE("another worker at the address frees what the earlier one held")
+{
+  OneWorker world;
+  world.Submit("a", ChainOf({ 1 }));
+  std::vector<CellOrder> orders = world.Plan();
+  REQUIRE(orders.size() == 1);
+  world.mCell.OnOrder(
+    "w", orders[0].mCall, Failure(TimeoutFailure{}), world.mNow);
+  world.mCell.OnOtherLife("w", world.mNow);
+  CHECK(world.mCell.WorkersNow().find("w")->second.mRuns.empty());
+  CHECK_FALSE(world.mCell.NeedsRenewal("w"));
+  CHECK(world.Plan().empty());
+}
+
+TEST_CASE("an order that another worker answers shows that its worker is gone")
+{
+  OneWorker world;
+  world.Submit("a", ChainOf({ 1 }));
+  std::vector<CellOrder> orders = world.Plan();
+  REQUIRE(orders.size() == 1);
+  world.mCell.OnOrder(
+    "w", orders[0].mCall, WorkerReply(OtherWorker{}), world.mNow);
+  CHECK(world.mCell.WorkersNow().find("w")->second.mRuns.empty());
+}
+
+TEST_CASE("a stop that fails is not sent again at once")
+{
+  OneWorker world;
+  world.Submit("a", ChainOf({ 1 }));
+  REQUIRE(world.PlanAndAnswer().size() == 1);
+  world.mCell.Cancel("a", world.mNow);
+  std::vector<CellOrder> orders = world.Plan();
+  REQUIRE(orders.size() == 1);
+  world.mCell.OnOrder(
+    "w", orders[0].mCall, Failure(ConnectionLost{}), world.mNow);
+  CHECK(world.Plan().empty());
+  world.mNow += 1s;
+  CHECK(world.Plan().size() == 1);
+}
+
 TEST_CASE("a worker that was silent and holds nothing is asked again")
 {
   OneWorker world;
