Make a new owner wait only for workers that may still run something

Change: an idle worker that left is forgotten at once; a release names only workers with runs or of unknown state; a worker that is said to be gone is asked before that is believed; nothing is evacuated that can't start yet.

Tests, each failing before: the four in the diff of tests/cell_test.cpp.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -344,8 +344,9 @@
   }
   std::erase_if(mWorkers, [&](const auto& aEntry) {
     const CellWorker& worker = aEntry.second;
-    bool gone = !worker.mListed && worker.mRuns.empty() &&
-                aNow > worker.mLeaseOver + kLeaseSlack;
+    // What an earlier owner started there isn't known before its lease is over.
+    bool unknown = worker.mInherited && aNow <= worker.mLeaseOver;
+    bool gone = !worker.mListed && worker.mRuns.empty() && !unknown;
     mWorkersDirty = mWorkersDirty || (gone && worker.mDurable);
     return gone;
   });
@@ -372,7 +373,7 @@
   }
   // A silent worker is asked until it answers; only then is it used again.
   return !worker.mRuns.empty() || !worker.mContacted || worker.mMissed > 0 ||
-         worker.mSeenEnds > worker.mCommittedEnds;
+         worker.mDoubted || worker.mSeenEnds > worker.mCommittedEnds;
 }
 
 // The end of the lease is told on the worker's clock, which is only known as
@@ -799,6 +800,7 @@
   worker->mClockAt = aNow;
   worker->mLastAnswer = aNow;
   worker->mMissed = 0;
+  worker->mDoubted = false;
   worker->mContacted = true;
   worker->mInherited = false;
   if (!worker->mDurable) {
@@ -858,8 +860,12 @@
   // life; the one that was ended is the last it had.
   // One that answers is there: the platform also confirms an order that was
   // carried out before this life began.
+  // It is asked once more, as an idle worker may not have been for long.
   bool answers =
     worker != nullptr && worker->mContacted && worker->mMissed == 0;
+  if (answers && worker->mBorn == aBorn) {
+    worker->mDoubted = true;
+  }
   bool matches = worker != nullptr && !answers && !worker->mEnded &&
                  (worker->mBorn == aBorn || worker->mBorn == 0);
   if (!matches) {
@@ -1020,6 +1026,20 @@
   return changes;
 }
 
+CellChanges
+Cell::TakeReleaseChanges(TimePoint aNow)
+{
+  CellChanges changes = TakeChanges(aNow);
+  changes.mWorkers.emplace();
+  for (const auto& [id, worker] : mWorkers) {
+    bool unknown = worker.mInherited && aNow <= worker.mLeaseOver;
+    if (!worker.mRuns.empty() || unknown) {
+      changes.mWorkers->push_back({ id, worker.mReport.mEndpoint });
+    }
+  }
+  return changes;
+}
+
 void
 Cell::OnCommitted(const CellChanges& aChanges, TimePoint aNow)
 {
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -81,6 +81,8 @@
   bool mInherited = false;
   /// It is surely gone.
   bool mEnded = false;
+  /// It was said to be gone and hasn't been asked since.
+  bool mDoubted = false;
   std::int64_t mBorn = 0;
   std::int64_t mClock = 0;
   /// When mClock was received.
@@ -229,6 +231,9 @@
 
   // Commits.
   CellChanges TakeChanges(TimePoint aNow);
+  /// As TakeChanges, for an owner that gives no more orders: the set of workers
+  /// holds only those that may still run something.
+  CellChanges TakeReleaseChanges(TimePoint aNow);
   void OnCommitted(const CellChanges& aChanges, TimePoint aNow);
   /// A commit that surely had no effect; its changes are due again.
   void OnNotCommitted(const CellChanges& aChanges);
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -430,6 +430,7 @@
 void
 Cell::PlanEvacuation(TimePoint aNow)
 {
+  bool settled = InheritedRunsSettled(aNow);
   for (auto& [id, worker] : mWorkers) {
     bool draining = worker.mReport.mDraining && worker.mListed;
     if ((!worker.mSealed && !draining) || !worker.mContacted) {
@@ -444,11 +445,13 @@
       const StepSpec& spec = job->mSpec.mSteps[task.mStep];
       Duration ran = aNow - run.mSince;
       if (spec.mLongRunning) {
-        bool allowed =
-          draining || spec.mMayMiss == 0 ||
+        // A task of an earlier term couldn't start elsewhere yet.
+        bool movable = settled || !job->mInherited;
+        bool mayMiss =
+          spec.mMayMiss == 0 ||
           TasksAway(*job, task.mOccurrence, task.mStep, task, aNow) <
             spec.mMayMiss;
-        if (allowed) {
+        if (draining || (movable && mayMiss)) {
           StopRunOn(run, aNow);
         }
       } else if (worker.mSealed) {
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -90,7 +90,7 @@
       // The commit that was cut off may or may not have taken effect.
       mCell->OnNotCommitted(*mInFlight);
     }
-    CellChanges changes = mCell->TakeChanges(mClock.Now());
+    CellChanges changes = mCell->TakeReleaseChanges(mClock.Now());
     bool released = co_await mTenure.Commit(MakeCommit(changes), true);
     LogInfo(kPart,
             "pool={} released={} term={}",
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -359,6 +359,60 @@
   CHECK(world.PlanAndAnswer().empty());
 }
 
+TEST_CASE("a worker that is said to be gone is asked before that is believed")
+{
+  OneWorker world;
+  CHECK_FALSE(world.mCell.EndWorker("w", 5, world.mNow));
+  CHECK(world.mCell.NeedsRenewal("w"));
+  world.List({}, {});
+  CHECK_FALSE(world.mCell.NeedsRenewal("w"));
+  CHECK_FALSE(world.mCell.EndWorker("w", 5, world.mNow));
+  world.mCell.OnNoAnswer("w", world.mNow);
+  CHECK(world.mCell.EndWorker("w", 5, world.mNow));
+}
+
+TEST_CASE("a release names only workers that may still run something")
+{
+  OneWorker world;
+  CellChanges idle = world.mCell.TakeReleaseChanges(world.mNow);
+  REQUIRE(idle.mWorkers);
+  CHECK(idle.mWorkers->empty());
+  OneWorker busy;
+  busy.Submit("a", ChainOf({ 1 }));
+  busy.PlanAndAnswer();
+  CellChanges changes = busy.mCell.TakeReleaseChanges(busy.mNow);
+  REQUIRE(changes.mWorkers);
+  CHECK(changes.mWorkers->size() == 1);
+}
+
+TEST_CASE("an idle worker that left is forgotten at once")
+{
+  OneWorker world;
+  world.Submit("a", ChainOf({ 1 }));
+  world.PlanAndAnswer();
+  world.List({}, { DoneEnd(1, 0) });
+  world.Commit();
+  std::vector<WorkerReport> none;
+  world.mCell.SetWorkers(none, world.mNow);
+  CHECK(world.mCell.WorkersNow().empty());
+}
+
+TEST_CASE("nothing that lasts is moved while it could not start elsewhere")
+{
+  OneWorker world;
+  std::vector<WorkerAddress> inherited = { { "gone", { "127.0.0.1", 9 } } };
+  world.mCell.RestoreWorkers(inherited, world.mNow);
+  StoredJob stored{ "a", "q", ChainOf({ 1 }), 1, {} };
+  stored.mSpec.mSteps[0].mLongRunning = true;
+  stored.mSpec.mSteps[0].mMayMiss = 1;
+  world.mCell.Restore(RestoreJob(stored, {}), world.mNow, {});
+  world.List({ { { "a", 0, 0, 0 }, 1, "", 100, std::nullopt } }, {});
+  world.mCell.Seal("w", true);
+  CHECK(world.Plan().empty());
+  CHECK(world.mCell.EndWorker("gone", 77, world.mNow));
+  CHECK(world.Plan().size() == 1);
+}
+
 TEST_CASE("another worker at the address frees what the earlier one held")
 {
   OneWorker world;
