Split the cell by subject; drop what nothing uses

Dropped: settings that nothing read (move_s, maintenance_s, miss_notice_ms), a count of refusals, a read time and a parameter without a use.

--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -80,11 +80,6 @@
   workload.mLongestRunLease =
     Millis(aSection, "longest_run_lease_ms", workload.mLongestRunLease);
   workload.mDutyLease = Millis(aSection, "duty_lease_ms", workload.mDutyLease);
-  workload.mMoveTime = Seconds(aSection, "move_s", workload.mMoveTime);
-  workload.mMaintenanceTime =
-    Seconds(aSection, "maintenance_s", workload.mMaintenanceTime);
-  workload.mMissNotice =
-    Millis(aSection, "miss_notice_ms", workload.mMissNotice);
   return workload;
 }
 
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -25,9 +25,6 @@
   Duration mStatusKept = std::chrono::seconds(120);
   Duration mLongestRunLease = std::chrono::seconds(10);
   Duration mDutyLease = std::chrono::seconds(3);
-  Duration mMoveTime = std::chrono::milliseconds(1500);
-  Duration mMaintenanceTime = std::chrono::seconds(2);
-  Duration mMissNotice = std::chrono::milliseconds(4500);
 };
 
 /// A daemon's own settings.
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -22,6 +22,12 @@
 /// connection that was reset.
 constexpr int kMissesUntilSuspect = 2;
 
+/// A worker's clock may run this much slower or faster than ours, in parts of
+/// one; from the platform's contract.
+constexpr double kClockDrift = 0.02;
+/// Allowance for answers that were read late.
+constexpr Duration kLeaseSlack = std::chrono::milliseconds(200);
+
 /// Times of the platform that a cell plans with.
 struct CellTimes
 {
@@ -29,8 +35,6 @@
   Duration mRunLease = std::chrono::seconds(7);
   /// Time after its end for which a job's state can be asked.
   Duration mStatusKept = std::chrono::seconds(120);
-  /// A timed run starts at most this much before it is due.
-  Duration mEarly = std::chrono::milliseconds(250);
 };
 
 /// What a cell knows of a run that is, or may be, on a worker.
@@ -142,7 +146,7 @@
   Refused
 };
 
-/// What becomes of a step's advice request.
+/// A question which workers may run a step.
 struct AdviceRequest
 {
   std::string mJob;
@@ -159,8 +163,6 @@
   /// Cores that tasks which end by themselves hold, or could hold.
   double mBusyCores = 0;
   double mCapacityCores = 0;
-  /// Jobs turned away since the last summary.
-  std::uint32_t mRefused = 0;
 };
 
 /// The jobs and workers of one pool, and every decision about them. It has no
@@ -209,7 +211,7 @@
                  const WorkerListing& aListing,
                  TimePoint aSent,
                  TimePoint aNow);
-  void OnNoAnswer(std::string_view aWorker, TimePoint aNow);
+  void OnNoAnswer(std::string_view aWorker);
   void OnOtherLife(std::string_view aWorker, TimePoint aNow);
   /// The worker's life that began at aBorn is surely over; false if that was
   /// known or another life is there.
@@ -252,7 +254,6 @@
   PoolSummary Summary() const;
   /// Use of the pool, for the plan of the whole fleet.
   PoolUse Use(TimePoint aNow) const;
-  std::uint32_t TakeRefused();
 
 private:
   /// Decaying sums of what the ended runs of a queue took.
@@ -345,7 +346,6 @@
   std::map<std::string, QueueStats, std::less<>> mStats;
   /// First attempts of jobs that were turned away.
   std::map<std::string, TimePoint, std::less<>> mTurnedAway;
-  std::uint32_t mRefused = 0;
   DemandMeter mDemand;
   double mIncomingCores = 0;
 };
--- /dev/null
+++ b/src/decide/cell_runs.cpp
@@ -0,0 +1,469 @@
+#include "decide/cell.h"
+
+#include <algorithm>
+
+namespace buckthornshunt {
+
+namespace {
+
+/// A start that several workers failed says nothing about them; a worker that
+/// failed this many jobs in a row is left alone for a while.
+constexpr int kFailuresUntilAvoided = 3;
+constexpr Duration kAvoidFor = std::chrono::seconds(3);
+/// Pause before a failed task runs again, by its failures.
+constexpr Duration kRetryPause = std::chrono::milliseconds(50);
+/// Pause before a task that lasts is started again.
+constexpr Duration kRestartPause = std::chrono::milliseconds(100);
+/// Weight of a new observation in a mean.
+constexpr double kLearningRate = 0.005;
+constexpr double kLeastEstimateSeconds = 0.05;
+
+} // namespace
+
+// Sums decay, so that a change of the work shows after some hundred runs.
+void
+Cell::LearnRunTime(const CellJob& aJob, const TaskId& aTask, Duration aTook)
+{
+  QueueStats& stats = mStats[aJob.mQueue];
+  double estimate = ToSeconds(aJob.mSpec.mSteps[aTask.mStep].mEstimate);
+  stats.mObserved = stats.mObserved * (1 - kLearningRate) + ToSeconds(aTook);
+  stats.mEstimated = stats.mEstimated * (1 - kLearningRate) +
+                     std::max(estimate, kLeastEstimateSeconds);
+  stats.mRuns = stats.mRuns * (1 - kLearningRate) + 1;
+}
+
+void
+Cell::OnTaskDone(CellJob& aJob, const TaskId& aTask, TimePoint aNow)
+{
+  auto at = aJob.mOccurrences.find(aTask.mOccurrence);
+  if (at == aJob.mOccurrences.end()) {
+    return;
+  }
+  OccurrenceRecord& run = at->second;
+  StepRecord& step = run.mSteps[aTask.mStep];
+  bool gang = aJob.mSpec.mSteps[aTask.mStep].mGang;
+  std::uint32_t before = step.mDone;
+  for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
+    TaskRecord& task = step.mTasks[i];
+    bool counts = i == aTask.mIndex || gang;
+    if (!counts || task.mStage == TaskStage::Done) {
+      continue;
+    }
+    // One end of a gang stands for all; its other members end by themselves.
+    if (task.mStage == TaskStage::Active) {
+      --step.mActive;
+    }
+    task.mStage = TaskStage::Done;
+    task.mWorker.clear();
+    ++step.mDone;
+  }
+  // An end may be listed again; it counts once.
+  if (step.mDone == before || step.mDone < step.mTasks.size()) {
+    return;
+  }
+  ++run.mDoneSteps;
+  if (run.mDoneSteps == run.mSteps.size()) {
+    aJob.mDoneOccurrences.push_back(aTask.mOccurrence);
+    aJob.mOccurrences.erase(at);
+  }
+  if (!aJob.Live()) {
+    aJob.mEnded = aNow;
+    mLive.erase(aJob.mId);
+  }
+}
+
+void
+Cell::OnTaskFailed(CellWorker& aWorker,
+                   CellJob& aJob,
+                   const EndedRun& aEnd,
+                   TimePoint aNow)
+{
+  auto at = aJob.mOccurrences.find(aEnd.mTask.mOccurrence);
+  if (at == aJob.mOccurrences.end()) {
+    return;
+  }
+  const StepSpec& spec = aJob.mSpec.mSteps[aEnd.mTask.mStep];
+  StepRecord& step = at->second.mSteps[aEnd.mTask.mStep];
+  TaskRecord& task = step.mTasks[aEnd.mTask.mIndex];
+  task.mFailedOn = aWorker.mReport.mId;
+  if (aWorker.mLastFailedJob != aJob.mId) {
+    aWorker.mLastFailedJob = aJob.mId;
+    if (++aWorker.mFailuresInRow >= kFailuresUntilAvoided) {
+      aWorker.mAvoidUntil = aNow + kAvoidFor;
+    }
+  }
+  if (spec.mLongRunning) {
+    task.mNotBefore = aNow + kRestartPause;
+    return;
+  }
+  // A failure that is committed is listed again until it is acknowledged, to
+  // the next owner too; and a run that was given up may turn out to have
+  // failed after a later one did.
+  std::vector<std::uint64_t>& runs = task.mFailedRuns;
+  if (std::find(runs.begin(), runs.end(), aEnd.mRun) != runs.end()) {
+    return;
+  }
+  runs.push_back(aEnd.mRun);
+  std::size_t failures = FailuresOf(spec, step, aEnd.mTask.mIndex);
+  task.mNotBefore = aNow + kRetryPause * static_cast<int>(failures);
+  const QueueConfig* queue = QueueOf(aJob);
+  std::uint32_t most = queue == nullptr ? 1 : queue->mMaxAttempts;
+  if (failures >= most && aJob.Live()) {
+    aJob.mFailed = true;
+    aJob.mEnded = aNow;
+    mLive.erase(aJob.mId);
+    StopRunsOf(aJob, aNow);
+  }
+}
+
+void
+Cell::OnEnd(CellWorker& aWorker, const EndedRun& aEnd, TimePoint aNow)
+{
+  auto active = aWorker.mRuns.find(aEnd.mTask);
+  bool current =
+    active != aWorker.mRuns.end() && active->second.mRun == aEnd.mRun;
+  Duration took{};
+  if (current) {
+    took = aNow - active->second.mStarted;
+    LoseRun(aWorker, aEnd.mTask);
+  }
+  CellJob* job = FindJob(aEnd.mTask.mJob);
+  bool known = job != nullptr && aEnd.mTask.mStep < job->mSpec.mSteps.size() &&
+               aEnd.mTask.mIndex < job->mSpec.mSteps[aEnd.mTask.mStep].mTasks;
+  if (!known || !job->Live()) {
+    return;
+  }
+  job->mStarted = true;
+  OccurrenceRecord* occurrence = OpenOccurrence(*job, aEnd.mTask.mOccurrence);
+  if (occurrence == nullptr) {
+    return;
+  }
+  TaskRecord& task =
+    occurrence->mSteps[aEnd.mTask.mStep].mTasks[aEnd.mTask.mIndex];
+  bool lasting = job->mSpec.mSteps[aEnd.mTask.mStep].mLongRunning;
+  if (task.mStage != TaskStage::Done && !aEnd.mCheckpoint.empty()) {
+    task.mCheckpoint = aEnd.mCheckpoint;
+  }
+  if (aEnd.mEnd == RunEnd::Done && !lasting) {
+    aWorker.mFailuresInRow = 0;
+    // Another run of the task has nothing left to do.
+    if (task.mStage == TaskStage::Active) {
+      CellWorker* other = FindWorker(task.mWorker);
+      if (other != nullptr) {
+        auto run = other->mRuns.find(aEnd.mTask);
+        if (run != other->mRuns.end()) {
+          StopRunOn(run->second, aNow);
+        }
+      }
+    }
+    if (current) {
+      LearnRunTime(*job, aEnd.mTask, took);
+    }
+    OnTaskDone(*job, aEnd.mTask, aNow);
+  } else if (aEnd.mEnd == RunEnd::Failed) {
+    OnTaskFailed(aWorker, *job, aEnd, aNow);
+  } else if (lasting) {
+    task.mNotBefore = aNow + kRestartPause;
+  }
+  if (!lasting) {
+    MarkDirty(*job);
+  }
+}
+
+void
+Cell::NotePresent(CellWorker& aWorker,
+                  const PresentRun& aPresent,
+                  TimePoint aSent,
+                  TimePoint aNow)
+{
+  auto it = aWorker.mRuns.find(aPresent.mTask);
+  if (it != aWorker.mRuns.end() && it->second.mRun == aPresent.mRun) {
+    ActiveRun& run = it->second;
+    if (run.mStage == ActiveRun::Stage::Starting ||
+        run.mStage == ActiveRun::Stage::Unclear) {
+      run.mStage = ActiveRun::Stage::Running;
+      run.mSince = aNow;
+    }
+    run.mPercent = aPresent.mPercent;
+    run.mGauge = aPresent.mGauge;
+    // The stop was asked for before, yet the run is there: ask again.
+    if (run.mStoppedAt && *run.mStoppedAt + std::chrono::seconds(1) < aSent) {
+      run.mStoppedAt.reset();
+      run.mStopSent = false;
+    }
+  } else if (it == aWorker.mRuns.end()) {
+    ActiveRun run;
+    run.mRun = aPresent.mRun;
+    run.mStage = ActiveRun::Stage::Stopping;
+    run.mSince = aNow;
+    run.mStarted = aNow;
+    CellJob* job = FindJob(aPresent.mTask.mJob);
+    bool known =
+      job != nullptr && aPresent.mTask.mStep < job->mSpec.mSteps.size() &&
+      aPresent.mTask.mIndex < job->mSpec.mSteps[aPresent.mTask.mStep].mTasks;
+    if (known) {
+      const StepSpec& spec = job->mSpec.mSteps[aPresent.mTask.mStep];
+      run.mReserved = ReservedBy(spec);
+      run.mFills = spec.mFills;
+      run.mLongRunning = spec.mLongRunning;
+      run.mTailTarget = spec.mTailTarget;
+      OccurrenceRecord* occurrence =
+        job->Live() ? OpenOccurrence(*job, aPresent.mTask.mOccurrence)
+                    : nullptr;
+      if (occurrence != nullptr) {
+        StepRecord& step = occurrence->mSteps[aPresent.mTask.mStep];
+        TaskRecord& task = step.mTasks[aPresent.mTask.mIndex];
+        job->mStarted = true;
+        // A run of an earlier owner that nothing speaks against goes on.
+        if (task.mStage == TaskStage::Idle) {
+          task.mStage = TaskStage::Active;
+          task.mWorker = aWorker.mReport.mId;
+          ++step.mActive;
+          run.mStage = ActiveRun::Stage::Running;
+        }
+      }
+    }
+    aWorker.mUsed += run.mReserved;
+    aWorker.mRuns.emplace(aPresent.mTask, run);
+  } else {
+    // An order that came late started another run of the same task. The
+    // record follows the one that is there, which is stopped.
+    if (it->second.mStage != ActiveRun::Stage::Stopping) {
+      StopRunOn(it->second, aNow);
+    }
+    it->second.mRun = std::max(it->second.mRun, aPresent.mRun);
+  }
+  CellJob* job = FindJob(aPresent.mTask.mJob);
+  if (job != nullptr && !aPresent.mCheckpoint.empty()) {
+    auto at = job->mOccurrences.find(aPresent.mTask.mOccurrence);
+    if (at != job->mOccurrences.end() &&
+        aPresent.mTask.mStep < at->second.mSteps.size() &&
+        aPresent.mTask.mIndex <
+          at->second.mSteps[aPresent.mTask.mStep].mTasks.size()) {
+      at->second.mSteps[aPresent.mTask.mStep]
+        .mTasks[aPresent.mTask.mIndex]
+        .mCheckpoint = aPresent.mCheckpoint;
+    }
+  }
+}
+
+// A listing that was asked for after a start or a stop was answered tells for
+// certain; a run that it doesn't show is stopped first, so that a late order
+// can't start it, and given up only when the stop was carried out.
+void
+Cell::ResolveAbsent(CellWorker& aWorker,
+                    const std::set<TaskId>& aPresent,
+                    TimePoint aSent,
+                    TimePoint aNow)
+{
+  std::vector<TaskId> gone;
+  for (auto& [task, run] : aWorker.mRuns) {
+    if (aPresent.contains(task) || run.mSince >= aSent) {
+      continue;
+    }
+    if (run.mStage == ActiveRun::Stage::Stopping) {
+      if (run.mStoppedAt && *run.mStoppedAt < aSent) {
+        gone.push_back(task);
+      }
+    } else if (run.mStage != ActiveRun::Stage::Starting) {
+      StopRunOn(run, aNow);
+    }
+  }
+  for (const TaskId& task : gone) {
+    LoseRun(aWorker, task);
+  }
+}
+
+void
+Cell::OnListing(std::string_view aWorker,
+                const WorkerListing& aListing,
+                TimePoint aSent,
+                TimePoint aNow)
+{
+  CellWorker* worker = FindWorker(aWorker);
+  if (worker == nullptr) {
+    return;
+  }
+  bool reborn = aListing.mBorn > worker->mBorn && worker->mBorn != 0;
+  bool fromEarlierLife = aListing.mBorn != 0 && aListing.mBorn < worker->mBorn;
+  if (fromEarlierLife) {
+    return;
+  }
+  if (reborn) {
+    StartNewLife(*worker, aNow);
+  }
+  worker->mBorn = std::max(worker->mBorn, aListing.mBorn);
+  worker->mClock = aListing.mClock;
+  worker->mClockAt = aNow;
+  worker->mLastAnswer = aNow;
+  worker->mMissed = 0;
+  worker->mDoubted = false;
+  worker->mContacted = true;
+  worker->mInherited = false;
+  if (!worker->mDurable) {
+    mWorkersDirty = true;
+  }
+  for (const EndedRun& end : aListing.mEnded) {
+    if (end.mSequence > worker->mSeenEnds) {
+      OnEnd(*worker, end, aNow);
+      worker->mSeenEnds = std::max(worker->mSeenEnds, end.mSequence);
+    }
+  }
+  std::set<TaskId> present;
+  for (const PresentRun& run : aListing.mPresent) {
+    present.insert(run.mTask);
+    NotePresent(*worker, run, aSent, aNow);
+  }
+  ResolveAbsent(*worker, present, aSent, aNow);
+}
+
+void
+Cell::OnNoAnswer(std::string_view aWorker)
+{
+  if (CellWorker* worker = FindWorker(aWorker)) {
+    ++worker->mMissed;
+  }
+}
+
+// The address belongs to another worker, so the earlier one has ended.
+void
+Cell::OnOtherLife(std::string_view aWorker, TimePoint aNow)
+{
+  if (CellWorker* worker = FindWorker(aWorker)) {
+    EndLife(*worker, aNow);
+  }
+}
+
+// Everything that the life held is gone, orders that it held back as well.
+void
+Cell::EndLife(CellWorker& aWorker, TimePoint aNow)
+{
+  aWorker.mEnded = true;
+  aWorker.mListed = false;
+  aWorker.mInherited = false;
+  aWorker.mLeaseOver = aNow;
+  while (!aWorker.mRuns.empty()) {
+    LoseRun(aWorker, aWorker.mRuns.begin()->first);
+  }
+}
+
+// The next worker of the VM may have the same id, so only the life that was
+// ended is taken for gone.
+bool
+Cell::EndWorker(std::string_view aWorker, std::int64_t aBorn, TimePoint aNow)
+{
+  CellWorker* worker = FindWorker(aWorker);
+  // A worker that an earlier owner used and that isn't listed has no known
+  // life; the one that was ended is the last it had.
+  // One that answers is there: the platform also confirms an order that was
+  // carried out before this life began.
+  // It is asked once more, as an idle worker may not have been for long.
+  bool answers =
+    worker != nullptr && worker->mContacted && worker->mMissed == 0;
+  if (answers && worker->mBorn == aBorn) {
+    worker->mDoubted = true;
+  }
+  bool matches = worker != nullptr && !answers && !worker->mEnded &&
+                 (worker->mBorn == aBorn || worker->mBorn == 0);
+  if (!matches) {
+    return false;
+  }
+  EndLife(*worker, aNow);
+  return true;
+}
+
+void
+Cell::OnOrder(std::string_view aWorker,
+              const WorkerCall& aCall,
+              const Expected<WorkerReply>& aReply,
+              TimePoint aNow)
+{
+  CellWorker* worker = FindWorker(aWorker);
+  if (worker == nullptr) {
+    return;
+  }
+  const auto* start = std::get_if<StartRun>(&aCall);
+  const auto* stop = std::get_if<StopRun>(&aCall);
+  if (start == nullptr && stop == nullptr) {
+    return;
+  }
+  const TaskId& task = start != nullptr ? start->mTask : stop->mTask;
+  std::uint64_t number = start != nullptr ? start->mRun : stop->mRun;
+  auto it = worker->mRuns.find(task);
+  if (it == worker->mRuns.end() || it->second.mRun != number) {
+    return;
+  }
+  ActiveRun& run = it->second;
+  const WorkerReply* reply =
+    Ok(aReply) ? &std::get<WorkerReply>(aReply) : nullptr;
+  const auto* refused =
+    reply == nullptr ? nullptr : std::get_if<OrderRefused>(reply);
+  bool done = reply != nullptr && std::holds_alternative<OrderDone>(*reply);
+  if (refused != nullptr && refused->mReason == StartRefusal::Fenced) {
+    mFenced = true;
+    return;
+  }
+  if (reply != nullptr && std::holds_alternative<OtherWorker>(*reply)) {
+    EndLife(*worker, aNow);
+    return;
+  }
+  if (stop != nullptr) {
+    // One that fails is due again after a pause.
+    if (done || refused != nullptr) {
+      run.mStoppedAt = aNow;
+    }
+    return;
+  }
+  if (run.mStage != ActiveRun::Stage::Starting) {
+    return;
+  }
+  run.mSince = aNow;
+  if (done) {
+    run.mStage = ActiveRun::Stage::Running;
+    return;
+  }
+  bool neverSent = !Ok(aReply) && std::holds_alternative<ConnectFailure>(
+                                    std::get<Failure>(aReply));
+  bool nothingDone = neverSent || (refused != nullptr &&
+                                   refused->mReason != StartRefusal::OldRun);
+  if (!nothingDone) {
+    // The next listing tells; until then the run may be there.
+    run.mStage = ActiveRun::Stage::Unclear;
+    return;
+  }
+  LoseRun(*worker, task);
+  if (neverSent) {
+    ++worker->mMissed;
+  } else if (refused->mReason == StartRefusal::Rejected) {
+    worker->mAvoidUntil = aNow + kAvoidFor / 3;
+  } else if (refused->mReason == StartRefusal::NoRoom) {
+    // Something is there that the listings didn't show yet.
+    worker->mAvoidUntil = aNow + kRetryPause;
+  }
+  CellJob* job = FindJob(task.mJob);
+  if (job == nullptr) {
+    return;
+  }
+  const StepSpec& spec = job->mSpec.mSteps[task.mStep];
+  if (refused != nullptr && refused->mReason == StartRefusal::BadTicket) {
+    auto at = job->mOccurrences.find(task.mOccurrence);
+    if (at != job->mOccurrences.end()) {
+      at->second.mSteps[task.mStep].mTickets.clear();
+    }
+  }
+  if (spec.mGang) {
+    // The others would wait for the missing member in vain.
+    for (auto& [id, other] : mWorkers) {
+      for (auto& [otherTask, otherRun] : other.mRuns) {
+        bool member = otherTask.mJob == task.mJob &&
+                      otherTask.mOccurrence == task.mOccurrence &&
+                      otherTask.mStep == task.mStep && otherRun.mRun == number;
+        if (member) {
+          StopRunOn(otherRun, aNow);
+        }
+      }
+    }
+  }
+}
+
+} // namespace buckthornshunt
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -452,7 +452,7 @@
             mPool,
             FailureName(std::get<Failure>(reply)),
             ToMillis(now - sent));
-    mCell->OnNoAnswer(aWorker, now);
+    mCell->OnNoAnswer(aWorker);
     mPlanDue.Set();
     co_return false;
   }
@@ -461,7 +461,7 @@
     if (refused->mReason == StartRefusal::Fenced) {
       MarkLost("a worker has seen a higher token");
     } else {
-      mCell->OnNoAnswer(aWorker, now);
+      mCell->OnNoAnswer(aWorker);
     }
     co_return false;
   }
--- a/src/services/directory_service.cpp
+++ b/src/services/directory_service.cpp
@@ -156,9 +156,6 @@
   }
   aTable.mRevision = revision;
   aTable.mScanned = true;
-  if (&aTable == &mWorkerTable) {
-    mWorkersReadAt = mKernel.GetClock().Now();
-  }
   mChanged.NotifyAll();
   co_return true;
 }
@@ -189,9 +186,6 @@
     Apply(aTable, row);
   }
   aTable.mRevision = std::max(aTable.mRevision, news->mRevision);
-  if (&aTable == &mWorkerTable) {
-    mWorkersReadAt = mKernel.GetClock().Now();
-  }
   if (!news->mRows.empty()) {
     mChanged.NotifyAll();
   }
--- a/src/services/directory_service.h
+++ b/src/services/directory_service.h
@@ -42,9 +42,6 @@
   /// Signals every change.
   Event& Changed() { return mChanged; }
 
-  /// Time of the last successful read of the workers' table.
-  TimePoint WorkersReadAt() const { return mWorkersReadAt; }
-
 private:
   struct Followed
   {
@@ -74,7 +71,6 @@
   std::map<std::uint64_t, WaveOrder> mWaves;
   std::map<std::uint64_t, TimePoint> mWaveSeen;
   std::map<std::string, WorkerReport, std::less<>> mWorkers;
-  TimePoint mWorkersReadAt;
 };
 
 } // namespace buckthornshunt
--- a/src/wire/config_schema.cpp
+++ b/src/wire/config_schema.cpp
@@ -159,10 +159,7 @@
         "grace_s": {"type": "number", "exclusiveMinimum": 0, "maximum": 600},
         "status_kept_s": {"type": "number", "exclusiveMinimum": 0, "maximum": 86400},
         "longest_run_lease_ms": {"type": "number", "minimum": 0, "maximum": 600000},
-        "duty_lease_ms": {"type": "number", "minimum": 0, "maximum": 600000},
-        "move_s": {"type": "number", "minimum": 0, "maximum": 600},
-        "maintenance_s": {"type": "number", "minimum": 0, "maximum": 86400},
-        "miss_notice_ms": {"type": "number", "minimum": 0, "maximum": 600000}
+        "duty_lease_ms": {"type": "number", "minimum": 0, "maximum": 600000}
       }
     },
     "log": {
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -293,7 +293,7 @@
   REQUIRE(world.PlanAndAnswer().size() == 1);
   // A worker that answers is there, whatever was confirmed.
   CHECK_FALSE(world.mCell.EndWorker("w", 5, world.mNow));
-  world.mCell.OnNoAnswer("w", world.mNow);
+  world.mCell.OnNoAnswer("w");
   CHECK_FALSE(world.mCell.EndWorker("w", 4, world.mNow));
   CHECK(world.Plan().empty());
   CHECK(world.mCell.EndWorker("w", 5, world.mNow));
@@ -367,7 +367,7 @@
   world.List({}, {});
   CHECK_FALSE(world.mCell.NeedsRenewal("w"));
   CHECK_FALSE(world.mCell.EndWorker("w", 5, world.mNow));
-  world.mCell.OnNoAnswer("w", world.mNow);
+  world.mCell.OnNoAnswer("w");
   CHECK(world.mCell.EndWorker("w", 5, world.mNow));
 }
 
@@ -458,8 +458,8 @@
   OneWorker world;
   CHECK_FALSE(world.mCell.NeedsRenewal("w"));
   world.Submit("a", ChainOf({ 1 }));
-  world.mCell.OnNoAnswer("w", world.mNow);
-  world.mCell.OnNoAnswer("w", world.mNow);
+  world.mCell.OnNoAnswer("w");
+  world.mCell.OnNoAnswer("w");
   CHECK(world.mCell.NeedsRenewal("w"));
   CHECK(world.Plan().empty());
   world.List({}, {});
@@ -525,7 +525,7 @@
   world.mNow += 10ms;
   empty.mPresent.push_back({ { "a", 0, 0, there }, 1, "", 100, std::nullopt });
   world.mCell.OnListing("v", empty, world.mNow, world.mNow);
-  world.mCell.OnNoAnswer("v", world.mNow);
+  world.mCell.OnNoAnswer("v");
   std::uint32_t here = orders[0].mWorker == "w"
                          ? std::get<StartRun>(orders[0].mCall).mTask.mIndex
                          : std::get<StartRun>(orders[1].mCall).mTask.mIndex;
--- a/tests/cell_world.cpp
+++ b/tests/cell_world.cpp
@@ -449,7 +449,7 @@
     At(500ms, [this, aWorker, owner] {
       auto cell = owner.lock();
       if (cell) {
-        cell->OnNoAnswer(aWorker, mNow);
+        cell->OnNoAnswer(aWorker);
       }
       if (cell == mOwner) {
         mRenewing[aWorker] = false;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -317,7 +317,7 @@
                    { { "ready", "127.0.0.1:4" },
                      { "metrics", "127.0.0.1:5" },
                      { "duty_lease_ms", 3000 },
-                     { "move_s", 1.5 } } } };
+                     { "grace_s", 1.5 } } } };
   auto read =
     ToExpected<Settings>([&] { return SettingsFromJson("f.json", settings); });
   REQUIRE(Ok(read));
