Hold VMs in a pool for what runs and waits there, not for its backlog

Change: cells report the cores that tasks hold and those that tasks which are ready wait for; a pool keeps the larger of these and the mean demand.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -190,12 +190,14 @@
 Cell::Use(TimePoint aNow) const
 {
   PoolUse use;
-  use.mBacklog = Summary().mBacklogCoreSeconds;
-  DemandRange asked = mDemand.At(aNow);
+  DemandLevel asked = mDemand.At(aNow);
   use.mAskedLeast = asked.mLeast;
-  use.mAskedMost = asked.mMost;
+  use.mAskedMean = asked.mMean;
+  use.mBusyCores = Summary().mBusyCores;
   for (const std::string& id : mLive) {
-    for (const StepSpec& step : mJobs.find(id)->second.mSpec.mSteps) {
+    const CellJob& job = mJobs.find(id)->second;
+    use.mWaitingCores += WaitingCores(job);
+    for (const StepSpec& step : job.mSpec.mSteps) {
       if (step.mMostPerWorker > 0) {
         std::uint32_t vms =
           (step.mTasks + step.mMostPerWorker - 1) / step.mMostPerWorker;
--- a/src/decide/cell_job.cpp
+++ b/src/decide/cell_job.cpp
@@ -219,6 +219,28 @@
   return cores;
 }
 
+double
+WaitingCores(const CellJob& aJob)
+{
+  if (!aJob.mStored || aJob.LongRunning()) {
+    return 0;
+  }
+  double cores = 0;
+  for (const auto& [number, run] : aJob.mOccurrences) {
+    for (std::size_t i = 0; i < run.mSteps.size(); ++i) {
+      const StepRecord& step = run.mSteps[i];
+      const StepSpec& spec = aJob.mSpec.mSteps[i];
+      if (spec.mFills || !StepReady(aJob.mSpec, run, i)) {
+        continue;
+      }
+      std::size_t idle = step.mTasks.size() - step.mDone - step.mActive;
+      cores += static_cast<double>(spec.mPerTask.mCpuMillis) *
+               static_cast<double>(idle) / kMillisPerCore;
+    }
+  }
+  return cores;
+}
+
 double
 RemainingCoreSeconds(const JobSpec& aSpec,
                      const OccurrenceRecord* aRun,
--- a/src/decide/cell_job.h
+++ b/src/decide/cell_job.h
@@ -168,6 +168,11 @@
 double
 FirstCores(const JobSpec& aSpec);
 
+/// Cores of the tasks that end by themselves and could start if there were
+/// room.
+double
+WaitingCores(const CellJob& aJob);
+
 /// Core-seconds of the tasks that aren't done.
 double
 RemainingCoreSeconds(const JobSpec& aSpec,
--- a/src/decide/demand.cpp
+++ b/src/decide/demand.cpp
@@ -25,18 +25,19 @@
   mAt = aNow;
 }
 
-DemandRange
+DemandLevel
 DemandMeter::At(TimePoint aNow) const
 {
-  DemandRange range;
+  DemandLevel level;
   for (std::size_t i = 0; i < mMeans.size(); ++i) {
     double left = std::exp(-ToSeconds(aNow - mAt) / kOver[i]);
     double mean = mMeans[i].mSum * left;
     double error = std::sqrt(mMeans[i].mSquares) * left;
-    range.mLeast = std::max(range.mLeast, mean - error);
-    range.mMost = std::max(range.mMost, mean + error);
+    level.mLeast = std::max(level.mLeast, mean - error);
+    // The last mean is the slowest.
+    level.mMean = mean;
   }
-  return range;
+  return level;
 }
 
 } // namespace buckthornshunt
--- a/src/decide/demand.h
+++ b/src/decide/demand.h
@@ -7,11 +7,13 @@
 
 namespace buckthornshunt {
 
-/// Cores that callers ask for, as a range that the arrivals support.
-struct DemandRange
+/// Cores that callers ask for.
+struct DemandLevel
 {
+  /// What the arrivals surely support.
   double mLeast = 0;
-  double mMost = 0;
+  /// Mean over the last seconds.
+  double mMean = 0;
 };
 
 /// Measures the work that callers ask for. Answers demand that rises within a
@@ -22,7 +24,7 @@
 {
 public:
   void Note(double aCoreSeconds, TimePoint aNow);
-  DemandRange At(TimePoint aNow) const;
+  DemandLevel At(TimePoint aNow) const;
 
 private:
   /// A decaying sum and the sum of its squares.
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -8,8 +8,6 @@
 namespace {
 
 constexpr double kMillisPerCore = 1000.0;
-/// Time in which a pool should work off what it has accepted.
-constexpr double kDrainSeconds = 1.5;
 /// Room above the demand, since jobs come in clumps.
 constexpr double kHeadroom = 1.2;
 /// Part of an even share of the fleet that every pool keeps, since a rise of
@@ -336,8 +334,8 @@
 double
 KeptCores(const PoolUse& aUse)
 {
-  return aUse.mLastingCores + kHeadroom * aUse.mAskedMost +
-         aUse.mBacklog / kDrainSeconds;
+  return aUse.mLastingCores + std::max(kHeadroom * aUse.mAskedMean,
+                                       aUse.mBusyCores + aUse.mWaitingCores);
 }
 
 FleetPlanChange
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -28,12 +28,14 @@
 /// What the owner of a pool's cell reports of the pool.
 struct PoolUse
 {
-  /// Core-seconds that accepted jobs still need.
-  double mBacklog = 0;
+  /// Cores held by tasks that end by themselves.
+  double mBusyCores = 0;
+  /// Cores of such tasks that could start if there were room.
+  double mWaitingCores = 0;
   /// Cores that callers ask for, let in or not: what the arrivals surely
-  /// support, and what they may mean.
+  /// support, and their mean over the last seconds.
   double mAskedLeast = 0;
-  double mAskedMost = 0;
+  double mAskedMean = 0;
   /// Cores held by tasks that last.
   double mLastingCores = 0;
   /// Fewest VMs on which the jobs' limits of tasks on one VM can be kept.
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -495,13 +495,14 @@
         return aVm.mPool == at && aVm.mUp;
       });
     LogInfo(kPart,
-            "pool={} vms={} asked_least={} asked_most={} backlog_core_s={} "
-            "lasting_cores={} report_age_ms={}",
+            "pool={} vms={} asked_least={} asked_mean={} busy_cores={} "
+            "waiting_cores={} lasting_cores={} report_age_ms={}",
             pool,
             vms,
             use.mAskedLeast,
-            use.mAskedMost,
-            use.mBacklog,
+            use.mAskedMean,
+            use.mBusyCores,
+            use.mWaitingCores,
             use.mLastingCores,
             ToMillis(now - use.mAt));
   }
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -124,18 +124,20 @@
     workers.push_back(
       Json::array({ id, worker.mRuns, worker.mLasting, worker.mSealed }));
   }
-  return { { "backlog", aUse.mBacklog }, { "least", aUse.mAskedLeast },
-           { "most", aUse.mAskedMost },  { "lasting", aUse.mLastingCores },
-           { "vms", aUse.mLeastVms },    { "workers", std::move(workers) } };
+  return { { "busy", aUse.mBusyCores },       { "waiting", aUse.mWaitingCores },
+           { "least", aUse.mAskedLeast },     { "mean", aUse.mAskedMean },
+           { "lasting", aUse.mLastingCores }, { "vms", aUse.mLeastVms },
+           { "workers", std::move(workers) } };
 }
 
 leaf::result<PoolUse>
 PoolUseFromJson(const Json& aJson)
 {
   PoolUse use;
-  BOOST_LEAF_ASSIGN(use.mBacklog, ReadReal(aJson, "backlog"));
+  BOOST_LEAF_ASSIGN(use.mBusyCores, ReadReal(aJson, "busy"));
+  BOOST_LEAF_ASSIGN(use.mWaitingCores, ReadReal(aJson, "waiting"));
   BOOST_LEAF_ASSIGN(use.mAskedLeast, ReadReal(aJson, "least"));
-  BOOST_LEAF_ASSIGN(use.mAskedMost, ReadReal(aJson, "most"));
+  BOOST_LEAF_ASSIGN(use.mAskedMean, ReadReal(aJson, "mean"));
   BOOST_LEAF_ASSIGN(use.mLastingCores, ReadReal(aJson, "lasting"));
   BOOST_LEAF_AUTO(vms, ReadNumber(aJson, "vms"));
   use.mLeastVms = static_cast<std::uint32_t>(vms);
