Let large nodes claim free cells before small ones

Change: settings state what the VM can carry; a node waits before it claims a free cell by its processor, its link and the cells it owns. Besides, the owner of the fleet logs each change of a VM's state, pool or worker.

--- a/include/buckthornshunt/workload.h
+++ b/include/buckthornshunt/workload.h
@@ -264,13 +264,27 @@
 std::string_view
 ToString(StartRefusal aRefusal);
 
+/// What the platform's machine service says that a VM does.
+enum class PoolVmState : std::uint8_t
+{
+  /// Running, or switched off in the spare pool.
+  Up,
+  /// On its way to another pool.
+  Moving,
+  Maintenance,
+  Down
+};
+
+std::string_view
+ToString(PoolVmState aState);
+
 /// A VM as the platform's machine service lists it.
 struct PoolVm
 {
   std::string mVm;
   std::string mPool;
-  /// Up and running a worker; others are moving, in maintenance or down.
-  bool mUp = false;
+  PoolVmState mState = PoolVmState::Up;
+  /// Worker that runs on it; empty if there is none.
   std::string mWorker;
   std::string mRack;
   Resources mCapacity;
--- a/src/core/workload.cpp
+++ b/src/core/workload.cpp
@@ -99,6 +99,22 @@
   return kRunEnds[static_cast<std::size_t>(aEnd)];
 }
 
+std::string_view
+ToString(PoolVmState aState)
+{
+  switch (aState) {
+    case PoolVmState::Up:
+      return "up";
+    case PoolVmState::Moving:
+      return "moving";
+    case PoolVmState::Maintenance:
+      return "maintenance";
+    case PoolVmState::Down:
+      return "down";
+  }
+  return "";
+}
+
 std::string_view
 ToString(StartRefusal aRefusal)
 {
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -84,7 +84,8 @@
   WorkloadParts parts;
   parts.mSelf = { aSettings.mNode,
                   aSettings.mPeers,
-                  Incarnation(aKernel.Random()) };
+                  Incarnation(aKernel.Random()),
+                  workload.mPower };
   parts.mEndpoints = {
     aSettings.mCallers, workload.mReady, workload.mMetrics, workload.mGrace
   };
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -80,6 +80,10 @@
   workload.mLongestRunLease =
     Millis(aSection, "longest_run_lease_ms", workload.mLongestRunLease);
   workload.mDutyLease = Millis(aSection, "duty_lease_ms", workload.mDutyLease);
+  workload.mPower.mCores = aSection.value("processor_share", 1.0) *
+                           aSection.value("processor_speed", 1.0);
+  workload.mPower.mLinkMbps =
+    aSection.value("link_mbps", workload.mPower.mLinkMbps);
   return workload;
 }
 
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNSHUNT_DAEMON_SETTINGS_H
 #define BUCKTHORNSHUNT_DAEMON_SETTINGS_H
 
+#include "decide/cell_owner.h"
 #include "kernel/log.h"
 #include "wire/json_fields.h"
 
@@ -25,6 +26,8 @@
   Duration mStatusKept = std::chrono::seconds(120);
   Duration mLongestRunLease = std::chrono::seconds(10);
   Duration mDutyLease = std::chrono::seconds(3);
+  /// What the VM can carry.
+  NodePower mPower;
 };
 
 /// A daemon's own settings.
--- a/src/decide/cell_owner.h
+++ b/src/decide/cell_owner.h
@@ -48,12 +48,22 @@
   TimePoint mUnchangedSince;
 };
 
+/// What a node can carry.
+struct NodePower
+{
+  /// Processor time a second, in seconds.
+  double mCores = 1;
+  /// Bandwidth of its link, in megabits a second.
+  double mLinkMbps = 1000;
+};
+
 /// A node that looks at owner rows.
 struct NodeSelf
 {
   std::string mNode;
   Endpoint mPeers;
   Incarnation mIncarnation{};
+  NodePower mPower;
 };
 
 enum class OwnerStanding : std::uint8_t
@@ -64,6 +74,12 @@
   Free
 };
 
+/// Time that a node lets pass before it claims a free cell, while it owns
+/// aCells others. Answers nodes of uneven size: a pool in its turn needs a
+/// processor and a link of its own, so those with most room claim first.
+Duration
+ClaimDelay(const NodePower& aPower, std::size_t aCells);
+
 /// Whether a cell can be taken over. A node's own predecessor is surely gone,
 /// since one VM runs one process under a name and an address.
 OwnerStanding
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -37,7 +37,7 @@
       ++mPoolSize[vm.mPool];
       bool leaving = aView.mIntents.contains(vm.mVm);
       mLeaving[vm.mPool] += leaving ? 1 : 0;
-      if (vm.mUp && !leaving) {
+      if (vm.mState == PoolVmState::Up && !leaving) {
         mCores[vm.mPool] += CoresOf(vm);
       }
     }
@@ -139,7 +139,7 @@
       const WorkerUse* use = WorkerOf(vm);
       bool empty =
         !NeedsSeal(vm) || (use != nullptr && use->mSealed && use->mRuns == 0);
-      bool stale = vm.mWorker != intent.mWorker || !vm.mUp;
+      bool stale = vm.mWorker != intent.mWorker || vm.mState != PoolVmState::Up;
       bool tooLong =
         intent.mWave == 0 && mView.mNow > intent.mSince + kMovePatience;
       if (stale || (tooLong && !empty)) {
@@ -163,7 +163,7 @@
     // earlier owner.
     for (const std::string& name : mView.mWaves.at(aWave).mOrder.mVms) {
       auto it = mVms.find(name);
-      bool down = it != mVms.end() && !it->second->mUp;
+      bool down = it != mVms.end() && it->second->mState != PoolVmState::Up;
       n += down && !mView.mIntents.contains(name) ? 1 : 0;
     }
     return n;
@@ -193,7 +193,7 @@
       }
       allDone = false;
       const PoolVm& vm = *it->second;
-      if (!vm.mUp || Taken(name)) {
+      if (vm.mState != PoolVmState::Up || Taken(name)) {
         continue;
       }
       const WorkerUse* use = WorkerOf(vm);
@@ -265,7 +265,7 @@
   {
     const PoolVm* best = nullptr;
     for (const PoolVm& vm : mView.mVms) {
-      if (!vm.mUp || vm.mPool == aTo || Taken(vm.mVm)) {
+      if (vm.mState != PoolVmState::Up || vm.mPool == aTo || Taken(vm.mVm)) {
         continue;
       }
       if (IsSpare(vm.mPool)) {
@@ -297,8 +297,9 @@
     for (const PoolVm& vm : mView.mVms) {
       const PoolUse* use = UseOf(vm.mPool);
       const WorkerUse* worker = WorkerOf(vm);
-      bool idle = vm.mUp && !IsSpare(vm.mPool) && !Taken(vm.mVm) &&
-                  use != nullptr && worker != nullptr && worker->mRuns == 0;
+      bool idle = vm.mState == PoolVmState::Up && !IsSpare(vm.mPool) &&
+                  !Taken(vm.mVm) && use != nullptr && worker != nullptr &&
+                  worker->mRuns == 0;
       if (idle && StayingIn(vm.mPool) > StandbyOf(vm.mPool) &&
           mCores[vm.mPool] - CoresOf(vm) >= KeptCores(*use)) {
         FleetIntent intent;
--- a/src/services/cell_service.cpp
+++ b/src/services/cell_service.cpp
@@ -15,9 +15,7 @@
 
 constexpr std::string_view kPart = "cells";
 
-/// A node that already owns cells lets others go first, so that cells spread;
-/// the random part keeps nodes from claiming all at the same moment.
-constexpr Duration kHesitationPerCell = std::chrono::milliseconds(250);
+/// The random part keeps equal nodes from claiming all at the same moment.
 constexpr std::uint64_t kHesitationSpreadMs = 120;
 constexpr Duration kCheckEvery = std::chrono::milliseconds(500);
 
@@ -143,8 +141,8 @@
 {
   auto random =
     static_cast<std::int64_t>(mKernel.Random() % kHesitationSpreadMs);
-  auto cells = static_cast<std::int64_t>(mOwned.size() + mTaking.size());
-  return kHesitationPerCell * cells + std::chrono::milliseconds(random);
+  return ClaimDelay(mOwners->Self().mPower, mOwned.size() + mTaking.size()) +
+         std::chrono::milliseconds(random);
 }
 
 void
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -32,7 +32,7 @@
 constexpr Duration kListTimeout = std::chrono::milliseconds(1500);
 constexpr Duration kDutyTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kDutyRetry = std::chrono::milliseconds(250);
-/// The owner of the fleet does little; any node may take it, after a moment.
+/// Keeps equal nodes from claiming the fleet all at the same moment.
 constexpr std::uint64_t kHesitationSpreadMs = 200;
 /// An order that the platform has confirmed shows in the list by then.
 constexpr Duration kSettled = std::chrono::seconds(12);
@@ -104,7 +104,8 @@
     if (free) {
       auto random =
         static_cast<std::int64_t>(mKernel.Random() % kHesitationSpreadMs);
-      co_await mClock.Sleep(std::chrono::milliseconds(random));
+      co_await mClock.Sleep(ClaimDelay(mOwners->Self().mPower, 0) +
+                            std::chrono::milliseconds(random));
       sighting = mOwners->Sighting(kFleetCell);
       std::optional<OwnerSighting> before;
       if (sighting != nullptr) {
@@ -296,6 +297,7 @@
       }
     }
     if (ok) {
+      LogVmChanges(vms);
       mView.mVms = std::move(vms);
       mListedAt = asked;
       ReviewConfirmed();
@@ -304,6 +306,30 @@
   }
 }
 
+// The first list changes no belief.
+void
+FleetService::LogVmChanges(std::span<const PoolVm> aVms) const
+{
+  std::map<std::string_view, const PoolVm*> before;
+  for (const PoolVm& vm : mView.mVms) {
+    before.emplace(vm.mVm, &vm);
+  }
+  for (const PoolVm& vm : aVms) {
+    auto it = before.find(vm.mVm);
+    bool news = it == before.end() || it->second->mState != vm.mState ||
+                it->second->mPool != vm.mPool ||
+                it->second->mWorker != vm.mWorker;
+    if (news && !before.empty()) {
+      LogInfo(kPart,
+              "vm={} pool={} state={} worker={}",
+              vm.mVm,
+              vm.mPool,
+              ToString(vm.mState),
+              vm.mWorker);
+    }
+  }
+}
+
 // Forgets orders whose VM is up again. An order stays recorded for the duty
 // lease, so that a next owner doesn't order the same VM too soon.
 void
@@ -318,7 +344,7 @@
                            mView.mVms.end(),
                            [&](const PoolVm& aVm) { return aVm.mVm == vm; });
     bool gone = it == mView.mVms.end();
-    bool settled = !gone && it->mUp &&
+    bool settled = !gone && it->mState == PoolVmState::Up &&
                    (intent.mToPool.empty() || it->mPool == intent.mToPool);
     bool late = mListedAt > intent.mConfirmedAt + kSettled;
     bool quiet = mListedAt > intent.mConfirmedAt + mPorts.mDutyLease;
@@ -362,7 +388,8 @@
   for (const auto& [vm, intent] : mView.mIntents) {
     if (intent.mToPool == aPool) {
       for (const PoolVm& at : mView.mVms) {
-        bool coming = at.mVm == vm && (at.mPool != aPool || !at.mUp);
+        bool coming =
+          at.mVm == vm && (at.mPool != aPool || at.mState != PoolVmState::Up);
         sync.mIncomingCores += coming ? CoresOf(at) : 0;
       }
     }
@@ -386,8 +413,8 @@
   auto it = std::find_if(mView.mVms.begin(),
                          mView.mVms.end(),
                          [&](const PoolVm& aAt) { return aAt.mVm == aVm; });
-  bool there =
-    it != mView.mVms.end() && it->mUp && it->mWorker == aIntent.mWorker;
+  bool there = it != mView.mVms.end() && it->mState == PoolVmState::Up &&
+               it->mWorker == aIntent.mWorker;
   return mListedAt > aIntent.mConfirmedAt && !there;
 }
 
@@ -492,7 +519,7 @@
   for (const auto& [pool, use] : mView.mPools) {
     auto vms = std::count_if(
       mView.mVms.begin(), mView.mVms.end(), [&, &at = pool](const PoolVm& aVm) {
-        return aVm.mPool == at && aVm.mUp;
+        return aVm.mPool == at && aVm.mState == PoolVmState::Up;
       });
     LogInfo(kPart,
             "pool={} vms={} asked_least={} asked_mean={} busy_cores={} "
--- a/src/services/fleet_service.h
+++ b/src/services/fleet_service.h
@@ -12,6 +12,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -56,6 +57,7 @@
   Task<void> CarryOut(std::string aVm);
   Task<bool> Record();
   Task<Json> OnSync(Json aBody, TimePoint aDeadline);
+  void LogVmChanges(std::span<const PoolVm> aVms) const;
   void ReviewConfirmed();
   void ApplyPlan(const FleetPlanChange& aChange);
   void FollowWaves();
--- a/src/wire/config_schema.cpp
+++ b/src/wire/config_schema.cpp
@@ -159,7 +159,10 @@
         "grace_s": {"type": "number", "exclusiveMinimum": 0, "maximum": 600},
         "status_kept_s": {"type": "number", "exclusiveMinimum": 0, "maximum": 86400},
         "longest_run_lease_ms": {"type": "number", "minimum": 0, "maximum": 600000},
-        "duty_lease_ms": {"type": "number", "minimum": 0, "maximum": 600000}
+        "duty_lease_ms": {"type": "number", "minimum": 0, "maximum": 600000},
+        "processor_share": {"type": "number", "exclusiveMinimum": 0, "maximum": 1},
+        "processor_speed": {"type": "number", "exclusiveMinimum": 0, "maximum": 1000},
+        "link_mbps": {"type": "number", "exclusiveMinimum": 0}
       }
     },
     "log": {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -24,8 +24,12 @@
     for (const char* pool : { "a", "b", "off" }) {
       for (int i = 0; i < 4; ++i) {
         std::string name = std::string(pool) + std::to_string(i);
-        mView.mVms.push_back(
-          { name, pool, true, "w-" + name, "rack", { 32000, 100000, 0 } });
+        mView.mVms.push_back({ name,
+                               pool,
+                               PoolVmState::Up,
+                               "w-" + name,
+                               "rack",
+                               { 32000, 100000, 0 } });
       }
     }
     Report("a");
@@ -78,7 +82,7 @@
 {
   Fleet fleet;
   fleet.Wave({ "off0", "off1", "a0" }, 2);
-  fleet.mView.mVms[8].mUp = false;
+  fleet.mView.mVms[8].mState = PoolVmState::Down;
   CHECK(InWave(PlanFleet(fleet.mView)) == 1);
 }
 
@@ -200,3 +204,14 @@
   a.mWaitingCores = 120;
   CHECK(PlanFleet(fleet.mView).mBegin.empty());
 }
+
+TEST_CASE("nodes with room claim a free cell before small ones")
+{
+  // Sizes of the platform's grown fleets.
+  NodePower large{ 0.5, 200 };
+  NodePower small{ 0.12, 10 };
+  CHECK(ClaimDelay(large, 0) < ClaimDelay(large, 1));
+  CHECK(ClaimDelay(large, 1) < ClaimDelay(small, 0));
+  // A lost owner isn't missed for much longer than it takes to notice.
+  CHECK(ClaimDelay({ 0.01, 1 }, 0) < 1s);
+}
