Meet a turn of the demand sooner; end the lives that the list of VMs shows over

Cause: most jobs that were late or refused had been refused at their first attempt within the first two seconds of their queue's turn. The demand was believed only as its mean less its error, and sizes differ so much that this took two seconds. Change: rates of each queue's jobs times their mean size; two jobs within a window are evidence, as a queue between turns sees one in seconds. The fleet is planned as soon as a pool has reported, VMs that need no sealing are ordered at once, seals are told at once. A wave takes VMs of a pool in its turn last, and hurries only when the time that is left asks for it.

Cause: tasks of a dead worker waited 7 s for their lease, and a new owner's jobs waited as long for any earlier worker that didn't answer, though the list of VMs shows within a second that the VM is down or runs another worker. Change: the owner of the fleet compares the lives that cells hold with the list, 2 s after a life began at the earliest, as the list lags. Cells keep the VM of each worker in their set.

--- a/include/buckthornshunt/workload.h
+++ b/include/buckthornshunt/workload.h
@@ -193,6 +193,16 @@
   friend bool operator==(const WorkerReport&, const WorkerReport&) = default;
 };
 
+/// One life of a worker, as the directory knows it.
+struct WorkerLife
+{
+  std::string mVm;
+  /// Start of the life; 0 if the directory doesn't say.
+  std::int64_t mBorn = 0;
+  /// When the directory first showed it.
+  TimePoint mSeen;
+};
+
 /// How a run of a task ended.
 enum class RunEnd : std::uint8_t
 {
--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -126,6 +126,7 @@
     CellWorker& worker = mWorkers[address.mId];
     worker.mReport.mId = address.mId;
     worker.mReport.mEndpoint = address.mEndpoint;
+    worker.mReport.mVm = address.mVm;
     worker.mDurable = true;
     worker.mInherited = true;
     worker.mLeaseOver = aNow +
@@ -157,7 +158,7 @@
   bool plain = !job.LongRunning() && job.mSpec.mOccurrences == 0;
   JobDemand demand = DemandOf(job.mQueue, job.mSpec, firstSeen, aNow);
   if (plain && firstSeen == aNow) {
-    mDemand.Note(demand.mCoreSeconds, aNow);
+    mDemand.Note(job.mQueue, demand.mCoreSeconds, aNow);
   }
   if (plain && !ShouldAdmit(LoadNow(), demand)) {
     if (mTurnedAway.size() < kMostTurnedAway) {
@@ -191,7 +192,7 @@
 {
   PoolUse use;
   DemandLevel asked = mDemand.At(aNow);
-  use.mAskedLeast = asked.mLeast;
+  use.mAskedSupported = asked.mSupported;
   use.mAskedMean = asked.mMean;
   use.mBusyCores = Summary().mBusyCores;
   for (const std::string& id : mLive) {
@@ -206,10 +207,10 @@
     }
   }
   for (const auto& [id, worker] : mWorkers) {
+    WorkerUse& at = use.mWorkers[id];
     if (!worker.mListed) {
-      continue;
+      at.mUnlisted = UnlistedWorker{ worker.mReport.mVm, worker.mBorn };
     }
-    WorkerUse& at = use.mWorkers[id];
     at.mRuns = static_cast<std::uint32_t>(worker.mRuns.size());
     at.mSealed = worker.mSealed && worker.mContacted;
     for (const auto& [task, run] : worker.mRuns) {
--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -49,7 +49,8 @@
     mWorkersDirty = false;
     changes.mWorkers.emplace();
     for (const auto& [id, worker] : mWorkers) {
-      changes.mWorkers->push_back({ id, worker.mReport.mEndpoint });
+      changes.mWorkers->push_back(
+        { id, worker.mReport.mEndpoint, worker.mReport.mVm });
     }
   }
   if (mDirty.empty()) {
@@ -68,7 +69,8 @@
   for (const auto& [id, worker] : mWorkers) {
     bool unknown = worker.mInherited && aNow <= worker.mLeaseOver;
     if (!worker.mRuns.empty() || unknown) {
-      changes.mWorkers->push_back({ id, worker.mReport.mEndpoint });
+      changes.mWorkers->push_back(
+        { id, worker.mReport.mEndpoint, worker.mReport.mVm });
     }
   }
   return changes;
--- a/src/decide/demand.cpp
+++ b/src/decide/demand.cpp
@@ -7,35 +7,51 @@
 
 namespace {
 
-/// Seconds over which each mean is taken: a fraction of a move's 1.5 s, and a
+/// Seconds over which each rate is taken: a fraction of a move's 1.5 s, and a
 /// fraction of a turn of the demand.
 constexpr std::array<double, 2> kOver = { 0.4, 1.5 };
+/// Jobs within such a time from which on their rate is believed; between turns
+/// a queue sees one in some seconds.
+constexpr double kJobsToBelieve = 2;
+/// Jobs over which the mean size is taken.
+constexpr double kSizeMemory = 40;
 
 } // namespace
 
 void
-DemandMeter::Note(double aCoreSeconds, TimePoint aNow)
+DemandMeter::Note(std::string_view aQueue, double aCoreSeconds, TimePoint aNow)
 {
-  for (std::size_t i = 0; i < mMeans.size(); ++i) {
-    double left = std::exp(-ToSeconds(aNow - mAt) / kOver[i]);
-    double added = aCoreSeconds / kOver[i];
-    mMeans[i].mSum = mMeans[i].mSum * left + added;
-    mMeans[i].mSquares = mMeans[i].mSquares * left * left + added * added;
+  auto it = mQueues.find(aQueue);
+  if (it == mQueues.end()) {
+    it = mQueues.emplace(std::string(aQueue), Queue{}).first;
   }
-  mAt = aNow;
+  Queue& queue = it->second;
+  queue.mJobs = std::min(queue.mJobs + 1, kSizeMemory);
+  queue.mMeanSize += (aCoreSeconds - queue.mMeanSize) / queue.mJobs;
+  for (std::size_t i = 0; i < kOver.size(); ++i) {
+    double left = std::exp(-ToSeconds(aNow - queue.mAt) / kOver[i]);
+    queue.mRates[i] = queue.mRates[i] * left + 1 / kOver[i];
+  }
+  queue.mAt = aNow;
 }
 
 DemandLevel
 DemandMeter::At(TimePoint aNow) const
 {
   DemandLevel level;
-  for (std::size_t i = 0; i < mMeans.size(); ++i) {
-    double left = std::exp(-ToSeconds(aNow - mAt) / kOver[i]);
-    double mean = mMeans[i].mSum * left;
-    double error = std::sqrt(mMeans[i].mSquares) * left;
-    level.mLeast = std::max(level.mLeast, mean - error);
-    // The last mean is the slowest.
-    level.mMean = mean;
+  for (const auto& [name, queue] : mQueues) {
+    double supported = 0;
+    double mean = 0;
+    for (std::size_t i = 0; i < kOver.size(); ++i) {
+      double left = std::exp(-ToSeconds(aNow - queue.mAt) / kOver[i]);
+      // The last rate is the slowest.
+      mean = queue.mRates[i] * left * queue.mMeanSize;
+      if (queue.mRates[i] * left * kOver[i] >= kJobsToBelieve) {
+        supported = std::max(supported, mean);
+      }
+    }
+    level.mSupported += supported;
+    level.mMean += mean;
   }
   return level;
 }
--- a/src/decide/demand.h
+++ b/src/decide/demand.h
@@ -4,38 +4,43 @@
 #include "buckthornshunt/time.h"
 
 #include <array>
+#include <map>
+#include <string>
+#include <string_view>
 
 namespace buckthornshunt {
 
 /// Cores that callers ask for.
 struct DemandLevel
 {
-  /// What the arrivals surely support.
-  double mLeast = 0;
+  /// What several arrivals support.
+  double mSupported = 0;
   /// Mean over the last seconds.
   double mMean = 0;
 };
 
-/// Measures the work that callers ask for. Answers demand that rises within a
-/// moment to several times its mean: a quick mean shows the rise, a slow one
-/// bridges the gaps between jobs. A single large job supports no demand, as
-/// its error is as large as itself.
+/// Measures the work that callers ask for, by the rate of each queue's jobs and
+/// their mean size. Answers demand that rises within a moment to some eighty
+/// times what it was: a few arrivals in a row tell a rise for certain long
+/// before their sizes, which differ by more, add up to the same.
 class DemandMeter
 {
 public:
-  void Note(double aCoreSeconds, TimePoint aNow);
+  /// A job of that many core-seconds was handed in.
+  void Note(std::string_view aQueue, double aCoreSeconds, TimePoint aNow);
   DemandLevel At(TimePoint aNow) const;
 
 private:
-  /// A decaying sum and the sum of its squares.
-  struct Mean
+  struct Queue
   {
-    double mSum = 0;
-    double mSquares = 0;
+    double mJobs = 0;
+    double mMeanSize = 0;
+    /// Jobs a second, by decaying means.
+    std::array<double, 2> mRates{};
+    TimePoint mAt;
   };
 
-  std::array<Mean, 2> mMeans;
-  TimePoint mAt;
+  std::map<std::string, Queue, std::less<>> mQueues;
 };
 
 } // namespace buckthornshunt
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -17,11 +17,24 @@
 constexpr Duration kMovePatience = std::chrono::seconds(4);
 /// Part of a pool that may be on its way to maintenance at the same time.
 constexpr double kWaveShare = 0.34;
-/// Once this part of a wave's time is over, every pool gives what it can.
-constexpr double kWaveHurry = 0.5;
+/// Time for one VM to become empty, be maintained (2 s) and be seen again, and
+/// as much to spare. When no more is left, every pool gives what it can.
+constexpr Duration kMaintenance = std::chrono::seconds(4);
+/// The list may show what was true up to this long before it was asked for;
+/// what was seen of it is under half of that.
+constexpr Duration kListLag = std::chrono::seconds(2);
 /// Reports older than this aren't planned with.
 constexpr Duration kReportValid = std::chrono::seconds(2);
 
+// Time in which the VMs of a wave that are left can be maintained.
+Duration
+TimeForWave(std::size_t aLeft, const WaveOrder& aOrder)
+{
+  std::size_t atOnce = std::max<std::size_t>(aOrder.mMostAtOnce, 1);
+  std::size_t batches = (aLeft + atOnce - 1) / atOnce;
+  return kMaintenance * static_cast<int>(batches + 1);
+}
+
 /// Collects the changes and keeps count of what they leave.
 class Planner
 {
@@ -179,6 +192,9 @@
       mCores[aIntent.mToPool] += CoresOf(aVm);
     }
     mChange.mBegin.emplace(aVm.mVm, std::move(aIntent));
+    if (!NeedsSeal(aVm)) {
+      mChange.mOrder.push_back(aVm.mVm);
+    }
   }
 
   // VMs that are switched off go first, then those that run least.
@@ -213,7 +229,8 @@
       left.begin(), left.end(), [](const auto& aA, const auto& aB) {
         return aA.first < aB.first;
       });
-    bool hurry = mView.mNow - aWave.mSeen > aWave.mOrder.mDeadline * kWaveHurry;
+    bool hurry = mView.mNow + TimeForWave(left.size(), aWave.mOrder) >
+                 aWave.mSeen + aWave.mOrder.mDeadline;
     for (auto [cost, vm] : left) {
       if (InMaintenance(aNumber) >= aWave.mOrder.mMostAtOnce) {
         return;
@@ -222,7 +239,11 @@
         std::max(1.0, std::floor(mPoolSize[vm->mPool] * kWaveShare));
       bool crowded = cost > 0 && mLeaving[vm->mPool] >= most;
       bool unknown = NeedsSeal(*vm) && UseOf(vm->mPool) == nullptr;
-      if (unknown || (crowded && !hurry)) {
+      // A pool in its turn goes last.
+      bool needed =
+        NeedsSeal(*vm) && !unknown &&
+        mCores[vm->mPool] - CoresOf(*vm) < NeededCores(*UseOf(vm->mPool));
+      if (unknown || ((crowded || needed) && !hurry)) {
         continue;
       }
       FleetIntent intent;
@@ -326,10 +347,23 @@
   return static_cast<double>(aVm.mCapacity.mCpuMillis) / kMillisPerCore;
 }
 
+bool
+ListShowsEnd(std::string_view aWorker,
+             const WorkerLife& aLife,
+             const PoolVm* aVm,
+             TimePoint aListed)
+{
+  // A life that began lately may not be in the list yet.
+  if (aVm == nullptr || aLife.mSeen + kListLag > aListed) {
+    return false;
+  }
+  return aVm->mState != PoolVmState::Up || aVm->mWorker != aWorker;
+}
+
 double
 NeededCores(const PoolUse& aUse)
 {
-  return aUse.mLastingCores + kHeadroom * aUse.mAskedLeast;
+  return aUse.mLastingCores + kHeadroom * aUse.mAskedSupported;
 }
 
 double
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -14,6 +14,18 @@
 
 namespace buckthornshunt {
 
+/// A worker that a cell still holds though the directory no longer lists it.
+struct UnlistedWorker
+{
+  /// VM that it ran on; empty if that isn't known.
+  std::string mVm;
+  /// Start of its last known life; 0 if that isn't known.
+  std::int64_t mBorn = 0;
+
+  friend bool operator==(const UnlistedWorker&,
+                         const UnlistedWorker&) = default;
+};
+
 /// What the owner of a pool's cell reports of one worker.
 struct WorkerUse
 {
@@ -23,6 +35,7 @@
   bool mLasting = false;
   /// Nothing new starts on it, and that is recorded.
   bool mSealed = false;
+  std::optional<UnlistedWorker> mUnlisted;
 };
 
 /// What the owner of a pool's cell reports of the pool.
@@ -32,9 +45,9 @@
   double mBusyCores = 0;
   /// Cores of such tasks that could start if there were room.
   double mWaitingCores = 0;
-  /// Cores that callers ask for, let in or not: what the arrivals surely
-  /// support, and their mean over the last seconds.
-  double mAskedLeast = 0;
+  /// Cores that callers ask for, let in or not: what several arrivals support,
+  /// and the mean over the last seconds.
+  double mAskedSupported = 0;
   double mAskedMean = 0;
   /// Cores held by tasks that last.
   double mLastingCores = 0;
@@ -57,10 +70,8 @@
   bool mConfirmed = false;
   TimePoint mSince;
   TimePoint mConfirmedAt;
-  /// Worker on the VM when the intent was made, and the start of its life; 0
-  /// if that isn't known.
+  /// Worker on the VM when the intent was made.
   std::string mWorker;
-  std::int64_t mBorn = 0;
 };
 
 struct WaveProgress
@@ -99,6 +110,16 @@
 double
 CoresOf(const PoolVm& aVm);
 
+/// Whether a worker's life is surely over, since the list of VMs, asked for at
+/// aListed, shows its VM without it. aVm is the VM's entry, null if the list
+/// doesn't have it. Answers the loss of workers and owners at the same time:
+/// what a dead worker ran need not wait for its lease to end.
+bool
+ListShowsEnd(std::string_view aWorker,
+             const WorkerLife& aLife,
+             const PoolVm* aVm,
+             TimePoint aListed);
+
 /// Cores that a pool surely needs for what callers ask for; below this it
 /// takes VMs in. A single large job is no demand.
 double
--- a/src/ports/worker_calls.h
+++ b/src/ports/worker_calls.h
@@ -23,6 +23,8 @@
 {
   std::string mId;
   Endpoint mEndpoint;
+  /// VM that it runs on; empty if that isn't known.
+  std::string mVm = {};
 };
 
 /// Starts a run of a task, or confirms one that is there.
--- a/src/services/directory_service.cpp
+++ b/src/services/directory_service.cpp
@@ -56,11 +56,15 @@
   return reports;
 }
 
-std::int64_t
-DirectoryService::BornOf(std::string_view aWorker) const
+std::optional<WorkerLife>
+DirectoryService::LifeOf(std::string_view aWorker) const
 {
   auto it = mWorkers.find(aWorker);
-  return it == mWorkers.end() ? 0 : it->second.mBorn;
+  if (it == mWorkers.end()) {
+    return std::nullopt;
+  }
+  auto seen = mLifeSeen.find(aWorker);
+  return WorkerLife{ it->second.mVm, it->second.mBorn, seen->second };
 }
 
 TimePoint
@@ -278,6 +282,7 @@
               before->second.mPool,
               ToNumber(aRow.mRevision));
       mWorkers.erase(before);
+      mLifeSeen.erase(id);
     }
     return;
   }
@@ -287,12 +292,19 @@
     LogWarn(
       kPart, "worker {} ignored: {}", id, Describe(std::get<Failure>(report)));
     mWorkers.erase(id);
+    mLifeSeen.erase(id);
     return;
   }
   WorkerReport& held = std::get<WorkerReport>(report);
   bool news =
     before == mWorkers.end() || before->second.mDraining != held.mDraining ||
     before->second.mBorn != held.mBorn || before->second.mPool != held.mPool;
+  bool sameLife = before != mWorkers.end() &&
+                  before->second.mBorn == held.mBorn &&
+                  before->second.mVm == held.mVm;
+  if (!sameLife) {
+    mLifeSeen.insert_or_assign(id, mKernel.GetClock().Now());
+  }
   if (news) {
     LogInfo(kPart,
             "worker {} pool={} vm={} born={} draining={} revision={}",
--- a/src/services/directory_service.h
+++ b/src/services/directory_service.h
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,8 +32,8 @@
   /// Workers listed at present.
   std::vector<WorkerReport> Workers() const;
 
-  /// Start of a worker's present life; 0 if it isn't known.
-  std::int64_t BornOf(std::string_view aWorker) const;
+  /// A worker's present life; none if it isn't listed.
+  std::optional<WorkerLife> LifeOf(std::string_view aWorker) const;
 
   const std::map<std::uint64_t, WaveOrder>& Waves() const { return mWaves; }
 
@@ -71,6 +72,8 @@
   std::map<std::uint64_t, WaveOrder> mWaves;
   std::map<std::uint64_t, TimePoint> mWaveSeen;
   std::map<std::string, WorkerReport, std::less<>> mWorkers;
+  /// When each listed worker's present life was first seen.
+  std::map<std::string, TimePoint, std::less<>> mLifeSeen;
 };
 
 } // namespace buckthornshunt
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -53,6 +53,8 @@
   , mPorts(aPorts)
   , mTasks(aKernel.Context(), &aKernel.Groups())
   , mDuties(aKernel.Context(), &aKernel.Groups())
+  , mPlanDue(aKernel.Context())
+  , mSyncDue(aKernel.Context())
   , mRecord(aKernel.Context())
   , mRecorded(aKernel.Context())
 {
@@ -393,37 +395,45 @@
         sync.mIncomingCores += coming ? CoresOf(at) : 0;
       }
     }
-    if (intent.mWorker.empty()) {
+    if (!intent.mWorker.empty() && !intent.mConfirmed) {
+      sync.mSealed.push_back(intent.mWorker);
+    }
+  }
+  auto use = mView.mPools.find(aPool);
+  if (use == mView.mPools.end()) {
+    return sync;
+  }
+  std::map<std::string_view, const PoolVm*> vms;
+  for (const PoolVm& vm : mView.mVms) {
+    vms.emplace(vm.mVm, &vm);
+  }
+  for (const auto& [id, worker] : use->second.mWorkers) {
+    std::optional<WorkerLife> life = mDirectory->LifeOf(id);
+    if (!life && worker.mUnlisted) {
+      // The directory drops it late, so the list of VMs has long shown it.
+      life = { worker.mUnlisted->mVm, worker.mUnlisted->mBorn, TimePoint{} };
+    }
+    if (!life) {
       continue;
     }
-    if (!intent.mConfirmed) {
-      sync.mSealed.push_back(intent.mWorker);
-    } else if (intent.mBorn != 0 && SeenGone(vm, intent)) {
-      sync.mEnded.emplace(intent.mWorker, intent.mBorn);
+    auto vm = vms.find(life->mVm);
+    const PoolVm* at = vm == vms.end() ? nullptr : vm->second;
+    if (ListShowsEnd(id, *life, at, mListedAt)) {
+      sync.mEnded.emplace(id, life->mBorn);
     }
   }
   return sync;
 }
 
-// A confirmed order may have been carried out long before, for an earlier
-// owner; only a later list shows that the worker is gone.
-bool
-FleetService::SeenGone(std::string_view aVm, const FleetIntent& aIntent) const
-{
-  auto it = std::find_if(mView.mVms.begin(),
-                         mView.mVms.end(),
-                         [&](const PoolVm& aAt) { return aAt.mVm == aVm; });
-  bool there = it != mView.mVms.end() && it->mState == PoolVmState::Up &&
-               it->mWorker == aIntent.mWorker;
-  return mListedAt > aIntent.mConfirmedAt && !there;
-}
-
 Task<void>
 FleetService::SyncLoop(std::string aPool)
 {
   while (!mTenure->Lost()) {
-    co_await SyncOnce(aPool);
-    co_await mClock.Sleep(kSyncEvery);
+    bool news = co_await SyncOnce(aPool);
+    if (news) {
+      mPlanDue.Set();
+    }
+    co_await WaitUntil(mSyncDue, mClock, mClock.Now() + kSyncEvery);
   }
 }
 
@@ -503,7 +513,8 @@
       mView.mNow = mClock.Now();
       ApplyPlan(PlanFleet(mView));
     }
-    co_await mClock.Sleep(kPlanEvery);
+    TimePoint due = mClock.Now() + kPlanEvery;
+    co_await mPlanDue.TakeUntil(mClock, due);
   }
 }
 
@@ -522,11 +533,11 @@
         return aVm.mPool == at && aVm.mState == PoolVmState::Up;
       });
     LogInfo(kPart,
-            "pool={} vms={} asked_least={} asked_mean={} busy_cores={} "
+            "pool={} vms={} asked={} asked_mean={} busy_cores={} "
             "waiting_cores={} lasting_cores={} report_age_ms={}",
             pool,
             vms,
-            use.mAskedLeast,
+            use.mAskedSupported,
             use.mAskedMean,
             use.mBusyCores,
             use.mWaitingCores,
@@ -543,15 +554,16 @@
     mView.mIntents.erase(vm);
   }
   for (const auto& [vm, planned] : aChange.mBegin) {
-    FleetIntent intent = planned;
-    intent.mBorn = mDirectory->BornOf(intent.mWorker);
     LogInfo(kPart,
             "vm={} worker={} intent to={} wave={}",
             vm,
-            intent.mWorker,
-            intent.mToPool,
-            intent.mWave);
-    mView.mIntents.insert_or_assign(vm, std::move(intent));
+            planned.mWorker,
+            planned.mToPool,
+            planned.mWave);
+    mView.mIntents.insert_or_assign(vm, planned);
+  }
+  if (!aChange.mBegin.empty()) {
+    mSyncDue.NotifyAll();
   }
   for (const std::string& vm : aChange.mOrder) {
     mView.mIntents[vm].mOrdered = true;
--- a/src/services/fleet_service.h
+++ b/src/services/fleet_service.h
@@ -63,7 +63,6 @@
   void FollowWaves();
   void LogView();
   FleetSync SyncFor(std::string_view aPool) const;
-  bool SeenGone(std::string_view aVm, const FleetIntent& aIntent) const;
   bool MayOrder(std::string_view aVm, const FleetIntent& aIntent) const;
 
   Kernel& mKernel;
@@ -89,6 +88,8 @@
   /// When the present list of VMs was asked for.
   TimePoint mListedAt;
   TimePoint mViewLogged;
+  Signal mPlanDue;
+  Event mSyncDue;
   Signal mRecord;
   Event mRecorded;
   /// Highest token of a fleet owner that this node's cells have heard from.
--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -267,8 +267,10 @@
 {
   Json list = Json::array();
   for (const WorkerAddress& worker : aWorkers) {
-    list.push_back(Json::array(
-      { worker.mId, worker.mEndpoint.mHost, worker.mEndpoint.mPort }));
+    list.push_back(Json::array({ worker.mId,
+                                 worker.mEndpoint.mHost,
+                                 worker.mEndpoint.mPort,
+                                 worker.mVm }));
   }
   return ToCbor(list);
 }
@@ -282,13 +284,17 @@
     return Fail(MessageFailure{ MessageFault::WrongType, {} });
   }
   for (const Json& at : json) {
-    bool ok = at.is_array() && at.size() == 3 && at[0].is_string() &&
+    // Rows of the version before don't name the VM.
+    bool named = at.is_array() && at.size() == 4 && at[3].is_string();
+    bool ok = at.is_array() && (at.size() == 3 || named) && at[0].is_string() &&
               at[1].is_string() && at[2].is_number_unsigned();
     if (!ok) {
       return Fail(MessageFailure{ MessageFault::WrongType, {} });
     }
     Endpoint endpoint{ at[1].get<std::string>(), at[2].get<std::uint16_t>() };
-    workers.push_back({ at[0].get<std::string>(), std::move(endpoint) });
+    workers.push_back({ at[0].get<std::string>(),
+                        std::move(endpoint),
+                        named ? at[3].get<std::string>() : std::string() });
   }
   return workers;
 }
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -28,8 +28,9 @@
   return at->get<double>();
 }
 
-// A worker is id, runs, lasting, sealed.
+// A worker is id, runs, lasting, sealed; one that isn't listed adds VM, born.
 constexpr std::size_t kWorkerFields = 4;
+constexpr std::size_t kUnlistedFields = 6;
 
 } // namespace
 
@@ -38,11 +39,12 @@
 {
   Json list = Json::array();
   for (const auto& [vm, intent] : aIntents) {
-    list.push_back({ { "v", vm },
-                     { "p", intent.mToPool },
-                     { "w", intent.mWave },
-                     { "i", intent.mWorker },
-                     { "b", intent.mBorn } });
+    list.push_back({
+      { "v", vm },
+      { "p", intent.mToPool },
+      { "w", intent.mWave },
+      { "i", intent.mWorker },
+    });
   }
   return ToCbor({ { "orders", std::move(list) } });
 }
@@ -59,7 +61,6 @@
     BOOST_LEAF_ASSIGN(intent.mToPool, ReadString(at, "p"));
     BOOST_LEAF_ASSIGN(intent.mWave, ReadNumber(at, "w"));
     BOOST_LEAF_ASSIGN(intent.mWorker, ReadString(at, "i"));
-    BOOST_LEAF_ASSIGN(intent.mBorn, ReadSigned(at, "b"));
     intents.emplace(std::move(vm), std::move(intent));
   }
   return intents;
@@ -121,11 +122,16 @@
 {
   Json workers = Json::array();
   for (const auto& [id, worker] : aUse.mWorkers) {
-    workers.push_back(
-      Json::array({ id, worker.mRuns, worker.mLasting, worker.mSealed }));
+    Json row =
+      Json::array({ id, worker.mRuns, worker.mLasting, worker.mSealed });
+    if (worker.mUnlisted) {
+      row.push_back(worker.mUnlisted->mVm);
+      row.push_back(worker.mUnlisted->mBorn);
+    }
+    workers.push_back(std::move(row));
   }
   return { { "busy", aUse.mBusyCores },       { "waiting", aUse.mWaitingCores },
-           { "least", aUse.mAskedLeast },     { "mean", aUse.mAskedMean },
+           { "asked", aUse.mAskedSupported }, { "mean", aUse.mAskedMean },
            { "lasting", aUse.mLastingCores }, { "vms", aUse.mLeastVms },
            { "workers", std::move(workers) } };
 }
@@ -136,23 +142,30 @@
   PoolUse use;
   BOOST_LEAF_ASSIGN(use.mBusyCores, ReadReal(aJson, "busy"));
   BOOST_LEAF_ASSIGN(use.mWaitingCores, ReadReal(aJson, "waiting"));
-  BOOST_LEAF_ASSIGN(use.mAskedLeast, ReadReal(aJson, "least"));
+  BOOST_LEAF_ASSIGN(use.mAskedSupported, ReadReal(aJson, "asked"));
   BOOST_LEAF_ASSIGN(use.mAskedMean, ReadReal(aJson, "mean"));
   BOOST_LEAF_ASSIGN(use.mLastingCores, ReadReal(aJson, "lasting"));
   BOOST_LEAF_AUTO(vms, ReadNumber(aJson, "vms"));
   use.mLeastVms = static_cast<std::uint32_t>(vms);
   BOOST_LEAF_AUTO(workers, ReadArray(aJson, "workers"));
   for (const Json& at : *workers) {
-    bool ok = at.is_array() && at.size() == kWorkerFields &&
+    bool unlisted = at.is_array() && at.size() == kUnlistedFields &&
+                    at[4].is_string() && at[5].is_number_integer();
+    bool ok = at.is_array() && (at.size() == kWorkerFields || unlisted) &&
               at[0].is_string() && at[1].is_number_unsigned() &&
               at[2].is_boolean() && at[3].is_boolean();
     if (!ok) {
       return Fail(MessageFailure{ MessageFault::WrongType, "workers" });
     }
-    use.mWorkers.emplace(at[0].get<std::string>(),
-                         WorkerUse{ at[1].get<std::uint32_t>(),
-                                    at[2].get<bool>(),
-                                    at[3].get<bool>() });
+    WorkerUse worker;
+    worker.mRuns = at[1].get<std::uint32_t>();
+    worker.mLasting = at[2].get<bool>();
+    worker.mSealed = at[3].get<bool>();
+    if (unlisted) {
+      worker.mUnlisted =
+        UnlistedWorker{ at[4].get<std::string>(), at[5].get<std::int64_t>() };
+    }
+    use.mWorkers.emplace(at[0].get<std::string>(), std::move(worker));
   }
   return use;
 }
--- a/src/wire/fleet_codec.h
+++ b/src/wire/fleet_codec.h
@@ -28,8 +28,8 @@
   std::uint64_t mToken = 0;
   /// Workers on which nothing may start.
   std::vector<std::string> mSealed;
-  /// Workers that are gone, since the platform confirmed an order for their
-  /// VM, with the start of the life that was ended.
+  /// Workers that are gone, since the list of VMs shows their VM without them,
+  /// with the start of the life that is over.
   std::map<std::string, std::int64_t> mEnded;
   /// Cores of VMs that are on their way into the pool.
   double mIncomingCores = 0;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -304,6 +304,34 @@
     [&] { return FleetSyncFromJson(FleetSyncToJson(sync)); });
   REQUIRE(Ok(held));
   CHECK(std::get<FleetSync>(held).mEnded.at("v") == 17);
+  PoolUse use;
+  use.mBusyCores = 3;
+  use.mWaitingCores = 4;
+  use.mWorkers["w"].mRuns = 2;
+  use.mWorkers["x"].mUnlisted = UnlistedWorker{ "vm", 17 };
+  auto told =
+    ToExpected<PoolUse>([&] { return PoolUseFromJson(PoolUseToJson(use)); });
+  REQUIRE(Ok(told));
+  const PoolUse& back = std::get<PoolUse>(told);
+  CHECK(back.mBusyCores == 3);
+  CHECK(back.mWaitingCores == 4);
+  CHECK_FALSE(back.mWorkers.at("w").mUnlisted);
+  CHECK(back.mWorkers.at("x").mUnlisted == UnlistedWorker{ "vm", 17 });
+}
+
+TEST_CASE("the set of a cell's workers names their VMs")
+{
+  std::vector<WorkerAddress> workers = { { "w", { "10.0.0.1", 7 }, "vm" } };
+  auto read = ToExpected<std::vector<WorkerAddress>>(
+    [&] { return DecodeWorkerSet(EncodeWorkerSet(workers)); });
+  REQUIRE(Ok(read));
+  CHECK(std::get<0>(read)[0].mVm == "vm");
+  // As a node of the version before writes it.
+  Json earlier = Json::array({ Json::array({ "w", "10.0.0.1", 7 }) });
+  read = ToExpected<std::vector<WorkerAddress>>(
+    [&] { return DecodeWorkerSet(ToCbor(earlier)); });
+  REQUIRE(Ok(read));
+  CHECK(std::get<0>(read)[0].mVm.empty());
 }
 
 TEST_CASE("settings of an entry VM are checked")
