Plan for the demand that a moved VM meets; refill pools at the end of a turn

Change: while the quick mean is above the slow one, the rise is taken to go on for the time of a move. VMs that a turn leaves idle go to the pools that have less than their standby before any is switched off. Standby 0.7 of an even share instead of 0.95. A pool gives nothing away that it would take in.

A trial that failed and was taken back: a turn was also given VMs that still run something which is expected to end within a second.

--- a/src/decide/demand.cpp
+++ b/src/decide/demand.cpp
@@ -13,6 +13,9 @@
 /// Jobs within such a time from which on their rate is believed; between turns
 /// a queue sees one in some seconds.
 constexpr double kJobsToBelieve = 2;
+/// A rise goes on until a VM that is ordered now has arrived: the move's 1.5 s
+/// and the time to hear of it, over the time between the two means.
+constexpr double kLead = 1.8 / (1.5 - 0.4);
 /// Jobs over which the mean size is taken.
 constexpr double kSizeMemory = 40;
 
@@ -42,6 +45,7 @@
   for (const auto& [name, queue] : mQueues) {
     double supported = 0;
     double mean = 0;
+    double quick = 0;
     for (std::size_t i = 0; i < kOver.size(); ++i) {
       double left = std::exp(-ToSeconds(aNow - queue.mAt) / kOver[i]);
       // The last rate is the slowest.
@@ -49,6 +53,10 @@
       if (queue.mRates[i] * left * kOver[i] >= kJobsToBelieve) {
         supported = std::max(supported, mean);
       }
+      quick = i == 0 ? mean : quick;
+    }
+    if (supported > 0) {
+      supported += kLead * std::max(quick - mean, 0.0);
     }
     level.mSupported += supported;
     level.mMean += mean;
--- a/src/decide/demand.h
+++ b/src/decide/demand.h
@@ -13,7 +13,8 @@
 /// Cores that callers ask for.
 struct DemandLevel
 {
-  /// What several arrivals support.
+  /// What several arrivals support, at the time when a VM that is moved now
+  /// has arrived.
   double mSupported = 0;
   /// Mean over the last seconds.
   double mMean = 0;
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -12,7 +12,7 @@
 constexpr double kHeadroom = 1.2;
 /// Part of an even share of the fleet that every pool keeps, since a rise of
 /// the demand is met by what is there until the first VM has moved.
-constexpr double kStandbyShare = 0.95;
+constexpr double kStandbyShare = 0.7;
 /// A move whose VM doesn't become empty within this time is given up.
 constexpr Duration kMovePatience = std::chrono::seconds(4);
 /// Part of a pool that may be on its way to maintenance at the same time.
@@ -58,6 +58,9 @@
       auto it = mVms.find(vm);
       if (it != mVms.end() && !intent.mToPool.empty()) {
         mCores[intent.mToPool] += CoresOf(*it->second);
+        // One that has arrived is counted already.
+        bool coming = it->second->mPool != intent.mToPool;
+        mComing[intent.mToPool] += coming ? 1 : 0;
       }
     }
   }
@@ -71,6 +74,7 @@
       }
     }
     GrowPools();
+    RefillPools();
     ShrinkPools();
     return std::move(mChange);
   }
@@ -190,6 +194,7 @@
     mCores[aVm.mPool] -= CoresOf(aVm);
     if (!aIntent.mToPool.empty()) {
       mCores[aIntent.mToPool] += CoresOf(aVm);
+      ++mComing[aIntent.mToPool];
     }
     mChange.mBegin.emplace(aVm.mVm, std::move(aIntent));
     if (!NeedsSeal(aVm)) {
@@ -304,6 +309,51 @@
     return best;
   }
 
+  // VMs that a pool gives away at the end of its turn go where the next turn
+  // may begin.
+  void RefillPools()
+  {
+    for (const PoolVm& vm : mView.mVms) {
+      if (!MayLeave(vm)) {
+        continue;
+      }
+      std::string_view poorest = PoorestPool();
+      if (poorest.empty()) {
+        return;
+      }
+      FleetIntent intent;
+      intent.mToPool = poorest;
+      Begin(vm, intent);
+    }
+  }
+
+  // The pool that lacks most of its standby; empty if none lacks anything.
+  std::string_view PoorestPool()
+  {
+    std::string_view poorest;
+    int most = 0;
+    for (const auto& [pool, use] : mView.mPools) {
+      int lack = StandbyOf(pool) - StayingIn(pool) - mComing[pool];
+      if (UseOf(pool) != nullptr && !IsSpare(pool) && lack > most) {
+        most = lack;
+        poorest = pool;
+      }
+    }
+    return poorest;
+  }
+
+  // The VM runs nothing, and its pool neither needs it nor keeps it ready.
+  bool MayLeave(const PoolVm& aVm)
+  {
+    const PoolUse* use = UseOf(aVm.mPool);
+    const WorkerUse* worker = WorkerOf(aVm);
+    bool idle = aVm.mState == PoolVmState::Up && !IsSpare(aVm.mPool) &&
+                !Taken(aVm.mVm) && use != nullptr && worker != nullptr &&
+                worker->mRuns == 0;
+    return idle && StayingIn(aVm.mPool) > StandbyOf(aVm.mPool) &&
+           mCores[aVm.mPool] - CoresOf(aVm) >= KeptCores(*use);
+  }
+
   void ShrinkPools()
   {
     std::string_view spare;
@@ -316,13 +366,7 @@
       return;
     }
     for (const PoolVm& vm : mView.mVms) {
-      const PoolUse* use = UseOf(vm.mPool);
-      const WorkerUse* worker = WorkerOf(vm);
-      bool idle = vm.mState == PoolVmState::Up && !IsSpare(vm.mPool) &&
-                  !Taken(vm.mVm) && use != nullptr && worker != nullptr &&
-                  worker->mRuns == 0;
-      if (idle && StayingIn(vm.mPool) > StandbyOf(vm.mPool) &&
-          mCores[vm.mPool] - CoresOf(vm) >= KeptCores(*use)) {
+      if (MayLeave(vm)) {
         FleetIntent intent;
         intent.mToPool = spare;
         Begin(vm, intent);
@@ -336,6 +380,8 @@
   std::map<std::string, bool, std::less<>> mSpare;
   std::map<std::string, int, std::less<>> mPoolSize;
   std::map<std::string, int, std::less<>> mLeaving;
+  /// VMs on their way into each pool.
+  std::map<std::string, int, std::less<>> mComing;
   std::map<std::string, double, std::less<>> mCores;
 };
 
@@ -369,8 +415,9 @@
 double
 KeptCores(const PoolUse& aUse)
 {
-  return aUse.mLastingCores + std::max(kHeadroom * aUse.mAskedMean,
-                                       aUse.mBusyCores + aUse.mWaitingCores);
+  double used = std::max(kHeadroom * aUse.mAskedMean,
+                         aUse.mBusyCores + aUse.mWaitingCores);
+  return std::max(NeededCores(aUse), aUse.mLastingCores + used);
 }
 
 FleetPlanChange
