Log a step's starts and a listing's ends in a line each; measure a cell's decisions

Cause: an owner of 80 workers wrote two lines for each run, 1,500 starts a second in a turn; each line looked its logger up by name twice, was put together by a stream and woke the writing thread.

Change: one line for the starts of a step, one for the new ends of a listing; a start has a line of its own only if it wasn't carried out.

--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -14,6 +14,7 @@
   };
   constexpr Part kParts[] = { { "queueing", MeasureQueueing },
                               { "placement", MeasurePlacement },
+                              { "cell", MeasureCell },
                               { "relay", MeasureRelay },
                               { "control", MeasureControl } };
   Report report;
--- a/bench/report.h
+++ b/bench/report.h
@@ -49,6 +49,8 @@
 void
 MeasurePlacement(Report& aReport);
 void
+MeasureCell(Report& aReport);
+void
 MeasureRelay(Report& aReport);
 void
 MeasureControl(Report& aReport);
--- a/src/kernel/log.cpp
+++ b/src/kernel/log.cpp
@@ -7,6 +7,9 @@
 #include <log4cxx/logmanager.h>
 #include <log4cxx/patternlayout.h>
 
+#include <atomic>
+#include <map>
+
 namespace buckthornshunt {
 
 namespace {
@@ -29,6 +32,23 @@
   return log4cxx::Level::getError();
 }
 
+/// Lowest level that is written.
+std::atomic<LogLevel> gLevel = LogLevel::Debug;
+
+// The library looks loggers up by name under a lock; a line would spend more
+// on that than on its text.
+log4cxx::Logger&
+LoggerOf(std::string_view aPart)
+{
+  thread_local std::map<std::string, log4cxx::LoggerPtr, std::less<>> loggers;
+  auto it = loggers.find(aPart);
+  if (it == loggers.end()) {
+    std::string part(aPart);
+    it = loggers.emplace(part, log4cxx::Logger::getLogger(part)).first;
+  }
+  return *it->second;
+}
+
 log4cxx::LayoutPtr
 MakeLayout(LogFormat aFormat)
 {
@@ -60,6 +80,7 @@
   root->removeAllAppenders();
   root->addAppender(async);
   root->setLevel(ToLevel(aLevel));
+  gLevel = aLevel;
 }
 
 void
@@ -69,17 +90,15 @@
 }
 
 bool
-LogEnabled(LogLevel aLevel, std::string_view aPart)
+LogEnabled(LogLevel aLevel)
 {
-  return log4cxx::Logger::getLogger(std::string(aPart))
-    ->isEnabledFor(ToLevel(aLevel));
+  return aLevel >= gLevel.load(std::memory_order_relaxed);
 }
 
 void
 WriteLog(LogLevel aLevel, std::string_view aPart, std::string_view aText)
 {
-  log4cxx::LoggerPtr logger = log4cxx::Logger::getLogger(std::string(aPart));
-  logger->forcedLog(ToLevel(aLevel), std::string(aText));
+  LoggerOf(aPart).forcedLog(ToLevel(aLevel), std::string(aText));
 }
 
 } // namespace buckthornshunt
--- a/src/kernel/log.h
+++ b/src/kernel/log.h
@@ -1,9 +1,9 @@
 #ifndef BUCKTHORNSHUNT_KERNEL_LOG_H
 #define BUCKTHORNSHUNT_KERNEL_LOG_H
 
+#include <charconv>
+#include <concepts>
 #include <cstdint>
-#include <initializer_list>
-#include <sstream>
 #include <string>
 #include <string_view>
 
@@ -37,25 +37,51 @@
 WriteLog(LogLevel aLevel, std::string_view aPart, std::string_view aText);
 
 bool
-LogEnabled(LogLevel aLevel, std::string_view aPart);
+LogEnabled(LogLevel aLevel);
+
+/// Appends an argument of a log line.
+inline void
+AppendText(std::string& aOut, std::string_view aText)
+{
+  aOut += aText;
+}
+
+template<class Number>
+  requires std::integral<Number> || std::floating_point<Number>
+void
+AppendText(std::string& aOut, Number aNumber)
+{
+  constexpr std::size_t kMostDigits = 32;
+  constexpr int kPrecision = 6;
+  char buf[kMostDigits];
+  std::to_chars_result end{};
+  if constexpr (std::integral<Number>) {
+    end = std::to_chars(buf, buf + kMostDigits, aNumber);
+  } else {
+    end = std::to_chars(
+      buf, buf + kMostDigits, aNumber, std::chars_format::general, kPrecision);
+  }
+  aOut.append(buf, end.ptr);
+}
 
 /// Replaces each "{}" of the template by the next argument.
 template<class... Args>
 std::string
 FormatText(std::string_view aTemplate, const Args&... aArgs)
 {
-  std::ostringstream out;
+  std::string out;
+  out.reserve(aTemplate.size() * 2);
   std::string_view rest = aTemplate;
   [[maybe_unused]] auto put = [&](const auto& aArg) {
     std::size_t at = rest.find("{}");
-    out << rest.substr(0, at);
+    out += rest.substr(0, at);
     rest =
       at == std::string_view::npos ? std::string_view{} : rest.substr(at + 2);
-    out << aArg;
+    AppendText(out, aArg);
   };
   (put(aArgs), ...);
-  out << rest;
-  return std::move(out).str();
+  out += rest;
+  return out;
 }
 
 template<class... Args>
@@ -65,7 +91,7 @@
     std::string_view aTemplate,
     const Args&... aArgs)
 {
-  if (LogEnabled(aLevel, aPart)) {
+  if (LogEnabled(aLevel)) {
     WriteLog(aLevel, aPart, FormatText(aTemplate, aArgs...));
   }
 }
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -301,9 +301,44 @@
   }
 }
 
+// One line for each step of which tasks are placed; what came of a start is
+// logged only if it wasn't carried out.
+void
+CellRuntime::LogStarts(std::span<const CellOrder> aOrders) const
+{
+  std::string runs;
+  for (std::size_t i = 0; i < aOrders.size(); ++i) {
+    const auto* start = std::get_if<StartRun>(&aOrders[i].mCall);
+    if (start == nullptr) {
+      continue;
+    }
+    const TaskId& task = start->mTask;
+    runs +=
+      FormatText(" {}:{}@{}", task.mIndex, start->mRun, aOrders[i].mWorker);
+    const auto* next = i + 1 < aOrders.size()
+                         ? std::get_if<StartRun>(&aOrders[i + 1].mCall)
+                         : nullptr;
+    bool last = next == nullptr || next->mTask.mJob != task.mJob ||
+                next->mTask.mOccurrence != task.mOccurrence ||
+                next->mTask.mStep != task.mStep;
+    if (last) {
+      LogInfo(kPart,
+              "start job={} step={}.{} pool={} term={} runs={}",
+              task.mJob,
+              task.mOccurrence,
+              task.mStep,
+              mPool,
+              mTenure.Row().mTerm,
+              runs);
+      runs.clear();
+    }
+  }
+}
+
 void
 CellRuntime::Dispatch(std::vector<CellOrder> aOrders)
 {
+  LogStarts(aOrders);
   for (CellOrder& order : aOrders) {
     WorkerLanes& lanes = mLanes[order.mWorker];
     lanes.mOrders.push_back(std::move(order.mCall));
@@ -387,6 +422,11 @@
                       const WorkerCall& aCall,
                       const Expected<WorkerReply>& aReply) const
 {
+  bool started = std::holds_alternative<StartRun>(aCall) && Ok(aReply) &&
+                 std::holds_alternative<OrderDone>(std::get<0>(aReply));
+  if (started) {
+    return;
+  }
   std::string outcome = Ok(aReply)
                           ? std::visit(ReplyNamer{}, std::get<0>(aReply))
                           : std::string(FailureName(std::get<1>(aReply)));
@@ -502,24 +542,39 @@
             listing->mPresent.size(),
             listing->mEnded.size());
   }
-  for (const EndedRun& end : listing->mEnded) {
-    if (end.mSequence > worker.mSeenEnds) {
-      LogInfo(kPart,
-              "end task={} run={} worker={} pool={} how={} n={}",
-              ToString(end.mTask),
-              end.mRun,
-              aWorker,
-              mPool,
-              ToString(end.mEnd),
-              end.mSequence);
-    }
-  }
+  LogEnds(worker, *listing);
   mCell->OnListing(aWorker, *listing, sent, now);
   mPlanDue.Set();
   mCommitDue.Set();
   co_return true;
 }
 
+// One line for what a listing tells anew, split where it would grow long.
+void
+CellRuntime::LogEnds(const CellWorker& aWorker,
+                     const WorkerListing& aListing) const
+{
+  constexpr std::size_t kLongLine = 1000;
+  std::string runs;
+  for (std::size_t i = 0; i < aListing.mEnded.size(); ++i) {
+    const EndedRun& end = aListing.mEnded[i];
+    if (end.mSequence > aWorker.mSeenEnds) {
+      runs += FormatText(
+        " {}:{}={}", ToString(end.mTask), end.mRun, ToString(end.mEnd));
+    }
+    bool last = i + 1 == aListing.mEnded.size() || runs.size() > kLongLine;
+    if (last && !runs.empty()) {
+      LogInfo(kPart,
+              "end worker={} pool={} n={} runs={}",
+              aWorker.mReport.mId,
+              mPool,
+              end.mSequence,
+              runs);
+      runs.clear();
+    }
+  }
+}
+
 // --- Commits
 
 CommitIf
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -13,6 +13,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -101,6 +102,8 @@
   Task<void> Advise(AdviceRequest aRequest);
   void Dispatch(std::vector<CellOrder> aOrders);
   void AttendWorkers();
+  void LogStarts(std::span<const CellOrder> aOrders) const;
+  void LogEnds(const CellWorker& aWorker, const WorkerListing& aListing) const;
   void LogOrder(std::string_view aWorker,
                 const WorkerCall& aCall,
                 const Expected<WorkerReply>& aReply) const;
