Read a document in one pass; don't look at a connection used just now

Change: the builder itself stops where a document is nested too deep. An idle connection that was used within 50 ms is used again without looking at it.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -27,6 +27,9 @@
 /// Idle connections that saw no traffic for this long aren't trusted: a
 /// middle box may have forgotten them.
 constexpr Duration kTrustIdleFor = std::chrono::seconds(10);
+/// One that was used within this time isn't looked at before it is used again;
+/// servers keep idle connections for seconds.
+constexpr Duration kTrustBusyFor = std::chrono::milliseconds(50);
 
 http::request<http::string_body>
 ToMessage(const Endpoint& aServer, HttpRequest aRequest)
@@ -138,7 +141,10 @@
   while (!it->second.empty()) {
     ConnectionPtr connection = std::move(it->second.back());
     it->second.pop_back();
-    if (connection->mIdleSince >= trustedSince && connection->StillOpen()) {
+    bool busy = connection->mIdleSince >= mClock.Now() - kTrustBusyFor;
+    bool open = busy || (connection->mIdleSince >= trustedSince &&
+                         connection->StillOpen());
+    if (open) {
       return connection;
     }
   }
--- a/src/wire/json_fields.cpp
+++ b/src/wire/json_fields.cpp
@@ -6,19 +6,28 @@
 
 namespace {
 
-/// Follows a document's nesting and stops the parser when it is too deep,
-/// since the library's CBOR reader recurses.
-class DepthGuard : public SaxDefaults
+/// Builds a document and stops the parser where it is nested too deep, since
+/// the library's CBOR reader recurses.
+class BoundedBuilder : public nlohmann::detail::json_sax_dom_parser<Json>
 {
+  using Builder = nlohmann::detail::json_sax_dom_parser<Json>;
+
 public:
-  bool start_object(std::size_t) { return Enter(); }
-  bool end_object() { return Leave(); }
-  bool start_array(std::size_t) { return Enter(); }
-  bool end_array() { return Leave(); }
-  bool parse_error(std::size_t, const std::string&, const Json::exception&)
+  explicit BoundedBuilder(Json& aRoot)
+    : Builder(aRoot, false)
+  {
+  }
+
+  bool start_object(std::size_t aSize)
   {
-    return false;
+    return Enter() && Builder::start_object(aSize);
   }
+  bool end_object() { return Leave() && Builder::end_object(); }
+  bool start_array(std::size_t aSize)
+  {
+    return Enter() && Builder::start_array(aSize);
+  }
+  bool end_array() { return Leave() && Builder::end_array(); }
 
 private:
   bool Enter() { return ++mDepth <= kMostJsonDepth; }
@@ -31,6 +40,17 @@
   std::size_t mDepth = 0;
 };
 
+leaf::result<Json>
+Parse(std::string_view aBytes, Json::input_format_t aFormat)
+{
+  Json root;
+  BoundedBuilder builder(root);
+  if (!Json::sax_parse(aBytes, &builder, aFormat)) {
+    return Fail(MessageFailure{ MessageFault::Malformed, {} });
+  }
+  return root;
+}
+
 template<class Value, class Check>
 leaf::result<Value>
 ReadAs(const Json& aObject, const char* aName, Check aCheck)
@@ -47,21 +67,13 @@
 leaf::result<Json>
 ParseJson(std::string_view aText)
 {
-  DepthGuard guard;
-  if (!Json::sax_parse(aText, &guard)) {
-    return Fail(MessageFailure{ MessageFault::Malformed, {} });
-  }
-  return Json::parse(aText);
+  return Parse(aText, Json::input_format_t::json);
 }
 
 leaf::result<Json>
 ParseCbor(std::string_view aBytes)
 {
-  DepthGuard guard;
-  if (!Json::sax_parse(aBytes, &guard, Json::input_format_t::cbor)) {
-    return Fail(MessageFailure{ MessageFault::Malformed, {} });
-  }
-  return Json::from_cbor(aBytes);
+  return Parse(aBytes, Json::input_format_t::cbor);
 }
 
 std::string
