Don't let one slow answer take a link down; pace waves while a pool lacks VMs

Change: a link is taken for silent only if nothing at all has come for 0.7 s after a call. While some pool lacks VMs, a wave takes only as many at once as it must to be in time.

--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -202,6 +202,30 @@
     }
   }
 
+  bool SomePoolLacks()
+  {
+    return std::any_of(
+      mView.mPools.begin(), mView.mPools.end(), [&](const auto& aEntry) {
+        const auto& [pool, use] = aEntry;
+        return UseOf(pool) != nullptr && !IsSpare(pool) &&
+               mCores[pool] < NeededCores(use);
+      });
+  }
+
+  // VMs that must be down at the same time for the rest of a wave to be in
+  // time.
+  std::uint32_t PaceOf(std::size_t aLeft, const WaveProgress& aWave) const
+  {
+    Duration time =
+      aWave.mSeen + aWave.mOrder.mDeadline - kMaintenance - mView.mNow;
+    if (time < kMaintenance) {
+      return aWave.mOrder.mMostAtOnce;
+    }
+    double most =
+      static_cast<double>(aLeft) * ToSeconds(kMaintenance) / ToSeconds(time);
+    return static_cast<std::uint32_t>(std::ceil(most));
+  }
+
   // VMs that are switched off go first, then those that run least.
   void AdvanceWave(std::uint64_t aNumber, const WaveProgress& aWave)
   {
@@ -236,8 +260,12 @@
       });
     bool hurry = mView.mNow + TimeForWave(left.size(), aWave.mOrder) >
                  aWave.mSeen + aWave.mOrder.mDeadline;
+    std::uint32_t most = aWave.mOrder.mMostAtOnce;
+    if (SomePoolLacks()) {
+      most = std::min(most, PaceOf(left.size(), aWave));
+    }
     for (auto [cost, vm] : left) {
-      if (InMaintenance(aNumber) >= aWave.mOrder.mMostAtOnce) {
+      if (InMaintenance(aNumber) >= most) {
         return;
       }
       double most =
--- a/src/services/relay_service.cpp
+++ b/src/services/relay_service.cpp
@@ -19,6 +19,10 @@
 /// again after a second.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
 
+/// A link over which nothing has come for this long after a call is taken for
+/// silent: a busy node answers some call within a few hundred milliseconds.
+constexpr Duration kSilentAfter = std::chrono::milliseconds(700);
+
 // Calls are [number, kind, milliseconds, body]; answers are [number, body].
 // Number 0 wants no answer.
 constexpr std::size_t kCallFields = 4;
@@ -203,6 +207,7 @@
     if (!messages) {
       break;
     }
+    aLink->mUnheardSince.reset();
     for (const std::string& message : *messages) {
       OnReply(*aOut, message);
     }
@@ -282,6 +287,9 @@
   Json message =
     Json::array({ number, std::move(aKind), millis, std::move(aBody) });
   Send(*link, message);
+  if (!link->mUnheardSince) {
+    link->mUnheardSince = clock.Now();
+  }
   while (!call->mAnswered && !call->mLost && clock.Now() < aDeadline) {
     co_await WaitUntil(call->mChanged, clock, aDeadline);
   }
@@ -290,8 +298,12 @@
     co_return std::move(call->mReply);
   }
   if (!call->mLost) {
-    // Nothing came within the time: the connection may have fallen silent.
-    Fail(*out, link);
+    // Other calls on the link fail with it, so one slow answer isn't enough.
+    bool silent =
+      link->mUnheardSince && clock.Now() >= *link->mUnheardSince + kSilentAfter;
+    if (silent) {
+      Fail(*out, link);
+    }
     co_return Failure(TimeoutFailure{});
   }
   co_return Failure(ConnectionLost{ aPeer });
--- a/src/services/relay_service.h
+++ b/src/services/relay_service.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -55,6 +56,8 @@
     std::unique_ptr<PeerLink> mLink;
     Event mWritten;
     bool mFailed = false;
+    /// Sending of the first call since anything was heard from the other end.
+    std::optional<TimePoint> mUnheardSince;
   };
   using LinkPtr = std::shared_ptr<Link>;
 
--- /dev/null
+++ b/tests/relay_test.cpp
@@ -0,0 +1,130 @@
+// Calls between nodes over real links, on the paused clock.
+
+#include "kernel/kernel.h"
+#include "services/relay_service.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <doctest/doctest.h>
+
+#include <optional>
+
+using namespace buckthornshunt;
+using namespace std::chrono_literals;
+
+namespace {
+
+Endpoint
+FreeEndpoint(asio::io_context& aContext)
+{
+  using asio::ip::tcp;
+  tcp::acceptor acceptor(aContext, { asio::ip::make_address("127.0.0.1"), 0 });
+  return { "127.0.0.1", acceptor.local_endpoint().port() };
+}
+
+/// Two nodes; the second answers "slow" calls when the test says so.
+class TwoNodes
+{
+public:
+  using Answer = std::optional<Expected<Json>>;
+
+  TwoNodes()
+    : mManual(mContext)
+    , mKernel(mContext, Clock(mContext, mManual), 1)
+    , mCallee(FreeEndpoint(mContext))
+    , mFirst(mKernel, FreeEndpoint(mContext))
+    , mSecond(mKernel, mCallee)
+    , mMayAnswer(mContext)
+  {
+    mSecond.Handle("slow", [this](Json, TimePoint) -> Task<Json> {
+      ++mHeard;
+      co_await mMayAnswer.Wait();
+      co_return Json(1);
+    });
+    mSecond.Handle("quick",
+                   [](Json, TimePoint) -> Task<Json> { co_return Json(2); });
+    REQUIRE(mFirst.Start());
+    REQUIRE(mSecond.Start());
+  }
+
+  ~TwoNodes()
+  {
+    bool stopped = false;
+    asio::co_spawn(
+      mContext, StopBoth(), [&](const std::exception_ptr&) { stopped = true; });
+    RunUntil([&] { return stopped; });
+  }
+
+  void Ask(std::string aKind, Duration aPatience, Answer& aAnswer)
+  {
+    TimePoint due = mManual.Now() + aPatience;
+    asio::co_spawn(
+      mContext,
+      mFirst.Ask(mCallee, std::move(aKind), Json(), due),
+      [&](const std::exception_ptr& aError, Expected<Json> aReply) {
+        CHECK_FALSE(aError);
+        aAnswer = std::move(aReply);
+      });
+  }
+
+  template<class Done>
+  void RunUntil(Done aDone)
+  {
+    while (!aDone()) {
+      mContext.run_one();
+    }
+  }
+
+  asio::io_context mContext;
+  ManualClock mManual;
+  Kernel mKernel;
+  Endpoint mCallee;
+  RelayService mFirst;
+  RelayService mSecond;
+  Event mMayAnswer;
+  int mHeard = 0;
+
+private:
+  Task<void> StopBoth()
+  {
+    co_await mFirst.Stop();
+    co_await mSecond.Stop();
+  }
+};
+
+} // namespace
+
+TEST_CASE("a call that takes too long doesn't take the others down")
+{
+  TwoNodes nodes;
+  TwoNodes::Answer hasty;
+  TwoNodes::Answer patient;
+  TwoNodes::Answer quick;
+  nodes.Ask("slow", 1s, hasty);
+  nodes.Ask("slow", 9s, patient);
+  nodes.RunUntil([&] { return nodes.mHeard == 2; });
+  nodes.mManual.Advance(900ms);
+  nodes.Ask("quick", 1s, quick);
+  nodes.RunUntil([&] { return quick.has_value(); });
+  nodes.mManual.Advance(200ms);
+  nodes.RunUntil([&] { return hasty.has_value(); });
+  CHECK(std::holds_alternative<TimeoutFailure>(std::get<Failure>(*hasty)));
+  CHECK_FALSE(patient);
+  nodes.mMayAnswer.NotifyAll();
+  nodes.RunUntil([&] { return patient.has_value(); });
+  CHECK(Ok(*patient));
+}
+
+TEST_CASE("a link over which nothing comes is given up")
+{
+  TwoNodes nodes;
+  TwoNodes::Answer hasty;
+  TwoNodes::Answer patient;
+  nodes.Ask("slow", 1s, hasty);
+  nodes.Ask("slow", 9s, patient);
+  nodes.RunUntil([&] { return nodes.mHeard == 2; });
+  nodes.mManual.Advance(1100ms);
+  nodes.RunUntil([&] { return hasty && patient; });
+  CHECK(std::holds_alternative<TimeoutFailure>(std::get<Failure>(*hasty)));
+  CHECK(std::holds_alternative<ConnectionLost>(std::get<Failure>(*patient)));
+}
