Hand a cell over to a larger node

After stops in turn a pool of 77 workers was owned by a node of 0.12 cores; it took it again after the closing fault, as a predecessor's cell is free at once, and answered 1,000 calls a second late or not at all.

Change: the owner row says how small its owner is. A node that would claim 0.15 s earlier asks the owner for the cell, at most each 2 s; the owner gives it up as on a stop, and the larger node claims it after its short delay.

--- a/src/decide/cell_owner.cpp
+++ b/src/decide/cell_owner.cpp
@@ -13,6 +13,9 @@
 constexpr double kDelayPerMbpsMs = 2000;
 /// A node this small doesn't wait longer than a lost owner is missed anyhow.
 constexpr double kLongestDelayMs = 900;
+/// Difference in size from which a cell is handed over: it stands still for
+/// about twice as long.
+constexpr Duration kWorthAsking = std::chrono::milliseconds(150);
 /// Delay for each cell that the node owns, so that cells spread.
 constexpr Duration kDelayPerCell = std::chrono::milliseconds(250);
 
@@ -28,6 +31,12 @@
   return size + kDelayPerCell * static_cast<int>(aCells);
 }
 
+bool
+IsBetterOwner(Duration aDelay, const OwnerRow& aRow)
+{
+  return !aRow.mReleased && aDelay + kWorthAsking <= aRow.mSizeDelay;
+}
+
 OwnerStanding
 JudgeOwner(const OwnerSighting& aSighting,
            const NodeSelf& aSelf,
--- a/src/decide/cell_owner.h
+++ b/src/decide/cell_owner.h
@@ -26,6 +26,8 @@
   bool mReleased = false;
   /// Workers that nothing may be started on.
   std::vector<std::string> mSealed;
+  /// ClaimDelay of the owner without any cell: how small it is.
+  Duration mSizeDelay{};
 
   friend bool operator==(const OwnerRow&, const OwnerRow&) = default;
 };
@@ -80,6 +82,12 @@
 Duration
 ClaimDelay(const NodePower& aPower, std::size_t aCells);
 
+/// Whether a node that would claim after aDelay should ask the owner for its
+/// cell. Answers losses in turn, after which a pool would stay with a small
+/// node: it would carry the next turn alone while larger ones are idle.
+bool
+IsBetterOwner(Duration aDelay, const OwnerRow& aRow);
+
 /// Whether a cell can be taken over. A node's own predecessor is surely gone,
 /// since one VM runs one process under a name and an address.
 OwnerStanding
--- a/src/services/cell_service.cpp
+++ b/src/services/cell_service.cpp
@@ -19,6 +19,9 @@
 
 /// The random part keeps equal nodes from claiming all at the same moment.
 constexpr std::uint64_t kHesitationSpreadMs = 120;
+/// Pause between two requests for the cells of smaller nodes.
+constexpr Duration kAskEvery = std::chrono::seconds(2);
+constexpr Duration kAskTimeout = std::chrono::milliseconds(500);
 constexpr Duration kCheckEvery = std::chrono::milliseconds(500);
 
 } // namespace
@@ -53,6 +56,9 @@
     mOwners->LookAgain();
     co_return Json();
   });
+  mRelay->Handle("ask for cell", [this](Json aBody, TimePoint) {
+    return OnAsked(std::move(aBody));
+  });
   mTasks.Spawn("watch", WatchCells());
   mTasks.Spawn("directory", WatchDirectory());
   return {};
@@ -62,7 +68,11 @@
 CellService::Stop()
 {
   mStopping = true;
-  for (auto& [pool, runtime] : mOwned) {
+  std::vector<std::shared_ptr<CellRuntime>> owned;
+  for (const auto& [pool, runtime] : mOwned) {
+    owned.push_back(runtime);
+  }
+  for (const std::shared_ptr<CellRuntime>& runtime : owned) {
     co_await runtime->Stop(true);
   }
   mRelay->Tell("released", Json());
@@ -118,6 +128,7 @@
       for (std::string_view pool : order) {
         mOwners->Watch(pool);
         Consider(pool);
+        ConsiderAsking(pool);
       }
     }
     std::vector<std::shared_ptr<CellRuntime>> lost;
@@ -178,6 +189,68 @@
   }
 }
 
+void
+CellService::ConsiderAsking(std::string_view aPool)
+{
+  TimePoint now = mKernel.GetClock().Now();
+  const OwnerSighting* sighting = mOwners->Sighting(aPool);
+  bool ours = mOwned.contains(aPool) || mTaking.contains(aPool);
+  if (mStopping || ours || sighting == nullptr || now < mAskedAt + kAskEvery) {
+    return;
+  }
+  Duration delay =
+    ClaimDelay(mOwners->Self().mPower, mOwned.size() + mTaking.size());
+  bool held =
+    JudgeOwner(*sighting, mOwners->Self(), now) == OwnerStanding::Held;
+  if (held && IsBetterOwner(delay, sighting->mRow)) {
+    mAskedAt = now;
+    mTasks.Spawn("ask", AskFor(std::string(aPool), sighting->mRow.mPeers));
+  }
+}
+
+Task<void>
+CellService::AskFor(std::string aPool, Endpoint aOwner)
+{
+  TimePoint due = mKernel.GetClock().Now() + kAskTimeout;
+  Json body = { { "pool", aPool } };
+  auto reply =
+    co_await mRelay->Ask(aOwner, "ask for cell", std::move(body), due);
+  LogInfo(kPart,
+          "cell={} asked for at={} outcome={}",
+          aPool,
+          ToString(aOwner),
+          Ok(reply) ? "heard" : FailureName(std::get<Failure>(reply)));
+  mOwners->LookAgain();
+}
+
+// The owner's side. The row that is released names nobody, so the one that
+// asked takes it after its short delay.
+Task<Json>
+CellService::OnAsked(Json aBody)
+{
+  auto pool =
+    ToExpected<std::string>([&] { return ReadString(aBody, "pool"); });
+  if (!Ok(pool)) {
+    LogWarn(kPart, "request ignored: {}", Describe(std::get<Failure>(pool)));
+    co_return Json();
+  }
+  std::shared_ptr<CellRuntime> runtime = Find(std::get<0>(pool));
+  if (runtime && runtime->Loaded()) {
+    mOwned.erase(std::get<0>(pool));
+    mTasks.Spawn("hand over", HandOver(std::move(runtime)));
+  }
+  co_return Json();
+}
+
+Task<void>
+CellService::HandOver(std::shared_ptr<CellRuntime> aRuntime)
+{
+  LogInfo(kPart, "cell={} handed over to a larger node", aRuntime->Pool());
+  co_await aRuntime->Stop(true);
+  mRelay->Tell("released", Json());
+  mOwners->LookAgain();
+}
+
 // Claims the cell under the condition that its row is still the one that was
 // judged.
 Task<void>
--- a/src/services/cell_service.h
+++ b/src/services/cell_service.h
@@ -46,6 +46,10 @@
   Task<void> TakeOver(std::string aPool);
   Task<void> Retire(std::shared_ptr<CellRuntime> aRuntime);
   void Consider(std::string_view aPool);
+  void ConsiderAsking(std::string_view aPool);
+  Task<void> AskFor(std::string aPool, Endpoint aOwner);
+  Task<Json> OnAsked(Json aBody);
+  Task<void> HandOver(std::shared_ptr<CellRuntime> aRuntime);
   std::size_t Preference(std::string_view aPool) const;
   Duration Hesitation();
 
@@ -58,6 +62,8 @@
   TaskGroup mTasks;
   bool mStopping = false;
   std::map<std::string, std::shared_ptr<CellRuntime>, std::less<>> mOwned;
+  /// When this node last asked a smaller one for its cell.
+  TimePoint mAskedAt;
   /// Pools that this node is about to take over.
   std::map<std::string, bool, std::less<>> mTaking;
 };
--- a/src/services/tenure.cpp
+++ b/src/services/tenure.cpp
@@ -169,6 +169,8 @@
   row.mIncarnation = aSelf.mIncarnation;
   row.mTerm = aSighting ? aSighting->mRow.mTerm + 1 : 1;
   row.mSequence = 1;
+  row.mSizeDelay =
+    std::chrono::floor<std::chrono::milliseconds>(ClaimDelay(aSelf.mPower, 0));
   Revision before{};
   if (aSighting) {
     row.mSealed = aSighting->mRow.mSealed;
--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -234,7 +234,8 @@
                   { "t", aRow.mTerm },
                   { "s", aRow.mSequence },
                   { "r", aRow.mReleased },
-                  { "x", aRow.mSealed } });
+                  { "x", aRow.mSealed },
+                  { "d", ToMillis(aRow.mSizeDelay) } });
 }
 
 leaf::result<OwnerRow>
@@ -259,6 +260,11 @@
     }
     row.mSealed.push_back(at.get<std::string>());
   }
+  // Rows of the version before don't say it.
+  auto delay = json.find("d");
+  if (delay != json.end() && delay->is_number_integer()) {
+    row.mSizeDelay = std::chrono::milliseconds(delay->get<std::int64_t>());
+  }
   return row;
 }
 
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -316,3 +316,21 @@
   fleet.mView.mWaves[1].mSeen = fleet.mView.mNow - 13s;
   CHECK(InWave(PlanFleet(fleet.mView)) == 4);
 }
+
+TEST_CASE("a larger node asks for the cell of a small one, not of its equal")
+{
+  NodePower large{ 0.5, 200 };
+  NodePower small{ 0.12, 10 };
+  OwnerRow row;
+  row.mSizeDelay = ClaimDelay(small, 0);
+  CHECK(IsBetterOwner(ClaimDelay(large, 0), row));
+  CHECK(IsBetterOwner(ClaimDelay(large, 1), row));
+  CHECK_FALSE(IsBetterOwner(ClaimDelay(large, 2), row));
+  CHECK_FALSE(IsBetterOwner(ClaimDelay(small, 0), row));
+  row.mSizeDelay = ClaimDelay(large, 0);
+  CHECK_FALSE(IsBetterOwner(ClaimDelay(large, 0), row));
+  // Nobody is asked for a cell that is free.
+  row.mSizeDelay = ClaimDelay(small, 0);
+  row.mReleased = true;
+  CHECK_FALSE(IsBetterOwner(ClaimDelay(large, 0), row));
+}
