Count a wave's deadline from when its first owner saw it

Owners of the fleet were lost in turn, and a node that had started in between counted the deadline from its own first sight, up to 14 s late; so it paced the wave with time that it didn't have.

Change: the row of a wave's progress says when its order was first seen. A wave is paced half as fast again as it must be.

--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -20,6 +20,8 @@
 /// Time for one VM to become empty, be maintained (2 s) and be seen again, and
 /// as much to spare. When no more is left, every pool gives what it can.
 constexpr Duration kMaintenance = std::chrono::seconds(4);
+/// A wave goes on this much faster than it must, as its owner may be lost.
+constexpr double kPaceReserve = 1.5;
 /// The list may show what was true up to this long before it was asked for;
 /// what was seen of it is under half of that.
 constexpr Duration kListLag = std::chrono::seconds(2);
@@ -32,7 +34,7 @@
 {
   std::size_t atOnce = std::max<std::size_t>(aOrder.mMostAtOnce, 1);
   std::size_t batches = (aLeft + atOnce - 1) / atOnce;
-  return kMaintenance * static_cast<int>(batches + 1);
+  return kMaintenance * static_cast<int>(batches + 2);
 }
 
 /// Collects the changes and keeps count of what they leave.
@@ -221,8 +223,8 @@
     if (time < kMaintenance) {
       return aWave.mOrder.mMostAtOnce;
     }
-    double most =
-      static_cast<double>(aLeft) * ToSeconds(kMaintenance) / ToSeconds(time);
+    double most = kPaceReserve * static_cast<double>(aLeft) *
+                  ToSeconds(kMaintenance) / ToSeconds(time);
     return static_cast<std::uint32_t>(std::ceil(most));
   }
 
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -209,6 +209,11 @@
       WaveProgress& progress = mView.mWaves[held.mNumber];
       progress.mDone.insert(held.mDone.begin(), held.mDone.end());
       progress.mCompleted = held.mCompleted;
+      if (held.mSeen.mMillis > 0) {
+        std::int64_t age = mClock.WallNow().mMillis - held.mSeen.mMillis;
+        progress.mSeen = mClock.Now() - std::chrono::milliseconds(
+                                          std::max<std::int64_t>(age, 0));
+      }
     }
   }
   LogInfo(kPart,
@@ -218,6 +223,13 @@
   co_return true;
 }
 
+WallTime
+FleetService::WallAt(TimePoint aTime) const
+{
+  std::int64_t age = ToMillis(mClock.Now() - aTime);
+  return { mClock.WallNow().mMillis - age };
+}
+
 Task<void>
 FleetService::RenewLoop()
 {
@@ -237,7 +249,8 @@
         std::string key = platform::WaveStatusKey(number);
         StoredWave stored{ number,
                            { wave.mDone.begin(), wave.mDone.end() },
-                           wave.mCompleted };
+                           wave.mCompleted,
+                           WallAt(wave.mSeen) };
         rows.mPuts.push_back({ FleetRow(key), EncodeStoredWave(stored) });
         RowName status{ std::string(platform::kStatusTable), "", key };
         rows.mPuts.push_back(
@@ -371,7 +384,10 @@
     auto [it, added] = mView.mWaves.try_emplace(number);
     bool fresh = it->second.mOrder.mVms.empty();
     it->second.mOrder = order;
-    it->second.mSeen = mDirectory->WaveSeen(number);
+    // An earlier owner may have seen it before this node did.
+    TimePoint seen = mDirectory->WaveSeen(number);
+    bool known = it->second.mSeen != TimePoint{};
+    it->second.mSeen = known ? std::min(it->second.mSeen, seen) : seen;
     if (added || fresh) {
       ++mWanted;
       mRecord.Set();
--- a/src/services/fleet_service.h
+++ b/src/services/fleet_service.h
@@ -49,6 +49,7 @@
   Task<void> WatchOwner();
   Task<void> Lead(ClaimWon aClaim);
   Task<bool> LoadRows();
+  WallTime WallAt(TimePoint aTime) const;
   Task<void> RenewLoop();
   Task<void> ListLoop();
   Task<void> SyncLoop(std::string aPool);
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -71,7 +71,8 @@
 {
   return ToCbor({ { "n", aWave.mNumber },
                   { "d", aWave.mDone },
-                  { "c", aWave.mCompleted } });
+                  { "c", aWave.mCompleted },
+                  { "s", aWave.mSeen.mMillis } });
 }
 
 leaf::result<StoredWave>
@@ -82,6 +83,11 @@
   BOOST_LEAF_ASSIGN(wave.mNumber, ReadNumber(json, "n"));
   BOOST_LEAF_ASSIGN(wave.mDone, ReadNames(json, "d"));
   BOOST_LEAF_ASSIGN(wave.mCompleted, ReadBool(json, "c"));
+  // Rows of the version before don't say it.
+  auto seen = json.find("s");
+  if (seen != json.end() && seen->is_number_integer()) {
+    wave.mSeen.mMillis = seen->get<std::int64_t>();
+  }
   return wave;
 }
 
--- a/src/wire/fleet_codec.h
+++ b/src/wire/fleet_codec.h
@@ -19,6 +19,9 @@
   std::uint64_t mNumber = 0;
   std::vector<std::string> mDone;
   bool mCompleted = false;
+  /// When the first owner of the fleet saw the order; its deadline counts from
+  /// then.
+  WallTime mSeen;
 };
 
 /// What the fleet's owner tells the owner of a pool's cell.
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -311,8 +311,9 @@
   fleet.Wave({ "off0", "off1", "off2", "off3" }, 4);
   CHECK(InWave(PlanFleet(fleet.mView)) == 4);
   fleet.mView.mPools["a"].mAskedSupported = 1000;
-  // Four VMs of 4 s each within 20 s, of which the last 4 s are kept.
-  CHECK(InWave(PlanFleet(fleet.mView)) == 1);
+  // Four VMs of 4 s each within 20 s, of which the last 4 s are kept, and half
+  // as much again.
+  CHECK(InWave(PlanFleet(fleet.mView)) == 2);
   fleet.mView.mWaves[1].mSeen = fleet.mView.mNow - 13s;
   CHECK(InWave(PlanFleet(fleet.mView)) == 4);
 }
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -319,6 +319,21 @@
   CHECK(back.mWorkers.at("x").mUnlisted == UnlistedWorker{ "vm", 17 });
 }
 
+TEST_CASE("a wave's next owner knows when the order was first seen")
+{
+  StoredWave wave{ 3, { "vm" }, false, { 1700000000000 } };
+  auto read = ToExpected<StoredWave>(
+    [&] { return DecodeStoredWave(EncodeStoredWave(wave)); });
+  REQUIRE(Ok(read));
+  CHECK(std::get<0>(read).mSeen.mMillis == 1700000000000);
+  // As a node of the version before writes it.
+  std::string earlier =
+    ToCbor({ { "n", 3U }, { "d", Json::array({ "vm" }) }, { "c", false } });
+  read = ToExpected<StoredWave>([&] { return DecodeStoredWave(earlier); });
+  REQUIRE(Ok(read));
+  CHECK(std::get<0>(read).mSeen.mMillis == 0);
+}
+
 TEST_CASE("the set of a cell's workers names their VMs")
 {
   std::vector<WorkerAddress> workers = { { "w", { "10.0.0.1", 7 }, "vm" } };
