Take only what the list of VMs says for certain for a worker's end

Cause, found by reading: a state that isn't on the platform's pages was decoded as down, and an entry without an id counted as one that runs another worker. Since the list ends lives, either would have let tasks start twice while the first run went on.

Change: such a state is Unknown; it and an entry without a worker in the worker's own pool prove nothing. A VM that is listed in another pool does.

--- a/include/buckthornshunt/workload.h
+++ b/include/buckthornshunt/workload.h
@@ -282,7 +282,9 @@
   /// On its way to another pool.
   Moving,
   Maintenance,
-  Down
+  Down,
+  /// A state that isn't known here; tells nothing of the VM's worker.
+  Unknown
 };
 
 std::string_view
--- a/src/core/workload.cpp
+++ b/src/core/workload.cpp
@@ -111,6 +111,8 @@
       return "maintenance";
     case PoolVmState::Down:
       return "down";
+    case PoolVmState::Unknown:
+      return "unknown";
   }
   return "";
 }
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -423,8 +423,11 @@
   return static_cast<double>(aVm.mCapacity.mCpuMillis) / kMillisPerCore;
 }
 
+// Only what the list says for certain counts: in a state that isn't known, or
+// in an entry that names no worker, the life may go on.
 bool
 ListShowsEnd(std::string_view aWorker,
+             std::string_view aPool,
              const WorkerLife& aLife,
              const PoolVm* aVm,
              TimePoint aListed)
@@ -433,7 +436,18 @@
   if (aVm == nullptr || aLife.mSeen + kListLag > aListed) {
     return false;
   }
-  return aVm->mState != PoolVmState::Up || aVm->mWorker != aWorker;
+  switch (aVm->mState) {
+    case PoolVmState::Moving:
+    case PoolVmState::Maintenance:
+    case PoolVmState::Down:
+      return true;
+    case PoolVmState::Up:
+      return aVm->mPool != aPool ||
+             (!aVm->mWorker.empty() && aVm->mWorker != aWorker);
+    case PoolVmState::Unknown:
+      break;
+  }
+  return false;
 }
 
 double
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -112,10 +112,12 @@
 
 /// Whether a worker's life is surely over, since the list of VMs, asked for at
 /// aListed, shows its VM without it. aVm is the VM's entry, null if the list
-/// doesn't have it. Answers the loss of workers and owners at the same time:
-/// what a dead worker ran need not wait for its lease to end.
+/// doesn't have it, and aPool the worker's pool. Answers the loss of workers
+/// and owners at the same time: what a dead worker ran need not wait for its
+/// lease to end.
 bool
 ListShowsEnd(std::string_view aWorker,
+             std::string_view aPool,
              const WorkerLife& aLife,
              const PoolVm* aVm,
              TimePoint aListed);
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -434,7 +434,7 @@
     }
     auto vm = vms.find(life->mVm);
     const PoolVm* at = vm == vms.end() ? nullptr : vm->second;
-    if (ListShowsEnd(id, *life, at, mListedAt)) {
+    if (ListShowsEnd(id, aPool, *life, at, mListedAt)) {
       sync.mEnded.emplace(id, life->mBorn);
     }
   }
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -241,19 +241,28 @@
   WorkerLife life{ "vm", 5, listed - 10s };
   PoolVm vm;
   vm.mVm = "vm";
+  vm.mPool = "p";
   vm.mWorker = "w";
-  CHECK_FALSE(ListShowsEnd("w", life, &vm, listed));
-  CHECK_FALSE(ListShowsEnd("w", life, nullptr, listed));
+  CHECK_FALSE(ListShowsEnd("w", "p", life, &vm, listed));
+  CHECK_FALSE(ListShowsEnd("w", "p", life, nullptr, listed));
   vm.mState = PoolVmState::Down;
-  CHECK(ListShowsEnd("w", life, &vm, listed));
+  CHECK(ListShowsEnd("w", "p", life, &vm, listed));
   vm.mState = PoolVmState::Moving;
-  CHECK(ListShowsEnd("w", life, &vm, listed));
+  CHECK(ListShowsEnd("w", "p", life, &vm, listed));
   vm.mState = PoolVmState::Up;
   vm.mWorker = "next";
-  CHECK(ListShowsEnd("w", life, &vm, listed));
+  CHECK(ListShowsEnd("w", "p", life, &vm, listed));
+  // Neither a state that isn't known nor a missing id proves anything.
+  vm.mState = PoolVmState::Unknown;
+  CHECK_FALSE(ListShowsEnd("w", "p", life, &vm, listed));
+  vm.mState = PoolVmState::Up;
+  vm.mWorker.clear();
+  CHECK_FALSE(ListShowsEnd("w", "p", life, &vm, listed));
+  vm.mPool = "off";
+  CHECK(ListShowsEnd("w", "p", life, &vm, listed));
   // The list lags: it may still show the state before a new life.
   life.mSeen = listed - 1s;
-  CHECK_FALSE(ListShowsEnd("w", life, &vm, listed));
+  CHECK_FALSE(ListShowsEnd("w", "p", life, &vm, listed));
 }
 
 TEST_CASE("a wave leaves a pool in its turn alone until time runs short")
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -375,3 +375,26 @@
     ToExpected<Settings>([&] { return SettingsFromJson("f.json", settings); });
   CHECK_FALSE(Ok(unknown));
 }
+
+TEST_CASE("a VM's state that isn't known is no proof of anything")
+{
+  for (auto [word, state] : { std::pair("up", PoolVmState::Up),
+                              std::pair("moving", PoolVmState::Moving),
+                              std::pair("upkeep", PoolVmState::Maintenance),
+                              std::pair("down", PoolVmState::Down),
+                              std::pair("restarting", PoolVmState::Unknown) }) {
+    Json row = { { "machine", "m" },
+                 { "pool", "p" },
+                 { "state", word },
+                 { "labels", Json::array() },
+                 { "capacity", { { "cpu", 1000 }, { "mem_mb", 64 } } } };
+    Json body = { { "machines", Json::array({ row }) } };
+    HttpReply reply = MakeReply(200, "application/json", body.dump());
+    auto read = ToExpected<MachineReply>(
+      [&] { return platform::DecodeMachineReply(ListPoolVms{}, reply); });
+    REQUIRE(Ok(read));
+    const auto& page = std::get<PoolVmPage>(std::get<MachineReply>(read));
+    REQUIRE(page.mVms.size() == 1);
+    CHECK(page.mVms[0].mState == state);
+  }
+}
