--- a/tests/cell_lease_test.cpp
+++ b/tests/cell_lease_test.cpp
@@ -10,6 +10,8 @@
 #include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
 
+#include <memory>
+
 using namespace buckthornshunt;
 using namespace buckthornshunt::tests;
 using namespace std::chrono_literals;
@@ -26,18 +28,19 @@
   {
   }
 
+  // The task may end after this call, so it shares the result.
   template<class Value>
   std::optional<Value> Run(Task<Value> aTask, Duration aFor = 5s)
   {
-    std::optional<Value> result;
+    auto result = std::make_shared<std::optional<Value>>();
     asio::co_spawn(mContext,
                    std::move(aTask),
-                   [&](const std::exception_ptr& aError, Value aValue) {
+                   [result](const std::exception_ptr& aError, Value aValue) {
                      CHECK_FALSE(aError);
-                     result = std::move(aValue);
+                     *result = std::move(aValue);
                    });
     mManual.Advance(aFor);
-    return result;
+    return *result;
   }
 
   std::unique_ptr<CellLease> Claim(std::string_view aNode)
