Log what a stop does to each request

With the lines so far one couldn't tell a request that was cut off by the end of the drain from one whose connection was closed before it was read, nor whether a call had been passed on. Each answer now says what was tried for the call and, during a stop, the time since the signal; each connection that the server closes with an unanswered request in it leaves a warning and is counted; the kernel says when each service's stop begins.

--- a/src/kernel/kernel.cpp
+++ b/src/kernel/kernel.cpp
@@ -45,15 +45,31 @@
   }
 }
 
+std::optional<Duration>
+Kernel::TimeSinceStopRequest() const
+{
+  if (!mStopRequestedAt) {
+    return std::nullopt;
+  }
+  return mClock.Now() - *mStopRequestedAt;
+}
+
 Task<void>
 Kernel::Stop()
 {
+  mStopRequestedAt = mClock.Now();
   while (mStartedCount > 0) {
     --mStartedCount;
     Entry& entry = mEntries[mStartedCount];
-    LogInfo("kernel", "stopping service {}", entry.mName);
+    LogInfo("kernel",
+            "stopping service {} stop_ms={}",
+            entry.mName,
+            ToMillis(*TimeSinceStopRequest()));
     co_await entry.mStop(entry.mService.get());
   }
+  LogInfo("kernel",
+          "all services stopped stop_ms={}",
+          ToMillis(*TimeSinceStopRequest()));
 }
 
 } // namespace buckthornshunt
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -11,6 +11,7 @@
 #include <boost/leaf/result.hpp>
 
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <typeindex>
@@ -73,6 +74,9 @@
   /// Stops the started services in reverse order.
   Task<void> Stop();
 
+  /// Time since the stop was requested; none while the process runs normally.
+  std::optional<Duration> TimeSinceStopRequest() const;
+
   /// Task groups of all services.
   TaskGroup::Registry& Groups() { return mGroups; }
 
@@ -102,6 +106,7 @@
   TaskGroup::Registry mGroups;
   std::vector<Entry> mEntries;
   std::size_t mStartedCount = 0;
+  std::optional<TimePoint> mStopRequestedAt;
 };
 
 } // namespace buckthornshunt
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/leaf/error.hpp>
 
 #include <cerrno>
+#include <optional>
 
 #include <sys/socket.h>
 
@@ -99,6 +100,14 @@
     mSocket.close(ec);
   }
 
+  // Bytes received for a request that hasn't been read completely.
+  std::size_t UnreadBytes() const
+  {
+    boost::system::error_code ec;
+    std::size_t n = mBuffer.size() + mSocket.available(ec);
+    return n + (mParser && mParser->got_some() ? 1 : 0);
+  }
+
   // While a request is in progress, the socket becomes readable if the client
   // closes the connection or pipelines its next request.
   void WatchForDisconnect(const std::shared_ptr<CallerState>& aCaller)
@@ -122,7 +131,12 @@
 
   tcp::socket mSocket;
   beast::flat_buffer mBuffer;
+  /// Parser of the request that is being read.
+  std::optional<Parser> mParser;
   bool mHandlingRequest = false;
+  /// Method, target and start of the request that is being handled.
+  std::string mRequestLine;
+  TimePoint mRequestReadAt;
 };
 
 HttpServer::HttpServer(asio::io_context& aContext,
@@ -211,7 +225,7 @@
 Task<bool>
 HttpServer::ServeOne(Connection& aConnection)
 {
-  Parser parser;
+  Parser& parser = aConnection.mParser.emplace();
   parser.header_limit(mLimits.mMaxHeaderBytes);
   parser.body_limit(mLimits.mMaxBodyBytes);
   boost::system::error_code readError;
@@ -236,7 +250,10 @@
   } else {
     keepAlive = parser.get().keep_alive();
     HttpRequest request = ExtractRequest(parser);
+    aConnection.mParser.reset();
     aConnection.mHandlingRequest = true;
+    aConnection.mRequestLine = request.mMethod + " " + request.mTarget;
+    aConnection.mRequestReadAt = mClock.Now();
     auto caller = std::make_shared<CallerState>();
     aConnection.WatchForDisconnect(caller);
     reply = co_await mHandler(request, *caller);
@@ -259,11 +276,29 @@
   mAcceptor.close(ec);
   for (Connection* connection : mOpenConnections) {
     if (!connection->mHandlingRequest) {
-      connection->Close();
+      CloseConnection(*connection, "no longer accepting");
     }
   }
 }
 
+// Logs each request that is lost with its connection.
+void
+HttpServer::CloseConnection(Connection& aConnection, std::string_view aWhy)
+{
+  if (aConnection.mHandlingRequest) {
+    ++mDroppedRequests;
+    LogWarn(mLogPart,
+            "{} dropped without an answer, {}, handled for_ms={}",
+            aConnection.mRequestLine,
+            aWhy,
+            ToMillis(mClock.Now() - aConnection.mRequestReadAt));
+  } else if (std::size_t n = aConnection.UnreadBytes(); n > 0) {
+    ++mDroppedRequests;
+    LogWarn(mLogPart, "connection closed with unread bytes={}, {}", n, aWhy);
+  }
+  aConnection.Close();
+}
+
 Task<void>
 HttpServer::Drained()
 {
@@ -277,7 +312,7 @@
   boost::system::error_code ec;
   mAcceptor.close(ec);
   for (Connection* connection : mOpenConnections) {
-    connection->Close();
+    CloseConnection(*connection, "aborted");
   }
   mTasks.CancelAll();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -65,12 +65,17 @@
 
   std::size_t Connections() const { return mOpenConnections.size(); }
 
+  /// Connections that this server closed although they held a request, in whole
+  /// or in part, that had not been answered.
+  std::uint64_t DroppedRequests() const { return mDroppedRequests; }
+
 private:
   struct Connection;
 
   Task<void> Accept();
   Task<void> Serve(boost::asio::ip::tcp::socket aSocket);
   Task<bool> ServeOne(Connection& aConnection);
+  void CloseConnection(Connection& aConnection, std::string_view aWhy);
 
   asio::io_context& mContext;
   Clock& mClock;
@@ -80,6 +85,7 @@
   boost::asio::ip::tcp::acceptor mAcceptor;
   std::uint16_t mPort = 0;
   bool mStopping = false;
+  std::uint64_t mDroppedRequests = 0;
   std::set<Connection*> mOpenConnections;
   TaskGroup mTasks;
 };
--- a/src/services/entry_service.cpp
+++ b/src/services/entry_service.cpp
@@ -131,11 +131,19 @@
   Clock& clock = mKernel.GetClock();
   TimePoint deadline = clock.Now() + mEndpoints.mGracePeriod * 3 / 4;
   co_await clock.Sleep(kBalancerDrainDelay);
+  LogInfo(kPart,
+          "closing the listener stop_ms={} connections={}",
+          ToMillis(mKernel.TimeSinceStopRequest().value_or(Duration{})),
+          mCallers->Connections());
   mCallers->StopAccepting();
   {
     Watchdog watchdog(clock, deadline, [this] { mCallers->Abort(); });
     co_await mCallers->Drained();
   }
+  LogInfo(kPart,
+          "drained stop_ms={} dropped={}",
+          ToMillis(mKernel.TimeSinceStopRequest().value_or(Duration{})),
+          mCallers->DroppedRequests());
   mReady->Abort();
   mMetrics->Abort();
   co_await mReady->Drained();
@@ -189,18 +197,24 @@
   std::string pool =
     config->FindQueueByName(QueueName(decodedCall.mCall))->mPool;
   CallerCall call = decodedCall.mCall;
-  CallerReply reply =
-    co_await Route(std::move(pool), std::move(decodedCall.mCall), deadline);
-  LogReply(call, reply, clock.Now() - began);
+  CallProgress progress;
+  CallerReply reply = co_await Route(
+    std::move(pool), std::move(decodedCall.mCall), deadline, progress);
+  LogReply(call, reply, progress, clock.Now() - began);
   co_return platform::EncodeCallerReply(reply);
 }
 
 void
 EntryService::LogReply(const CallerCall& aCall,
                        const CallerReply& aReply,
+                       const CallProgress& aProgress,
                        Duration aTook)
 {
   std::string outcome = std::visit(ReplyFormatter{}, aReply);
+  std::string stop;
+  if (auto since = mKernel.TimeSinceStopRequest()) {
+    stop = FormatText(" stop_ms={}", ToMillis(*since));
+  }
   Metrics& metrics = mKernel.GetMetrics();
   metrics.GetCounter("calls_total").Add();
   if (std::holds_alternative<JobRefused>(aReply)) {
@@ -208,11 +222,17 @@
   }
   metrics.GetHistogram("call").Record(aTook);
   LogInfo(kPart,
-          "{} queue={} outcome={} ms={}",
+          "{} queue={} outcome={} ms={} local={} relayed={} owner_waits={} "
+          "may_have_run={}{}",
           std::visit(CallFormatter{}, aCall),
           QueueName(aCall),
           outcome,
-          ToMillis(aTook));
+          ToMillis(aTook),
+          aProgress.mLocalCalls,
+          aProgress.mRelayedCalls,
+          aProgress.mOwnerWaits,
+          aProgress.mMayHaveRun ? 1 : 0,
+          stop);
 }
 
 // Makes one call to the cell's current owner.
@@ -220,12 +240,13 @@
 EntryService::CallOwner(std::string aPool,
                         CallerCall aCall,
                         TimePoint aDeadline,
-                        bool& aMayHaveRun)
+                        CallProgress& aProgress)
 {
   Clock& clock = mKernel.GetClock();
   TimePoint deadline = std::min(aDeadline, clock.Now() + kOwnerCallTimeout);
   RelayedCall relayed{ aPool, std::move(aCall), deadline - clock.Now() };
   if (mCells->Find(aPool)) {
+    ++aProgress.mLocalCalls;
     OwnerReply reply = co_await mCells->Handle(std::move(relayed));
     co_return reply;
   }
@@ -241,6 +262,7 @@
   relayed.mPatience -=
     std::min(kOwnerRetryInterval, relayed.mPatience / kMarginDivisor);
   Json body = RelayedCallToJson(relayed);
+  ++aProgress.mRelayedCalls;
   auto answer = co_await mRelay->Call(peer, "job", std::move(body), deadline);
   if (!Ok(answer)) {
     const Failure& failure = std::get<Failure>(answer);
@@ -249,15 +271,15 @@
             aPool,
             ToString(peer),
             FailureName(failure));
-    aMayHaveRun =
-      aMayHaveRun || !std::holds_alternative<ConnectFailure>(failure);
+    aProgress.mMayHaveRun =
+      aProgress.mMayHaveRun || !std::holds_alternative<ConnectFailure>(failure);
     mOwners->Refresh();
     co_return NotOwner{};
   }
   auto reply = ToExpected<OwnerReply>(
     [&] { return OwnerReplyFromJson(std::get<Json>(answer)); });
   if (!Ok(reply)) {
-    aMayHaveRun = true;
+    aProgress.mMayHaveRun = true;
     co_return NotOwner{};
   }
   co_return std::get<OwnerReply>(std::move(reply));
@@ -266,26 +288,28 @@
 // Retries until an owner answers. A submission that may have reached an owner
 // can't be reported as "not run", so it ends as unsettled.
 Task<CallerReply>
-EntryService::Route(std::string aPool, CallerCall aCall, TimePoint aDeadline)
+EntryService::Route(std::string aPool,
+                    CallerCall aCall,
+                    TimePoint aDeadline,
+                    CallProgress& aProgress)
 {
   Clock& clock = mKernel.GetClock();
   TimePoint ownerDeadline = std::min(aDeadline, clock.Now() + kMaxOwnerWait);
-  bool mayHaveRun = false;
   bool again = true;
   while (again) {
-    OwnerReply reply = co_await CallOwner(aPool, aCall, aDeadline, mayHaveRun);
+    OwnerReply reply = co_await CallOwner(aPool, aCall, aDeadline, aProgress);
     const auto* answer = std::get_if<CallerReply>(&reply);
     bool unknown =
       answer != nullptr && std::holds_alternative<JobNotFound>(*answer);
     if (unknown) {
       CallerReply otherReply =
-        co_await CallOtherOwners(aPool, aCall, aDeadline);
+        co_await CallOtherOwners(aPool, aCall, aDeadline, aProgress);
       co_return otherReply;
     }
     bool refused = answer != nullptr &&
                    (std::holds_alternative<JobRefused>(*answer) ||
                     std::holds_alternative<ServiceUnavailable>(*answer));
-    if (answer != nullptr && !(refused && mayHaveRun)) {
+    if (answer != nullptr && !(refused && aProgress.mMayHaveRun)) {
       bool wait = std::holds_alternative<ServiceUnavailable>(*answer) &&
                   clock.Now() < ownerDeadline;
       if (!wait) {
@@ -296,10 +320,11 @@
     if (again) {
       TimePoint retryAt =
         std::min(ownerDeadline, clock.Now() + kOwnerRetryInterval);
+      ++aProgress.mOwnerWaits;
       co_await WaitUntil(mOwners->Changed(), clock, retryAt);
     }
   }
-  if (mayHaveRun) {
+  if (aProgress.mMayHaveRun) {
     co_return CallOutcomeUnknown{};
   }
   co_return ServiceUnavailable{ kRetryAfter };
@@ -310,7 +335,8 @@
 Task<CallerReply>
 EntryService::CallOtherOwners(std::string aPool,
                               CallerCall aCall,
-                              TimePoint aDeadline)
+                              TimePoint aDeadline,
+                              CallProgress& aProgress)
 {
   std::set<std::string> pools;
   if (auto config = mDirectory->Config()) {
@@ -320,8 +346,7 @@
   }
   pools.erase(aPool);
   for (const std::string& pool : pools) {
-    bool mayHaveRun = false;
-    OwnerReply reply = co_await CallOwner(pool, aCall, aDeadline, mayHaveRun);
+    OwnerReply reply = co_await CallOwner(pool, aCall, aDeadline, aProgress);
     const auto* answer = std::get_if<CallerReply>(&reply);
     bool unknown =
       answer != nullptr && std::holds_alternative<JobNotFound>(*answer);
--- a/src/services/entry_service.h
+++ b/src/services/entry_service.h
@@ -44,18 +44,33 @@
   Task<HttpReply> ServeReady(const HttpRequest& aRequest, CallerState& aCaller);
   Task<HttpReply> ServeMetrics(const HttpRequest& aRequest,
                                CallerState& aCaller);
+  /// What has been done for a call so far.
+  struct CallProgress
+  {
+    /// Calls to cells of this node, and calls sent to other nodes.
+    int mLocalCalls = 0;
+    int mRelayedCalls = 0;
+    /// Waits for a cell to get an owner.
+    int mOwnerWaits = 0;
+    /// An owner without an answer may have handled the call.
+    bool mMayHaveRun = false;
+  };
+
   Task<CallerReply> Route(std::string aPool,
                           CallerCall aCall,
-                          TimePoint aDeadline);
+                          TimePoint aDeadline,
+                          CallProgress& aProgress);
   Task<OwnerReply> CallOwner(std::string aPool,
                              CallerCall aCall,
                              TimePoint aDeadline,
-                             bool& aMayHaveRun);
+                             CallProgress& aProgress);
   Task<CallerReply> CallOtherOwners(std::string aPool,
                                     CallerCall aCall,
-                                    TimePoint aDeadline);
+                                    TimePoint aDeadline,
+                                    CallProgress& aProgress);
   void LogReply(const CallerCall& aCall,
                 const CallerReply& aReply,
+                const CallProgress& aProgress,
                 Duration aTook);
 
   Kernel& mKernel;
