Start no task in a group that is being cancelled

What callers saw: a node went on taking requests until it was killed 6 s after SIGTERM, and those in progress then ended without an answer. It stayed ready all the while and kept its cells.

Cause: TaskGroup::CancelAll reaches the tasks that run at that moment. A task whose operation has already completed resumes once more and runs to its next suspension; what it spawned there was not cancelled and never ended, so Join never returned. Kernel::Stop stops the services one after the other, so the entry's stop, which closes readiness and drains the callers, was never reached. The fleet's owner spawns while it plans, a cell's owner when it has loaded its rows or plans, the relay for each message: any of them could stop the stop.

Why this works: from CancelAll until Join has seen the last task end, Spawn starts nothing, so cancellation reaches every task that Join waits for. A group that is used again, as the fleet owner's, starts tasks again afterwards.

--- a/src/kernel/task.cpp
+++ b/src/kernel/task.cpp
@@ -56,9 +56,14 @@
   }
 }
 
+// A cancelled coroutine runs on to its next suspension. Whatever it spawned
+// there would miss the cancellation, and Join would wait for it for ever.
 void
 TaskGroup::Spawn(std::string_view aName, Task<void> aTask)
 {
+  if (mCancelling) {
+    return;
+  }
   std::uint64_t id = mNextId++;
   auto signal = std::make_shared<asio::cancellation_signal>();
   mRunning.emplace(id, signal);
@@ -103,6 +108,7 @@
 void
 TaskGroup::CancelAll()
 {
+  mCancelling = true;
   auto running = mRunning;
   for (auto& [id, signal] : running) {
     signal->emit(asio::cancellation_type::terminal);
@@ -116,6 +122,7 @@
   while (!mRunning.empty()) {
     co_await mChanged.Wait();
   }
+  mCancelling = false;
 }
 
 } // namespace buckthornshunt
--- a/src/kernel/task.h
+++ b/src/kernel/task.h
@@ -52,10 +52,12 @@
   TaskGroup(const TaskGroup&) = delete;
   TaskGroup& operator=(const TaskGroup&) = delete;
 
-  /// Starts a coroutine. aName must be a string literal, since it isn't copied.
+  /// Starts a coroutine, unless the group is being cancelled. aName must be a
+  /// string literal, since it isn't copied.
   void Spawn(std::string_view aName, Task<void> aTask);
 
-  /// Requests cancellation of all running coroutines.
+  /// Requests cancellation of all running coroutines. No others start until
+  /// they have ended and Join has returned.
   void CancelAll();
 
   /// Returns once no coroutine is running.
@@ -72,6 +74,7 @@
   asio::io_context& mContext;
   Registry* mRegistry;
   Event mChanged;
+  bool mCancelling = false;
   std::uint64_t mNextId = 0;
   std::map<std::uint64_t, std::shared_ptr<asio::cancellation_signal>> mRunning;
 };
