Forget a connection whose handler was cancelled

A server that was aborted, and aborted again or asked for its connections afterwards, worked on connections that had already ended: a cancelled handler leaves the connection's task by an exception, and the line that took the connection out of the set was passed over. The set is shared with the connections, because tasks that are destroyed with the executor may end after the server.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -89,10 +89,15 @@
 
 struct HttpServer::Connection
 {
-  explicit Connection(tcp::socket aSocket)
+  Connection(tcp::socket aSocket, std::shared_ptr<ConnectionSet> aOpen)
     : mSocket(std::move(aSocket))
+    , mOpen(std::move(aOpen))
   {
+    mOpen->insert(this);
   }
+  ~Connection() { mOpen->erase(this); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
 
   void Close()
   {
@@ -130,6 +135,8 @@
   }
 
   tcp::socket mSocket;
+  /// Contains this connection while it exists.
+  std::shared_ptr<ConnectionSet> mOpen;
   beast::flat_buffer mBuffer;
   /// Parser of the request that is being read.
   std::optional<Parser> mParser;
@@ -150,6 +157,7 @@
   , mLimits(aLimits)
   , mHandler(std::move(aHandler))
   , mAcceptor(aContext)
+  , mOpenConnections(std::make_shared<ConnectionSet>())
   , mTasks(aContext)
 {
 }
@@ -198,7 +206,7 @@
       co_await mClock.Sleep(kAcceptRetryInterval);
       continue;
     }
-    if (mOpenConnections.size() >= mLimits.mMaxConnections) {
+    if (mOpenConnections->size() >= mLimits.mMaxConnections) {
       continue;
     }
     mTasks.Spawn("connection", Serve(std::move(socket)));
@@ -208,15 +216,13 @@
 Task<void>
 HttpServer::Serve(tcp::socket aSocket)
 {
-  Connection connection(std::move(aSocket));
+  Connection connection(std::move(aSocket), mOpenConnections);
   boost::system::error_code ec;
   connection.mSocket.set_option(tcp::no_delay(true), ec);
-  mOpenConnections.insert(&connection);
   bool keepOpen = true;
   while (keepOpen && !mStopping) {
     keepOpen = co_await ServeOne(connection);
   }
-  mOpenConnections.erase(&connection);
   connection.mSocket.shutdown(tcp::socket::shutdown_both, ec);
 }
 
@@ -274,7 +280,7 @@
   mStopping = true;
   boost::system::error_code ec;
   mAcceptor.close(ec);
-  for (Connection* connection : mOpenConnections) {
+  for (Connection* connection : *mOpenConnections) {
     if (!connection->mHandlingRequest) {
       CloseConnection(*connection, "no longer accepting");
     }
@@ -311,7 +317,7 @@
   mStopping = true;
   boost::system::error_code ec;
   mAcceptor.close(ec);
-  for (Connection* connection : mOpenConnections) {
+  for (Connection* connection : *mOpenConnections) {
     CloseConnection(*connection, "aborted");
   }
   mTasks.CancelAll();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -10,6 +10,7 @@
 #include <boost/leaf/result.hpp>
 
 #include <functional>
+#include <memory>
 #include <set>
 #include <string_view>
 
@@ -63,7 +64,7 @@
   /// Closes all connections immediately and cancels their tasks.
   void Abort();
 
-  std::size_t Connections() const { return mOpenConnections.size(); }
+  std::size_t Connections() const { return mOpenConnections->size(); }
 
   /// Connections that this server closed although they held a request, in whole
   /// or in part, that had not been answered.
@@ -71,6 +72,7 @@
 
 private:
   struct Connection;
+  using ConnectionSet = std::set<Connection*>;
 
   Task<void> Accept();
   Task<void> Serve(boost::asio::ip::tcp::socket aSocket);
@@ -86,7 +88,9 @@
   std::uint16_t mPort = 0;
   bool mStopping = false;
   std::uint64_t mDroppedRequests = 0;
-  std::set<Connection*> mOpenConnections;
+  /// Shared, since a connection whose task is destroyed with the executor may
+  /// outlive the server.
+  std::shared_ptr<ConnectionSet> mOpenConnections;
   TaskGroup mTasks;
 };
 
--- /dev/null
+++ b/tests/http_server_test.cpp
@@ -0,0 +1,204 @@
+// Tests of the HTTP server over loopback sockets, on a manual clock.
+
+#include "buckthornshunt/failure.h"
+#include "net/http_server.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <doctest/doctest.h>
+
+#include <array>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+using namespace buckthornshunt;
+using namespace std::chrono_literals;
+using asio::ip::tcp;
+
+namespace {
+
+constexpr auto kToken = asio::as_tuple(asio::use_awaitable);
+
+/// Counts the handlers that end before they have returned a reply.
+class CancellationGuard
+{
+public:
+  explicit CancellationGuard(int& aCancelled)
+    : mCancelled(aCancelled)
+  {
+  }
+  ~CancellationGuard() { mCancelled += mReplied ? 0 : 1; }
+  CancellationGuard(const CancellationGuard&) = delete;
+  CancellationGuard& operator=(const CancellationGuard&) = delete;
+
+  bool mReplied = false;
+
+private:
+  int& mCancelled;
+};
+
+/// A server whose handler answers "/wait" once mRelease is notified, "/never"
+/// never, and everything else at once.
+class TestServer
+{
+public:
+  explicit TestServer(HttpLimits aLimits = {})
+    : mManual(mContext)
+    , mClock(mContext, mManual)
+    , mRelease(mContext)
+    , mServer(mContext,
+              mClock,
+              "test",
+              aLimits,
+              [this](const HttpRequest& aRequest, CallerState&) {
+                return Handle(aRequest.mTarget);
+              })
+  {
+    mServer.Listen({ "127.0.0.1", 0 }).value();
+  }
+
+  ~TestServer()
+  {
+    mServer.Abort();
+    bool ended = false;
+    asio::co_spawn(mContext, mServer.Drained(), [&](const std::exception_ptr&) {
+      ended = true;
+    });
+    RunUntil([&] { return ended; });
+  }
+
+  TestServer(const TestServer&) = delete;
+  TestServer& operator=(const TestServer&) = delete;
+
+  /// Runs the context until the condition holds; the time limit only ends a
+  /// test that would hang.
+  template<class Condition>
+  void RunUntil(Condition aCondition)
+  {
+    auto deadline = std::chrono::steady_clock::now() + 20s;
+    while (!aCondition() && std::chrono::steady_clock::now() < deadline) {
+      mContext.restart();
+      mContext.run_one_for(10ms);
+    }
+    REQUIRE(aCondition());
+  }
+
+  asio::io_context mContext{ 1 };
+  ManualClock mManual;
+  Clock mClock;
+  Event mRelease;
+  int mHandled = 0;
+  int mCancelled = 0;
+  HttpServer mServer;
+
+private:
+  Task<HttpReply> Handle(std::string aTarget)
+  {
+    ++mHandled;
+    CancellationGuard guard(mCancelled);
+    if (aTarget == "/wait") {
+      co_await mRelease.Wait();
+    }
+    if (aTarget == "/never") {
+      co_await mClock.Sleep(1h);
+    }
+    guard.mReplied = true;
+    co_return MakeReply(200, kJsonType, "{}");
+  }
+};
+
+/// A connection to the server that records all it receives and how it ended.
+class Client
+{
+public:
+  explicit Client(TestServer& aServer)
+    : mState(std::make_shared<State>(aServer.mContext))
+  {
+    mState->mSocket.connect(
+      { asio::ip::make_address("127.0.0.1"), aServer.mServer.Port() },
+      mState->mConnectError);
+    asio::co_spawn(aServer.mContext, Read(mState), asio::detached);
+  }
+  ~Client() { Close(); }
+  Client(const Client&) = delete;
+  Client& operator=(const Client&) = delete;
+
+  void Send(std::string_view aText)
+  {
+    boost::system::error_code ec;
+    asio::write(mState->mSocket, asio::buffer(aText), ec);
+  }
+  void Get(std::string_view aTarget)
+  {
+    Send("GET " + std::string(aTarget) + " HTTP/1.1\r\nHost: a\r\n\r\n");
+  }
+  void Close()
+  {
+    boost::system::error_code ec;
+    mState->mSocket.close(ec);
+  }
+
+  bool Refused() const { return mState->mConnectError.failed(); }
+  bool Ended() const { return mState->mEnd.has_value(); }
+  /// Whether the server ended the connection without a reset.
+  bool EndedOrderly() const { return mState->mEnd == asio::error::eof; }
+  const std::string& Received() const { return mState->mReceived; }
+  bool Has(std::string_view aText) const
+  {
+    return mState->mReceived.find(aText) != std::string::npos;
+  }
+
+private:
+  struct State
+  {
+    explicit State(asio::io_context& aContext)
+      : mSocket(aContext)
+    {
+    }
+    tcp::socket mSocket;
+    boost::system::error_code mConnectError;
+    std::string mReceived;
+    std::optional<boost::system::error_code> mEnd;
+  };
+
+  static Task<void> Read(std::shared_ptr<State> aState)
+  {
+    std::array<char, 512> buf{};
+    while (!aState->mEnd) {
+      auto [ec, n] =
+        co_await aState->mSocket.async_read_some(asio::buffer(buf), kToken);
+      aState->mReceived.append(buf.data(), n);
+      if (ec) {
+        aState->mEnd = ec;
+      }
+    }
+    // Like most clients, closes once the server has.
+    aState->mSocket.close();
+  }
+
+  std::shared_ptr<State> mState;
+};
+
+} // namespace
+
+TEST_CASE("a server that is aborted twice doesn't use ended connections")
+{
+  TestServer server;
+  Client client(server);
+  client.Get("/never");
+  server.RunUntil([&] { return server.mHandled == 1; });
+  server.mServer.Abort();
+  server.RunUntil([&] { return server.mCancelled == 1; });
+  server.mManual.Advance(0s);
+  CHECK(server.mServer.Connections() == 0);
+  server.mServer.Abort();
+  CHECK(server.mServer.DroppedRequests() == 1);
+}
