Don't cut off a reply that is being sent as accepting ends

A caller whose reply was still being sent when the server stopped accepting got a part of it and then the end of the connection: StopAccepting took every connection that wasn't in its handler for one that waits for a request. A connection now has a stage (reading, handling, replying, replied), and only those that read are closed. A reply that is cut off by an abort or a timeout, and a request that isn't received in time, leave the same log line and count as other requests that the server drops.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -89,6 +89,14 @@
 
 struct HttpServer::Connection
 {
+  enum class Stage : std::uint8_t
+  {
+    Reading,
+    Handling,
+    Replying,
+    Replied
+  };
+
   Connection(tcp::socket aSocket, std::shared_ptr<ConnectionSet> aOpen)
     : mSocket(std::move(aSocket))
     , mOpen(std::move(aOpen))
@@ -140,7 +148,7 @@
   beast::flat_buffer mBuffer;
   /// Parser of the request that is being read.
   std::optional<Parser> mParser;
-  bool mHandlingRequest = false;
+  Stage mStage = Stage::Reading;
   /// Method, target and start of the request that is being handled.
   std::string mRequestLine;
   TimePoint mRequestReadAt;
@@ -231,13 +239,14 @@
 Task<bool>
 HttpServer::ServeOne(Connection& aConnection)
 {
+  aConnection.mStage = Connection::Stage::Reading;
   Parser& parser = aConnection.mParser.emplace();
   parser.header_limit(mLimits.mMaxHeaderBytes);
   parser.body_limit(mLimits.mMaxBodyBytes);
   boost::system::error_code readError;
   {
     Watchdog readWatchdog(mClock, mClock.Now() + mLimits.mIdleTimeout, [&] {
-      aConnection.Close();
+      CloseConnection(aConnection, "not received in time");
     });
     auto [ec, n] = co_await http::async_read(
       aConnection.mSocket, aConnection.mBuffer, parser, kToken);
@@ -250,6 +259,8 @@
     if (status == 0) {
       co_return false;
     }
+    aConnection.mRequestLine = "unreadable request";
+    aConnection.mRequestReadAt = mClock.Now();
     std::string body =
       "{\"error\":\"" + std::string(FaultForStatus(status)) + "\"}";
     reply = MakeReply(status, kJsonType, std::move(body));
@@ -257,21 +268,36 @@
     keepAlive = parser.get().keep_alive();
     HttpRequest request = ExtractRequest(parser);
     aConnection.mParser.reset();
-    aConnection.mHandlingRequest = true;
+    aConnection.mStage = Connection::Stage::Handling;
     aConnection.mRequestLine = request.mMethod + " " + request.mTarget;
     aConnection.mRequestReadAt = mClock.Now();
     auto caller = std::make_shared<CallerState>();
     aConnection.WatchForDisconnect(caller);
     reply = co_await mHandler(request, *caller);
-    aConnection.mHandlingRequest = false;
   }
   keepAlive = keepAlive && !mStopping;
-  auto message = ToMessage(std::move(reply), keepAlive);
-  Watchdog writeWatchdog(
-    mClock, mClock.Now() + mLimits.mIdleTimeout, [&] { aConnection.Close(); });
+  bool sent = co_await WriteReply(aConnection, std::move(reply), keepAlive);
+  keepAlive = keepAlive && sent;
+  co_return keepAlive;
+}
+
+// Returns whether the reply was sent.
+Task<bool>
+HttpServer::WriteReply(Connection& aConnection,
+                       HttpReply aReply,
+                       bool aKeepAlive)
+{
+  aConnection.mStage = Connection::Stage::Replying;
+  auto message = ToMessage(std::move(aReply), aKeepAlive);
+  Watchdog watchdog(mClock, mClock.Now() + mLimits.mIdleTimeout, [&] {
+    CloseConnection(aConnection, "reply not sent in time");
+  });
   auto [ec, n] =
     co_await http::async_write(aConnection.mSocket, message, kToken);
-  co_return !ec && keepAlive;
+  if (!ec) {
+    aConnection.mStage = Connection::Stage::Replied;
+  }
+  co_return !ec;
 }
 
 void
@@ -281,7 +307,7 @@
   boost::system::error_code ec;
   mAcceptor.close(ec);
   for (Connection* connection : *mOpenConnections) {
-    if (!connection->mHandlingRequest) {
+    if (connection->mStage == Connection::Stage::Reading) {
       CloseConnection(*connection, "no longer accepting");
     }
   }
@@ -291,16 +317,24 @@
 void
 HttpServer::CloseConnection(Connection& aConnection, std::string_view aWhy)
 {
-  if (aConnection.mHandlingRequest) {
+  using Stage = Connection::Stage;
+  if (!aConnection.mSocket.is_open()) {
+    return;
+  }
+  Stage stage = aConnection.mStage;
+  std::size_t unread = aConnection.UnreadBytes();
+  if (stage == Stage::Handling || stage == Stage::Replying) {
     ++mDroppedRequests;
     LogWarn(mLogPart,
-            "{} dropped without an answer, {}, handled for_ms={}",
+            "{} dropped without {} answer, {}, handled for_ms={}",
             aConnection.mRequestLine,
+            stage == Stage::Handling ? "an" : "a complete",
             aWhy,
             ToMillis(mClock.Now() - aConnection.mRequestReadAt));
-  } else if (std::size_t n = aConnection.UnreadBytes(); n > 0) {
+  } else if (stage == Stage::Reading && unread > 0) {
     ++mDroppedRequests;
-    LogWarn(mLogPart, "connection closed with unread bytes={}, {}", n, aWhy);
+    LogWarn(
+      mLogPart, "connection closed with unread bytes={}, {}", unread, aWhy);
   }
   aConnection.Close();
 }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -56,6 +56,7 @@
 
   /// Stops accepting connections and closes those that wait for a request;
   /// requests in progress finish, and their connections close after the reply.
+  /// Requests that are only partly received are dropped.
   void StopAccepting();
 
   /// Completes once all connections have ended.
@@ -77,6 +78,9 @@
   Task<void> Accept();
   Task<void> Serve(boost::asio::ip::tcp::socket aSocket);
   Task<bool> ServeOne(Connection& aConnection);
+  Task<bool> WriteReply(Connection& aConnection,
+                        HttpReply aReply,
+                        bool aKeepAlive);
   void CloseConnection(Connection& aConnection, std::string_view aWhy);
 
   asio::io_context& mContext;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -202,3 +202,49 @@
   server.mServer.Abort();
   CHECK(server.mServer.DroppedRequests() == 1);
 }
+
+TEST_CASE("a reply that is being sent isn't cut off as accepting ends")
+{
+  constexpr std::size_t kBodyBytes = std::size_t{ 16 } * 1024 * 1024;
+  asio::io_context context(1);
+  ManualClock manual(context);
+  Clock clock(context, manual);
+  HttpServer server(context,
+                    clock,
+                    "test",
+                    HttpLimits{},
+                    [](const HttpRequest&, CallerState&) -> Task<HttpReply> {
+                      co_return MakeReply(
+                        200, kBytesType, std::string(kBodyBytes, 'a'));
+                    });
+  server.Listen({ "127.0.0.1", 0 }).value();
+  tcp::socket client(context);
+  client.connect({ asio::ip::make_address("127.0.0.1"), server.Port() });
+  asio::write(
+    client,
+    asio::buffer(std::string_view("GET /large HTTP/1.1\r\nHost: a\r\n\r\n")));
+  manual.Advance(0s);
+  server.StopAccepting();
+  std::size_t received = 0;
+  bool ended = false;
+  asio::co_spawn(
+    context,
+    [&]() -> Task<void> {
+      std::vector<char> buf(65536);
+      while (!ended) {
+        auto [ec, n] =
+          co_await client.async_read_some(asio::buffer(buf), kToken);
+        received += n;
+        ended = ec.failed();
+      }
+      client.close();
+    },
+    asio::detached);
+  context.restart();
+  while (!ended) {
+    context.run_one();
+  }
+  manual.Advance(1s);
+  CHECK(received > kBodyBytes);
+  CHECK(server.Connections() == 0);
+}
