Read a refused request away before its connection closes

A caller that was still sending when it got the last reply of its connection (413, or any reply with Connection: close) was reset, and could lose the reply with it: a socket that is closed with unread input resets its connection. Seen by a client that is refused while it sends isn't reset http_server_test.cpp:221: ERROR: CHECK_FALSE( ec.failed() ) is NOT correct! After its last reply a connection now ends its own side, and discards what arrives until the client has ended the other side, for half a second at most.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -9,6 +9,7 @@
 #include <boost/beast/http.hpp>
 #include <boost/leaf/error.hpp>
 
+#include <array>
 #include <cerrno>
 #include <optional>
 
@@ -24,6 +25,8 @@
 
 constexpr auto kToken = asio::as_tuple(asio::use_awaitable);
 constexpr Duration kAcceptRetryInterval = std::chrono::milliseconds(100);
+/// How long input is discarded after the last reply of a connection.
+constexpr Duration kLingerTimeout = std::chrono::milliseconds(500);
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusHeadersTooLarge = 431;
@@ -231,7 +234,9 @@
   while (keepOpen && !mStopping) {
     keepOpen = co_await ServeOne(connection);
   }
-  connection.mSocket.shutdown(tcp::socket::shutdown_both, ec);
+  if (connection.mStage == Connection::Stage::Replied) {
+    co_await DiscardInput(connection);
+  }
 }
 
 // Reads one request, calls the handler and writes the reply. Returns false if
@@ -300,6 +305,24 @@
   co_return !ec;
 }
 
+// Closing a socket with unread input resets the connection, and the client may
+// lose the reply. What it sends after the last reply is therefore read, and
+// discarded, until it closes its side.
+Task<void>
+HttpServer::DiscardInput(Connection& aConnection)
+{
+  boost::system::error_code ec;
+  aConnection.mSocket.shutdown(tcp::socket::shutdown_send, ec);
+  Watchdog watchdog(
+    mClock, mClock.Now() + kLingerTimeout, [&] { aConnection.Close(); });
+  std::array<char, 1024> buf{};
+  while (!ec) {
+    auto [readError, n] =
+      co_await aConnection.mSocket.async_read_some(asio::buffer(buf), kToken);
+    ec = readError;
+  }
+}
+
 void
 HttpServer::StopAccepting()
 {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -81,6 +81,7 @@
   Task<bool> WriteReply(Connection& aConnection,
                         HttpReply aReply,
                         bool aKeepAlive);
+  Task<void> DiscardInput(Connection& aConnection);
   void CloseConnection(Connection& aConnection, std::string_view aWhy);
 
   asio::io_context& mContext;
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -203,6 +203,30 @@
   CHECK(server.mServer.DroppedRequests() == 1);
 }
 
+TEST_CASE("a client that is refused while it sends isn't reset")
+{
+  constexpr std::size_t kHalfBytes = 32768;
+  HttpLimits limits;
+  limits.mMaxBodyBytes = 16;
+  TestServer server(limits);
+  tcp::socket client(server.mContext);
+  client.connect(
+    { asio::ip::make_address("127.0.0.1"), server.mServer.Port() });
+  std::string half(kHalfBytes, 'a');
+  std::string header = "POST /large HTTP/1.1\r\nContent-Length: 65536\r\n\r\n";
+  boost::system::error_code ec;
+  asio::write(client, asio::buffer(header + half), ec);
+  server.mManual.Advance(0s);
+  asio::write(client, asio::buffer(half), ec);
+  CHECK_FALSE(ec.failed());
+  server.mManual.Advance(1s);
+  std::string reply;
+  asio::read(client, asio::dynamic_buffer(reply), ec);
+  CHECK(reply.find("HTTP/1.1 413") != std::string::npos);
+  CHECK(ec == asio::error::eof);
+  CHECK(server.mServer.Connections() == 0);
+}
+
 TEST_CASE("a reply that is being sent isn't cut off as accepting ends")
 {
   constexpr std::size_t kBodyBytes = std::size_t{ 16 } * 1024 * 1024;
