Answer connections above the limit with 503

Over mMaxConnections a caller's connection was closed without a word: the caller couldn't know whether its request had been taken, nor when to come again. Such a connection now gets 503 with Retry-After at once, and what it sends is discarded. At most 64 of them are open at a time; while there are so many, accepting pauses and the rest wait in the listen queue, so that number and memory stay bounded.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -27,6 +27,9 @@
 constexpr Duration kAcceptRetryInterval = std::chrono::milliseconds(100);
 /// How long input is discarded after the last reply of a connection.
 constexpr Duration kLingerTimeout = std::chrono::milliseconds(500);
+/// Connections above the limit that may be open while they get their answer.
+constexpr std::size_t kMaxRejections = 64;
+constexpr int kStatusUnavailable = 503;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusHeadersTooLarge = 431;
@@ -80,6 +83,15 @@
   return malformed && !disconnected ? kStatusBadRequest : 0;
 }
 
+// Reply to a request that hasn't been handled.
+HttpReply
+UnavailableReply()
+{
+  HttpReply reply = MakeReply(kStatusUnavailable, kJsonType, "{}");
+  reply.mFields.emplace_back("Retry-After", "1");
+  return reply;
+}
+
 std::string_view
 FaultForStatus(int aStatus)
 {
@@ -169,6 +181,7 @@
   , mHandler(std::move(aHandler))
   , mAcceptor(aContext)
   , mOpenConnections(std::make_shared<ConnectionSet>())
+  , mConnectionEnded(aContext)
   , mTasks(aContext)
 {
 }
@@ -205,7 +218,12 @@
 Task<void>
 HttpServer::Accept()
 {
+  std::size_t maxOpen = mLimits.mMaxConnections + kMaxRejections;
   while (!mStopping) {
+    if (Connections() >= maxOpen) {
+      co_await mConnectionEnded.Wait();
+      continue;
+    }
     tcp::socket socket(mContext);
     auto [ec] = co_await mAcceptor.async_accept(socket, kToken);
     if (mStopping || ec == asio::error::operation_aborted) {
@@ -217,26 +235,55 @@
       co_await mClock.Sleep(kAcceptRetryInterval);
       continue;
     }
-    if (mOpenConnections->size() >= mLimits.mMaxConnections) {
-      continue;
-    }
-    mTasks.Spawn("connection", Serve(std::move(socket)));
+    Admit(std::move(socket));
   }
 }
 
-Task<void>
-HttpServer::Serve(tcp::socket aSocket)
+void
+HttpServer::Admit(tcp::socket aSocket)
 {
-  Connection connection(std::move(aSocket), mOpenConnections);
   boost::system::error_code ec;
-  connection.mSocket.set_option(tcp::no_delay(true), ec);
+  aSocket.set_option(tcp::no_delay(true), ec);
+  bool full = Connections() >= mLimits.mMaxConnections;
+  auto connection =
+    std::make_shared<Connection>(std::move(aSocket), mOpenConnections);
+  if (full) {
+    mTasks.Spawn("rejection", Reject(std::move(connection)));
+  } else {
+    mTasks.Spawn("connection", Serve(std::move(connection)));
+  }
+}
+
+Task<void>
+HttpServer::Serve(std::shared_ptr<Connection> aConnection)
+{
   bool keepOpen = true;
   while (keepOpen && !mStopping) {
-    keepOpen = co_await ServeOne(connection);
+    keepOpen = co_await ServeOne(*aConnection);
   }
-  if (connection.mStage == Connection::Stage::Replied) {
-    co_await DiscardInput(connection);
+  if (aConnection->mStage == Connection::Stage::Replied) {
+    co_await DiscardInput(*aConnection);
+  }
+  Release(std::move(aConnection));
+}
+
+Task<void>
+HttpServer::Reject(std::shared_ptr<Connection> aConnection)
+{
+  aConnection->mRequestLine = "connection above the limit";
+  aConnection->mRequestReadAt = mClock.Now();
+  bool sent = co_await WriteReply(*aConnection, UnavailableReply(), false);
+  if (sent) {
+    co_await DiscardInput(*aConnection);
   }
+  Release(std::move(aConnection));
+}
+
+void
+HttpServer::Release(std::shared_ptr<Connection> aConnection)
+{
+  aConnection.reset();
+  mConnectionEnded.NotifyAll();
 }
 
 // Reads one request, calls the handler and writes the reply. Returns false if
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -25,7 +25,8 @@
 {
   std::uint32_t mMaxHeaderBytes = 16 * 1024;
   std::uint64_t mMaxBodyBytes = 4 * 1024 * 1024;
-  /// Further connections are closed on accept.
+  /// Further connections are answered with 503; while many of them are open,
+  /// accepting pauses.
   std::size_t mMaxConnections = 1024;
   /// Timeout for receiving a request, including the wait for it, and for
   /// sending its reply.
@@ -76,12 +77,15 @@
   using ConnectionSet = std::set<Connection*>;
 
   Task<void> Accept();
-  Task<void> Serve(boost::asio::ip::tcp::socket aSocket);
+  void Admit(boost::asio::ip::tcp::socket aSocket);
+  Task<void> Serve(std::shared_ptr<Connection> aConnection);
+  Task<void> Reject(std::shared_ptr<Connection> aConnection);
   Task<bool> ServeOne(Connection& aConnection);
   Task<bool> WriteReply(Connection& aConnection,
                         HttpReply aReply,
                         bool aKeepAlive);
   Task<void> DiscardInput(Connection& aConnection);
+  void Release(std::shared_ptr<Connection> aConnection);
   void CloseConnection(Connection& aConnection, std::string_view aWhy);
 
   asio::io_context& mContext;
@@ -96,6 +100,8 @@
   /// Shared, since a connection whose task is destroyed with the executor may
   /// outlive the server.
   std::shared_ptr<ConnectionSet> mOpenConnections;
+  /// Notified when a connection has ended.
+  Event mConnectionEnded;
   TaskGroup mTasks;
 };
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -227,6 +227,56 @@
   CHECK(server.mServer.Connections() == 0);
 }
 
+TEST_CASE("a connection above the limit gets an answer")
+{
+  HttpLimits limits;
+  limits.mMaxConnections = 1;
+  TestServer server(limits);
+  Client first(server);
+  first.Get("/wait");
+  server.RunUntil([&] { return server.mHandled == 1; });
+  Client second(server);
+  second.Get("/now");
+  server.RunUntil([&] { return second.Ended(); });
+  CHECK(second.Has("HTTP/1.1 503"));
+  CHECK(second.Has("Retry-After: 1"));
+  CHECK(second.EndedOrderly());
+  CHECK(server.mHandled == 1);
+  server.mRelease.NotifyAll();
+  server.RunUntil([&] { return first.Has("HTTP/1.1 200"); });
+}
+
+TEST_CASE("connections above the limit are bounded and all answered")
+{
+  constexpr std::size_t kClients = 200;
+  constexpr std::size_t kMaxOpen = 65;
+  HttpLimits limits;
+  limits.mMaxConnections = 1;
+  TestServer server(limits);
+  Client first(server);
+  first.Get("/never");
+  server.RunUntil([&] { return server.mHandled == 1; });
+  // These never close their side.
+  std::vector<tcp::socket> clients;
+  for (std::size_t i = 0; i < kClients; ++i) {
+    clients.emplace_back(server.mContext);
+    clients.back().connect(
+      { asio::ip::make_address("127.0.0.1"), server.mServer.Port() });
+  }
+  for (int i = 0; i < 30; ++i) {
+    server.mManual.Advance(100ms);
+    CHECK(server.mServer.Connections() <= kMaxOpen);
+  }
+  CHECK(server.mServer.Connections() == 1);
+  for (tcp::socket& client : clients) {
+    std::string reply;
+    boost::system::error_code ec;
+    asio::read(client, asio::dynamic_buffer(reply), ec);
+    CHECK(reply.find("HTTP/1.1 503") != std::string::npos);
+  }
+  CHECK(server.mHandled == 1);
+}
+
 TEST_CASE("a reply that is being sent isn't cut off as accepting ends")
 {
   constexpr std::size_t kBodyBytes = std::size_t{ 16 } * 1024 * 1024;
