Drain an HTTP server without losing a request

Callers of a node that stops lost requests in three ways: a request that had been received, in whole or in part, was closed with its connection when accepting ended; a connection in the listen queue was reset with the acceptor; and a handler that was still running at the end was cancelled and its connection closed without an answer. StopAccepting, followed by Abort at the deadline, knew only whether a connection was in its handler. Drain empties the listen queue before it closes the acceptor, and goes on accepting while connections arrive, until a second before its deadline. It closes a connection only by cancelling a read that has received nothing, so a request that comes in at that moment is still read. At the deadline each open request gets an answer before its handler is cancelled: the owner's reply if the handler is running, 503 if it hasn't started.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "buckthornshunt/failure.h"
 #include "kernel/log.h"
+#include "kernel/wait.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -9,9 +10,11 @@
 #include <boost/beast/http.hpp>
 #include <boost/leaf/error.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <optional>
+#include <vector>
 
 #include <sys/socket.h>
 
@@ -29,6 +32,13 @@
 constexpr Duration kLingerTimeout = std::chrono::milliseconds(500);
 /// Connections above the limit that may be open while they get their answer.
 constexpr std::size_t kMaxRejections = 64;
+/// While a connection has arrived within this time, a drain goes on accepting.
+constexpr Duration kArrivalTimeout = std::chrono::milliseconds(500);
+/// A drain ends accepting this long before its deadline, so that requests of
+/// the last connections can be received and answered.
+constexpr Duration kAnswerReserve = std::chrono::seconds(1);
+/// How long a drain waits for a request on an idle connection.
+constexpr Duration kIdleDrainTimeout = std::chrono::milliseconds(500);
 constexpr int kStatusUnavailable = 503;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusTooLarge = 413;
@@ -102,7 +112,7 @@
 
 } // namespace
 
-struct HttpServer::Connection
+struct HttpServer::Connection : std::enable_shared_from_this<Connection>
 {
   enum class Stage : std::uint8_t
   {
@@ -136,6 +146,19 @@
     return n + (mParser && mParser->got_some() ? 1 : 0);
   }
 
+  bool IsIdle() const
+  {
+    return mStage == Stage::Reading && !mReadCancelled && UnreadBytes() == 0;
+  }
+
+  // Unlike a close, this doesn't lose a request that has just been received.
+  void CancelRead()
+  {
+    boost::system::error_code ec;
+    mReadCancelled = true;
+    mSocket.cancel(ec);
+  }
+
   // While a request is in progress, the socket becomes readable if the client
   // closes the connection or pipelines its next request.
   void WatchForDisconnect(const std::shared_ptr<CallerState>& aCaller)
@@ -164,6 +187,10 @@
   /// Parser of the request that is being read.
   std::optional<Parser> mParser;
   Stage mStage = Stage::Reading;
+  TimePoint mReadingSince;
+  bool mReadCancelled = false;
+  /// The drain answers the request instead of the connection's task.
+  bool mAnsweredByDrain = false;
   /// Method, target and start of the request that is being handled.
   std::string mRequestLine;
   TimePoint mRequestReadAt;
@@ -181,7 +208,7 @@
   , mHandler(std::move(aHandler))
   , mAcceptor(aContext)
   , mOpenConnections(std::make_shared<ConnectionSet>())
-  , mConnectionEnded(aContext)
+  , mEnded(aContext)
   , mTasks(aContext)
 {
 }
@@ -219,15 +246,25 @@
 HttpServer::Accept()
 {
   std::size_t maxOpen = mLimits.mMaxConnections + kMaxRejections;
-  while (!mStopping) {
+  while (mAcceptor.is_open()) {
     if (Connections() >= maxOpen) {
-      co_await mConnectionEnded.Wait();
+      co_await mEnded.Wait();
       continue;
     }
     tcp::socket socket(mContext);
-    auto [ec] = co_await mAcceptor.async_accept(socket, kToken);
-    if (mStopping || ec == asio::error::operation_aborted) {
-      co_return;
+    boost::system::error_code ec;
+    if (mEmptyingListenQueue) {
+      mAcceptor.accept(socket, ec);
+      if (ec == asio::error::would_block) {
+        mAcceptor.close(ec);
+        break;
+      }
+    } else {
+      auto [error] = co_await mAcceptor.async_accept(socket, kToken);
+      ec = error;
+    }
+    if (ec == asio::error::operation_aborted) {
+      continue;
     }
     if (ec) {
       LogWarn(
@@ -235,8 +272,10 @@
       co_await mClock.Sleep(kAcceptRetryInterval);
       continue;
     }
+    mLastAcceptAt = mClock.Now();
     Admit(std::move(socket));
   }
+  mEnded.NotifyAll();
 }
 
 void
@@ -247,6 +286,7 @@
   bool full = Connections() >= mLimits.mMaxConnections;
   auto connection =
     std::make_shared<Connection>(std::move(aSocket), mOpenConnections);
+  connection->mReadingSince = mClock.Now();
   if (full) {
     mTasks.Spawn("rejection", Reject(std::move(connection)));
   } else {
@@ -261,7 +301,8 @@
   while (keepOpen && !mStopping) {
     keepOpen = co_await ServeOne(*aConnection);
   }
-  if (aConnection->mStage == Connection::Stage::Replied) {
+  bool replied = aConnection->mStage == Connection::Stage::Replied;
+  if (replied && !aConnection->mAnsweredByDrain) {
     co_await DiscardInput(*aConnection);
   }
   Release(std::move(aConnection));
@@ -283,30 +324,53 @@
 HttpServer::Release(std::shared_ptr<Connection> aConnection)
 {
   aConnection.reset();
-  mConnectionEnded.NotifyAll();
+  mEnded.NotifyAll();
 }
 
-// Reads one request, calls the handler and writes the reply. Returns false if
-// the connection is to be closed.
-Task<bool>
-HttpServer::ServeOne(Connection& aConnection)
+// Reads the connection's next request into its parser. A cancelled read goes on
+// if input has arrived meanwhile.
+Task<boost::system::error_code>
+HttpServer::ReadRequest(Connection& aConnection)
 {
   aConnection.mStage = Connection::Stage::Reading;
+  aConnection.mReadingSince = mClock.Now();
   Parser& parser = aConnection.mParser.emplace();
   parser.header_limit(mLimits.mMaxHeaderBytes);
   parser.body_limit(mLimits.mMaxBodyBytes);
+  Watchdog watchdog(mClock, mClock.Now() + mLimits.mIdleTimeout, [&] {
+    CloseConnection(aConnection, "not received in time");
+  });
   boost::system::error_code readError;
-  {
-    Watchdog readWatchdog(mClock, mClock.Now() + mLimits.mIdleTimeout, [&] {
-      CloseConnection(aConnection, "not received in time");
-    });
+  bool again = true;
+  while (again) {
+    aConnection.mReadCancelled = false;
     auto [ec, n] = co_await http::async_read(
       aConnection.mSocket, aConnection.mBuffer, parser, kToken);
     readError = ec;
+    again = ec == asio::error::operation_aborted &&
+            aConnection.mReadCancelled && !mDeadlinePassed &&
+            aConnection.UnreadBytes() > 0;
+  }
+  co_return readError;
+}
+
+// Reads one request, calls the handler and writes the reply. Returns false if
+// the connection is to be closed.
+Task<bool>
+HttpServer::ServeOne(Connection& aConnection)
+{
+  auto readError = co_await ReadRequest(aConnection);
+  if (aConnection.mAnsweredByDrain) {
+    co_return false;
   }
   HttpReply reply;
   bool keepAlive = false;
-  if (readError) {
+  bool received = !readError || aConnection.UnreadBytes() > 0;
+  if (mDeadlinePassed && received) {
+    aConnection.mRequestLine = "late request";
+    aConnection.mRequestReadAt = mClock.Now();
+    reply = UnavailableReply();
+  } else if (readError) {
     int status = ReadErrorStatus(readError);
     if (status == 0) {
       co_return false;
@@ -317,8 +381,8 @@
       "{\"error\":\"" + std::string(FaultForStatus(status)) + "\"}";
     reply = MakeReply(status, kJsonType, std::move(body));
   } else {
-    keepAlive = parser.get().keep_alive();
-    HttpRequest request = ExtractRequest(parser);
+    keepAlive = aConnection.mParser->get().keep_alive();
+    HttpRequest request = ExtractRequest(*aConnection.mParser);
     aConnection.mParser.reset();
     aConnection.mStage = Connection::Stage::Handling;
     aConnection.mRequestLine = request.mMethod + " " + request.mTarget;
@@ -326,8 +390,11 @@
     auto caller = std::make_shared<CallerState>();
     aConnection.WatchForDisconnect(caller);
     reply = co_await mHandler(request, *caller);
+    if (aConnection.mAnsweredByDrain) {
+      co_return false;
+    }
   }
-  keepAlive = keepAlive && !mStopping;
+  keepAlive = keepAlive && !mStopping && !mDraining;
   bool sent = co_await WriteReply(aConnection, std::move(reply), keepAlive);
   keepAlive = keepAlive && sent;
   co_return keepAlive;
@@ -415,6 +482,128 @@
   return mTasks.Join();
 }
 
+Task<void>
+HttpServer::Drain(TimePoint aStopAccepting,
+                  TimePoint aDeadline,
+                  HttpReply aDeadlineReply)
+{
+  mDraining = true;
+  co_await EndAccepting(aStopAccepting, aDeadline);
+  co_await CloseIdleConnections(aDeadline);
+  AnswerOpenRequests(aDeadlineReply);
+  TimePoint end = mClock.Now() + kLingerTimeout;
+  while (HasOpenSockets() && mClock.Now() < end) {
+    co_await WaitUntil(mEnded, mClock, end);
+  }
+  if (Connections() > 0) {
+    Abort();
+  }
+  co_await Drained();
+}
+
+// Connections that wait in the listen queue are reset when the acceptor closes,
+// so the queue is emptied first. They go on arriving after the load balancer's
+// delay if it has too few other nodes.
+Task<void>
+HttpServer::EndAccepting(TimePoint aStopAccepting, TimePoint aDeadline)
+{
+  TimePoint due = std::min(aStopAccepting, aDeadline);
+  TimePoint latest = std::max(due, aDeadline - kAnswerReserve);
+  while (mClock.Now() < due) {
+    co_await mClock.SleepUntil(due);
+    due = std::min(latest, mLastAcceptAt + kArrivalTimeout);
+  }
+  boost::system::error_code ec;
+  mEmptyingListenQueue = true;
+  mAcceptor.non_blocking(true, ec);
+  mAcceptor.cancel(ec);
+  while (mAcceptor.is_open() && mClock.Now() < aDeadline) {
+    co_await WaitUntil(mEnded, mClock, aDeadline);
+  }
+  mAcceptor.close(ec);
+}
+
+// Closes connections without a request until all have ended or the deadline is
+// reached.
+Task<void>
+HttpServer::CloseIdleConnections(TimePoint aDeadline)
+{
+  TimePoint began = mClock.Now();
+  while (Connections() > 0 && mClock.Now() < aDeadline) {
+    TimePoint wakeAt = aDeadline;
+    for (Connection* connection : *mOpenConnections) {
+      TimePoint closeAt =
+        std::max(began, connection->mReadingSince) + kIdleDrainTimeout;
+      if (!connection->IsIdle()) {
+        continue;
+      }
+      if (closeAt <= mClock.Now()) {
+        connection->CancelRead();
+      } else {
+        wakeAt = std::min(wakeAt, closeAt);
+      }
+    }
+    co_await WaitUntil(mEnded, mClock, wakeAt);
+  }
+}
+
+// A task of its own sends each answer, because the connection's task is in the
+// handler or in the middle of a request.
+void
+HttpServer::AnswerOpenRequests(const HttpReply& aDeadlineReply)
+{
+  using Stage = Connection::Stage;
+  mDeadlinePassed = true;
+  std::vector<std::shared_ptr<Connection>> open;
+  for (Connection* connection : *mOpenConnections) {
+    open.push_back(connection->shared_from_this());
+  }
+  for (auto& connection : open) {
+    bool handling = connection->mStage == Stage::Handling;
+    bool reading = connection->mStage == Stage::Reading;
+    if (handling || (reading && connection->UnreadBytes() > 0)) {
+      if (reading) {
+        connection->CancelRead();
+        connection->mRequestLine = "incomplete request";
+        connection->mRequestReadAt = mClock.Now();
+      }
+      LogWarn(mLogPart,
+              "{} answered at the end of the drain, handled for_ms={}",
+              connection->mRequestLine,
+              ToMillis(mClock.Now() - connection->mRequestReadAt));
+      connection->mAnsweredByDrain = true;
+      connection->mStage = Stage::Replying;
+      HttpReply reply = handling ? aDeadlineReply : UnavailableReply();
+      mTasks.Spawn("deadline reply",
+                   AnswerAtDeadline(connection, std::move(reply)));
+    } else if (reading) {
+      connection->CancelRead();
+    }
+  }
+}
+
+Task<void>
+HttpServer::AnswerAtDeadline(std::shared_ptr<Connection> aConnection,
+                             HttpReply aReply)
+{
+  bool sent = co_await WriteReply(*aConnection, std::move(aReply), false);
+  if (sent) {
+    co_await DiscardInput(*aConnection);
+  }
+  aConnection->Close();
+  Release(std::move(aConnection));
+}
+
+bool
+HttpServer::HasOpenSockets() const
+{
+  return std::any_of(mOpenConnections->begin(),
+                     mOpenConnections->end(),
+                     [](const Connection* aConnection) {
+                       return aConnection->mSocket.is_open();
+                     });
+}
+
 void
 HttpServer::Abort()
 {
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -66,6 +66,17 @@
   /// Closes all connections immediately and cancels their tasks.
   void Abort();
 
+  /// Ends the server without losing a request. From now on each connection
+  /// closes after its next reply; further requests on it are discarded, and
+  /// their client repeats them elsewhere. Connections are accepted until
+  /// aStopAccepting, and longer while new ones arrive. A request without a
+  /// reply at aDeadline gets aDeadlineReply if its handler is running, which is
+  /// then cancelled, and 503 if its handler hasn't started. Completes once no
+  /// connection is open, or shortly after aDeadline.
+  Task<void> Drain(TimePoint aStopAccepting,
+                   TimePoint aDeadline,
+                   HttpReply aDeadlineReply);
+
   std::size_t Connections() const { return mOpenConnections->size(); }
 
   /// Connections that this server closed although they held a request, in whole
@@ -77,10 +88,17 @@
   using ConnectionSet = std::set<Connection*>;
 
   Task<void> Accept();
+  Task<void> EndAccepting(TimePoint aStopAccepting, TimePoint aDeadline);
+  Task<void> CloseIdleConnections(TimePoint aDeadline);
+  void AnswerOpenRequests(const HttpReply& aDeadlineReply);
+  Task<void> AnswerAtDeadline(std::shared_ptr<Connection> aConnection,
+                              HttpReply aReply);
+  bool HasOpenSockets() const;
   void Admit(boost::asio::ip::tcp::socket aSocket);
   Task<void> Serve(std::shared_ptr<Connection> aConnection);
   Task<void> Reject(std::shared_ptr<Connection> aConnection);
   Task<bool> ServeOne(Connection& aConnection);
+  Task<boost::system::error_code> ReadRequest(Connection& aConnection);
   Task<bool> WriteReply(Connection& aConnection,
                         HttpReply aReply,
                         bool aKeepAlive);
@@ -96,12 +114,18 @@
   boost::asio::ip::tcp::acceptor mAcceptor;
   std::uint16_t mPort = 0;
   bool mStopping = false;
+  /// Drain has begun, has begun to empty the listen queue, and has answered the
+  /// requests that were open at its deadline.
+  bool mDraining = false;
+  bool mEmptyingListenQueue = false;
+  bool mDeadlinePassed = false;
+  TimePoint mLastAcceptAt = TimePoint::min();
   std::uint64_t mDroppedRequests = 0;
   /// Shared, since a connection whose task is destroyed with the executor may
   /// outlive the server.
   std::shared_ptr<ConnectionSet> mOpenConnections;
-  /// Notified when a connection has ended.
-  Event mConnectionEnded;
+  /// Notified when a connection or accepting has ended.
+  Event mEnded;
   TaskGroup mTasks;
 };
 
--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -15,6 +15,7 @@
 #include <array>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -68,6 +69,8 @@
   ~TestServer()
   {
     mServer.Abort();
+    // Lets a drain that a failed test left behind reach its end.
+    mManual.Advance(1h);
     bool ended = false;
     asio::co_spawn(mContext, mServer.Drained(), [&](const std::exception_ptr&) {
       ended = true;
@@ -78,6 +81,20 @@
   TestServer(const TestServer&) = delete;
   TestServer& operator=(const TestServer&) = delete;
 
+  void StartDrain(Duration aStopAccepting, Duration aDeadline)
+  {
+    TimePoint now = mClock.Now();
+    asio::co_spawn(mContext,
+                   mServer.Drain(now + aStopAccepting,
+                                 now + aDeadline,
+                                 MakeReply(504, kJsonType, "{}")),
+                   [this](const std::exception_ptr& aError) {
+                     CHECK_FALSE(aError);
+                     mDrainedAt = mClock.Now();
+                   });
+    mManual.Advance(0s);
+  }
+
   /// Runs the context until the condition holds; the time limit only ends a
   /// test that would hang.
   template<class Condition>
@@ -97,6 +114,7 @@
   Event mRelease;
   int mHandled = 0;
   int mCancelled = 0;
+  std::optional<TimePoint> mDrainedAt;
   HttpServer mServer;
 
 private:
@@ -187,6 +205,48 @@
   std::shared_ptr<State> mState;
 };
 
+/// Connects, sends a request in two parts, and reads the reply, at given times.
+class ScheduledClient
+{
+public:
+  ScheduledClient(TestServer& aServer, std::string_view aTarget)
+    : mServer(aServer)
+    , mRequest("POST " + std::string(aTarget) +
+               " HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nabcd")
+  {
+  }
+
+  void Schedule(TimePoint aConnectAt,
+                TimePoint aFirstAt,
+                TimePoint aRestAt,
+                std::size_t aFirstBytes)
+  {
+    std::string_view request = mRequest;
+    mServer.mClock.CallAt(aConnectAt, [this] { mClient.emplace(mServer); });
+    mServer.mClock.CallAt(aFirstAt, [this, request, aFirstBytes] {
+      mClient->Send(request.substr(0, aFirstBytes));
+    });
+    mServer.mClock.CallAt(aRestAt, [this, request, aFirstBytes] {
+      mClient->Send(request.substr(aFirstBytes));
+    });
+    mCompleteAt = aRestAt;
+  }
+
+  bool Refused() const { return mClient->Refused(); }
+  bool Has(std::string_view aText) const { return mClient->Has(aText); }
+  bool Ended() const { return mClient->Ended(); }
+  TimePoint CompleteAt() const { return mCompleteAt; }
+
+private:
+  TestServer& mServer;
+  std::string mRequest;
+  std::optional<Client> mClient;
+  TimePoint mCompleteAt;
+};
+
+constexpr std::string_view kHalfRequest =
+  "POST /half HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n\r\nab";
+
 } // namespace
 
 TEST_CASE("a server that is aborted twice doesn't use ended connections")
@@ -277,6 +337,261 @@
   CHECK(server.mHandled == 1);
 }
 
+TEST_CASE("a drain serves a request that is half received when accepting ends")
+{
+  TestServer server;
+  Client client(server);
+  client.Send(kHalfRequest);
+  server.mManual.Advance(0s);
+  server.StartDrain(1s, 3s);
+  server.mManual.Advance(2s);
+  client.Send("cd");
+  server.RunUntil([&] { return client.Ended(); });
+  CHECK(client.Has("HTTP/1.1 200"));
+  CHECK(client.Has("Connection: close"));
+  server.RunUntil([&] { return server.mDrainedAt.has_value(); });
+  CHECK(server.mServer.DroppedRequests() == 0);
+}
+
+TEST_CASE("a drain serves a request that arrives as accepting ends")
+{
+  TestServer server;
+  Client client(server);
+  server.mManual.Advance(0s);
+  server.mClock.CallAt(server.mClock.Now() + 1s, [&] { client.Get("/now"); });
+  server.StartDrain(1s, 3s);
+  server.mManual.Advance(1s);
+  server.RunUntil([&] { return client.Ended(); });
+  CHECK(client.Has("HTTP/1.1 200"));
+  CHECK(server.mServer.DroppedRequests() == 0);
+}
+
+TEST_CASE("a drain serves connections that wait in the listen queue")
+{
+  constexpr std::size_t kClients = 20;
+  TestServer server;
+  std::vector<std::unique_ptr<Client>> clients;
+  server.mClock.CallAt(server.mClock.Now() + 1s, [&] {
+    for (std::size_t i = 0; i < kClients; ++i) {
+      clients.push_back(std::make_unique<Client>(server));
+      clients.back()->Get("/now");
+    }
+  });
+  server.StartDrain(1s, 1500ms);
+  server.mManual.Advance(1s);
+  REQUIRE(clients.size() == kClients);
+  for (const auto& client : clients) {
+    server.RunUntil([&] { return client->Ended(); });
+    CHECK(client->Has("HTTP/1.1 200"));
+    CHECK(client->EndedOrderly());
+  }
+  server.RunUntil([&] { return server.mDrainedAt.has_value(); });
+  CHECK(Client(server).Refused());
+}
+
+TEST_CASE("a drain goes on accepting while connections arrive")
+{
+  TestServer server;
+  server.StartDrain(1s, 5s);
+  // A connection each 0.4 s, the last one 3.6 s after the drain's start.
+  for (int i = 0; i < 9; ++i) {
+    server.mManual.Advance(400ms);
+    Client client(server);
+    REQUIRE_FALSE(client.Refused());
+    client.Get("/now");
+    server.RunUntil([&] { return client.Ended(); });
+    CHECK(client.Has("HTTP/1.1 200"));
+  }
+  CHECK_FALSE(server.mDrainedAt);
+  server.mManual.Advance(600ms);
+  CHECK(Client(server).Refused());
+  server.RunUntil([&] { return server.mDrainedAt.has_value(); });
+  CHECK(server.mServer.DroppedRequests() == 0);
+}
+
+TEST_CASE("a drain stops accepting while there is time to answer")
+{
+  TestServer server;
+  server.StartDrain(1s, 5s);
+  Duration served{};
+  for (Duration at = 300ms; at < 5s; at += 300ms) {
+    server.mManual.Advance(300ms);
+    Client client(server);
+    if (client.Refused()) {
+      break;
+    }
+    served = at;
+    client.Get("/now");
+    server.RunUntil([&] { return client.Ended(); });
+    CHECK(client.Has("HTTP/1.1 200"));
+  }
+  CHECK(served >= 3s);
+  CHECK(served <= 4s);
+}
+
+TEST_CASE("a drain answers a request whose handler is still running")
+{
+  TestServer server;
+  Client client(server);
+  client.Get("/never");
+  server.RunUntil([&] { return server.mHandled == 1; });
+  client.Get("/pipelined");
+  server.StartDrain(1s, 3s);
+  server.mManual.Advance(2900ms);
+  CHECK(client.Received().empty());
+  server.mManual.Advance(100ms);
+  server.RunUntil([&] { return client.Ended(); });
+  CHECK(client.Has("HTTP/1.1 504"));
+  CHECK(client.Has("Connection: close"));
+  CHECK(client.EndedOrderly());
+  server.RunUntil([&] { return server.mDrainedAt.has_value(); });
+  CHECK(server.mCancelled == 1);
+  CHECK(server.mHandled == 1);
+  CHECK(server.mServer.DroppedRequests() == 0);
+}
+
+TEST_CASE("a drain answers a request that is still incomplete at its deadline")
+{
+  TestServer server;
+  Client client(server);
+  client.Send(kHalfRequest);
+  server.StartDrain(1s, 3s);
+  server.mManual.Advance(3s);
+  server.RunUntil([&] { return client.Ended(); });
+  CHECK(client.Has("HTTP/1.1 503"));
+  CHECK(client.Has("Retry-After: 1"));
+  CHECK(client.EndedOrderly());
+  server.RunUntil([&] { return server.mDrainedAt.has_value(); });
+  CHECK(server.mHandled == 0);
+  CHECK(server.mServer.DroppedRequests() == 0);
+}
+
+TEST_CASE("a drain ends soon after its deadline while a client reads nothing")
+{
+  TestServer server;
+  // Never closes its side.
+  tcp::socket silent(server.mContext);
+  silent.connect(
+    { asio::ip::make_address("127.0.0.1"), server.mServer.Port() });
+  asio::write(
+    silent,
+    asio::buffer(std::string_view("GET /never HTTP/1.1\r\nHost: a\r\n\r\n")));
+  server.RunUntil([&] { return server.mHandled == 1; });
+  TimePoint deadline = server.mClock.Now() + 3s;
+  server.StartDrain(1s, 3s);
+  server.mManual.Advance(4s);
+  server.RunUntil([&] { return server.mDrainedAt.has_value(); });
+  CHECK(*server.mDrainedAt <= deadline + 500ms);
+  CHECK(server.mCancelled == 1);
+  CHECK(server.mServer.DroppedRequests() == 0);
+}
+
+TEST_CASE("an idle connection is served until accepting has ended")
+{
+  TestServer server;
+  Client early(server);
+  early.Get("/now");
+  server.RunUntil([&] { return early.Has("200"); });
+  CHECK_FALSE(early.Has("Connection: close"));
+  Client late(server);
+  Client idle(server);
+  server.StartDrain(1s, 3s);
+  server.mManual.Advance(900ms);
+  early.Get("/again");
+  early.Get("/pipelined");
+  server.RunUntil([&] { return early.Ended(); });
+  CHECK(early.Has("Connection: close"));
+  CHECK(early.EndedOrderly());
+  // Accepting has ended; both connections are still open.
+  server.mManual.Advance(300ms);
+  late.Get("/now");
+  server.RunUntil([&] { return late.Ended(); });
+  CHECK(late.Has("HTTP/1.1 200"));
+  CHECK_FALSE(idle.Ended());
+  server.mManual.Advance(700ms);
+  server.RunUntil([&] { return idle.Ended(); });
+  server.RunUntil([&] { return server.mDrainedAt.has_value(); });
+  CHECK(*server.mDrainedAt <= TimePoint(2s));
+  CHECK(server.mHandled == 3);
+  CHECK(server.mServer.DroppedRequests() == 0);
+}
+
+TEST_CASE("a drain ends when its last connection has ended")
+{
+  TestServer server;
+  Client client(server);
+  client.Get("/wait");
+  server.RunUntil([&] { return server.mHandled == 1; });
+  server.StartDrain(1s, 60s);
+  server.mManual.Advance(20s);
+  CHECK_FALSE(server.mDrainedAt);
+  server.mRelease.NotifyAll();
+  server.RunUntil([&] { return client.Ended(); });
+  CHECK(client.Has("HTTP/1.1 200"));
+  server.RunUntil([&] { return server.mDrainedAt.has_value(); });
+  CHECK(server.mCancelled == 0);
+}
+
+TEST_CASE("a request that isn't received in time is counted as dropped")
+{
+  HttpLimits limits;
+  limits.mIdleTimeout = 5s;
+  TestServer server(limits);
+  Client idle(server);
+  Client half(server);
+  half.Send(kHalfRequest);
+  server.mManual.Advance(6s);
+  server.RunUntil([&] { return half.Ended() && idle.Ended(); });
+  CHECK(server.mServer.DroppedRequests() == 1);
+}
+
+TEST_CASE("a drain answers every connection that holds a request, 40 seeds")
+{
+  constexpr int kSeeds = 40;
+  constexpr int kClients = 60;
+  constexpr std::array<std::string_view, 4> kTargets = {
+    "/now", "/now", "/wait", "/never"
+  };
+  for (int seed = 1; seed <= kSeeds; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    auto millis = [&](int aMax) {
+      return std::chrono::milliseconds(random() % aMax);
+    };
+    TestServer server;
+    TimePoint deadline = server.mClock.Now() + 4500ms;
+    std::vector<std::unique_ptr<ScheduledClient>> clients;
+    for (int i = 0; i < kClients; ++i) {
+      std::string_view target = kTargets[random() % kTargets.size()];
+      clients.push_back(std::make_unique<ScheduledClient>(server, target));
+      TimePoint connectAt = server.mClock.Now() + millis(4500);
+      // Sooner than the drain closes idle connections.
+      TimePoint firstAt = connectAt + millis(450);
+      TimePoint restAt = firstAt + millis(2000);
+      std::size_t firstBytes = 1 + random() % 40;
+      clients.back()->Schedule(connectAt, firstAt, restAt, firstBytes);
+    }
+    server.mClock.CallAt(server.mClock.Now() + millis(4500),
+                         [&] { server.mRelease.NotifyAll(); });
+    server.StartDrain(2600ms, 4500ms);
+    // A client that sends after the drain's end meets a closed connection.
+    server.mManual.Advance(8s);
+    server.RunUntil([&] { return server.mDrainedAt.has_value(); });
+    CHECK(*server.mDrainedAt <= deadline + 500ms);
+    CHECK(server.mServer.DroppedRequests() == 0);
+    for (const auto& client : clients) {
+      if (client->Refused()) {
+        continue;
+      }
+      server.RunUntil([&] { return client->Ended(); });
+      CHECK(client->Has("Connection: close"));
+      CHECK(client->Has("\r\n\r\n{}"));
+      bool complete = client->CompleteAt() < deadline;
+      CHECK(client->Has("HTTP/1.1 503") != complete);
+    }
+  }
+}
+
 TEST_CASE("a reply that is being sent isn't cut off as accepting ends")
 {
   constexpr std::size_t kBodyBytes = std::size_t{ 16 } * 1024 * 1024;
