Test a drain at the moment an idle connection closes, and above the limit

A request that arrives in the same turn of the executor in which its idle connection would be closed has to be served, and a connection above the limit has to get its answer during a drain too. Both hold with the drain as it is.

--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -516,6 +516,45 @@
   CHECK(server.mServer.DroppedRequests() == 0);
 }
 
+TEST_CASE("a request that arrives as its idle connection closes is served")
+{
+  TestServer server;
+  Client client(server);
+  // Half a second after the end of accepting.
+  server.mClock.CallAt(server.mClock.Now() + 1500ms,
+                       [&] { client.Get("/now"); });
+  server.StartDrain(1s, 3s);
+  server.mManual.Advance(1500ms);
+  server.RunUntil([&] { return client.Ended(); });
+  CHECK(client.Has("HTTP/1.1 200"));
+  CHECK(server.mServer.DroppedRequests() == 0);
+}
+
+TEST_CASE("a drain answers connections above the limit")
+{
+  HttpLimits limits;
+  limits.mMaxConnections = 1;
+  TestServer server(limits);
+  Client first(server);
+  first.Get("/wait");
+  server.RunUntil([&] { return server.mHandled == 1; });
+  std::optional<Client> second;
+  server.mClock.CallAt(server.mClock.Now() + 1s, [&] {
+    second.emplace(server);
+    second->Get("/now");
+  });
+  server.StartDrain(1s, 3s);
+  server.mManual.Advance(1s);
+  server.RunUntil([&] { return second->Ended(); });
+  CHECK(second->Has("HTTP/1.1 503"));
+  CHECK(second->EndedOrderly());
+  server.mRelease.NotifyAll();
+  server.RunUntil([&] { return first.Ended(); });
+  CHECK(first.Has("HTTP/1.1 200"));
+  server.RunUntil([&] { return server.mDrainedAt.has_value(); });
+  CHECK(server.mServer.DroppedRequests() == 0);
+}
+
 TEST_CASE("a drain ends when its last connection has ended")
 {
   TestServer server;
