Look at the input of idle connections only when they are due

A drain asked the kernel for the unread bytes of every connection whenever one ended, which is quadratic in the connections. It now asks only for those whose time to send a request is over.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -146,6 +146,7 @@
     return n + (mParser && mParser->got_some() ? 1 : 0);
   }
 
+  // Whether nothing has been received of the request that is awaited.
   bool IsIdle() const
   {
     return mStage == Stage::Reading && !mReadCancelled && UnreadBytes() == 0;
@@ -320,6 +321,7 @@
   Release(std::move(aConnection));
 }
 
+// Closes a connection and wakes the tasks that wait for its end.
 void
 HttpServer::Release(std::shared_ptr<Connection> aConnection)
 {
@@ -532,15 +534,15 @@
   while (Connections() > 0 && mClock.Now() < aDeadline) {
     TimePoint wakeAt = aDeadline;
     for (Connection* connection : *mOpenConnections) {
-      TimePoint closeAt =
-        std::max(began, connection->mReadingSince) + kIdleDrainTimeout;
-      if (!connection->IsIdle()) {
+      if (connection->mStage != Connection::Stage::Reading) {
         continue;
       }
-      if (closeAt <= mClock.Now()) {
-        connection->CancelRead();
-      } else {
+      TimePoint closeAt =
+        std::max(began, connection->mReadingSince) + kIdleDrainTimeout;
+      if (closeAt > mClock.Now()) {
         wakeAt = std::min(wakeAt, closeAt);
+      } else if (connection->IsIdle()) {
+        connection->CancelRead();
       }
     }
     co_await WaitUntil(mEnded, mClock, wakeAt);
