--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include "buckthornshunt/failure.h"
 #include "kernel/log.h"
+#include "kernel/wait.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -9,8 +10,11 @@
 #include <boost/beast/http.hpp>
 #include <boost/leaf/error.hpp>
 
+#include <algorithm>
+#include <array>
 #include <cerrno>
 #include <optional>
+#include <vector>
 
 #include <sys/socket.h>
 
@@ -24,6 +28,18 @@
 
 constexpr auto kToken = asio::as_tuple(asio::use_awaitable);
 constexpr Duration kAcceptRetryInterval = std::chrono::milliseconds(100);
+/// How long input is discarded after the last reply of a connection.
+constexpr Duration kLingerTimeout = std::chrono::milliseconds(500);
+/// Connections above the limit that may be open while they get their answer.
+constexpr std::size_t kMaxRejections = 64;
+/// While a connection has arrived within this time, a drain goes on accepting.
+constexpr Duration kArrivalTimeout = std::chrono::milliseconds(500);
+/// A drain ends accepting this long before its deadline, so that requests of
+/// the last connections can be received and answered.
+constexpr Duration kAnswerReserve = std::chrono::seconds(1);
+/// How long a drain waits for a request on an idle connection.
+constexpr Duration kIdleDrainTimeout = std::chrono::milliseconds(500);
+constexpr int kStatusUnavailable = 503;
 constexpr int kStatusBadRequest = 400;
 constexpr int kStatusTooLarge = 413;
 constexpr int kStatusHeadersTooLarge = 431;
@@ -77,6 +93,15 @@
   return malformed && !disconnected ? kStatusBadRequest : 0;
 }
 
+// Reply to a request that hasn't been handled.
+HttpReply
+UnavailableReply()
+{
+  HttpReply reply = MakeReply(kStatusUnavailable, kJsonType, "{}");
+  reply.mFields.emplace_back("Retry-After", "1");
+  return reply;
+}
+
 std::string_view
 FaultForStatus(int aStatus)
 {
@@ -87,12 +112,25 @@
 
 } // namespace
 
-struct HttpServer::Connection
+struct HttpServer::Connection : std::enable_shared_from_this<Connection>
 {
-  explicit Connection(tcp::socket aSocket)
+  enum class Stage : std::uint8_t
+  {
+    Reading,
+    Handling,
+    Replying,
+    Replied
+  };
+
+  Connection(tcp::socket aSocket, std::shared_ptr<ConnectionSet> aOpen)
     : mSocket(std::move(aSocket))
+    , mOpen(std::move(aOpen))
   {
+    mOpen->insert(this);
   }
+  ~Connection() { mOpen->erase(this); }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
 
   void Close()
   {
@@ -108,6 +146,20 @@
     return n + (mParser && mParser->got_some() ? 1 : 0);
   }
 
+  // Whether nothing has been received of the request that is awaited.
+  bool IsIdle() const
+  {
+    return mStage == Stage::Reading && !mReadCancelled && UnreadBytes() == 0;
+  }
+
+  // Unlike a close, this doesn't lose a request that has just been received.
+  void CancelRead()
+  {
+    boost::system::error_code ec;
+    mReadCancelled = true;
+    mSocket.cancel(ec);
+  }
+
   // While a request is in progress, the socket becomes readable if the client
   // closes the connection or pipelines its next request.
   void WatchForDisconnect(const std::shared_ptr<CallerState>& aCaller)
@@ -130,10 +182,16 @@
   }
 
   tcp::socket mSocket;
+  /// Contains this connection while it exists.
+  std::shared_ptr<ConnectionSet> mOpen;
   beast::flat_buffer mBuffer;
   /// Parser of the request that is being read.
   std::optional<Parser> mParser;
-  bool mHandlingRequest = false;
+  Stage mStage = Stage::Reading;
+  TimePoint mReadingSince;
+  bool mReadCancelled = false;
+  /// The drain answers the request instead of the connection's task.
+  bool mAnsweredByDrain = false;
   /// Method, target and start of the request that is being handled.
   std::string mRequestLine;
   TimePoint mRequestReadAt;
@@ -150,6 +208,8 @@
   , mLimits(aLimits)
   , mHandler(std::move(aHandler))
   , mAcceptor(aContext)
+  , mOpenConnections(std::make_shared<ConnectionSet>())
+  , mEnded(aContext)
   , mTasks(aContext)
 {
 }
@@ -186,11 +246,26 @@
 Task<void>
 HttpServer::Accept()
 {
-  while (!mStopping) {
+  std::size_t maxOpen = mLimits.mMaxConnections + kMaxRejections;
+  while (mAcceptor.is_open()) {
+    if (Connections() >= maxOpen) {
+      co_await mEnded.Wait();
+      continue;
+    }
     tcp::socket socket(mContext);
-    auto [ec] = co_await mAcceptor.async_accept(socket, kToken);
-    if (mStopping || ec == asio::error::operation_aborted) {
-      co_return;
+    boost::system::error_code ec;
+    if (mEmptyingListenQueue) {
+      mAcceptor.accept(socket, ec);
+      if (ec == asio::error::would_block) {
+        mAcceptor.close(ec);
+        break;
+      }
+    } else {
+      auto [error] = co_await mAcceptor.async_accept(socket, kToken);
+      ec = error;
+    }
+    if (ec == asio::error::operation_aborted) {
+      continue;
     }
     if (ec) {
       LogWarn(
@@ -198,74 +273,170 @@
       co_await mClock.Sleep(kAcceptRetryInterval);
       continue;
     }
-    if (mOpenConnections.size() >= mLimits.mMaxConnections) {
-      continue;
-    }
-    mTasks.Spawn("connection", Serve(std::move(socket)));
+    mLastAcceptAt = mClock.Now();
+    Admit(std::move(socket));
   }
+  mEnded.NotifyAll();
 }
 
-Task<void>
-HttpServer::Serve(tcp::socket aSocket)
+void
+HttpServer::Admit(tcp::socket aSocket)
 {
-  Connection connection(std::move(aSocket));
   boost::system::error_code ec;
-  connection.mSocket.set_option(tcp::no_delay(true), ec);
-  mOpenConnections.insert(&connection);
+  aSocket.set_option(tcp::no_delay(true), ec);
+  bool full = Connections() >= mLimits.mMaxConnections;
+  auto connection =
+    std::make_shared<Connection>(std::move(aSocket), mOpenConnections);
+  connection->mReadingSince = mClock.Now();
+  if (full) {
+    mTasks.Spawn("rejection", Reject(std::move(connection)));
+  } else {
+    mTasks.Spawn("connection", Serve(std::move(connection)));
+  }
+}
+
+Task<void>
+HttpServer::Serve(std::shared_ptr<Connection> aConnection)
+{
   bool keepOpen = true;
   while (keepOpen && !mStopping) {
-    keepOpen = co_await ServeOne(connection);
+    keepOpen = co_await ServeOne(*aConnection);
   }
-  mOpenConnections.erase(&connection);
-  connection.mSocket.shutdown(tcp::socket::shutdown_both, ec);
+  bool replied = aConnection->mStage == Connection::Stage::Replied;
+  if (replied && !aConnection->mAnsweredByDrain) {
+    co_await DiscardInput(*aConnection);
+  }
+  Release(std::move(aConnection));
 }
 
-// Reads one request, calls the handler and writes the reply. Returns false if
-// the connection is to be closed.
-Task<bool>
-HttpServer::ServeOne(Connection& aConnection)
+Task<void>
+HttpServer::Reject(std::shared_ptr<Connection> aConnection)
+{
+  aConnection->mRequestLine = "connection above the limit";
+  aConnection->mRequestReadAt = mClock.Now();
+  bool sent = co_await WriteReply(*aConnection, UnavailableReply(), false);
+  if (sent) {
+    co_await DiscardInput(*aConnection);
+  }
+  Release(std::move(aConnection));
+}
+
+// Closes a connection and wakes the tasks that wait for its end.
+void
+HttpServer::Release(std::shared_ptr<Connection> aConnection)
 {
+  aConnection.reset();
+  mEnded.NotifyAll();
+}
+
+// Reads the connection's next request into its parser. A cancelled read goes on
+// if input has arrived meanwhile.
+Task<boost::system::error_code>
+HttpServer::ReadRequest(Connection& aConnection)
+{
+  aConnection.mStage = Connection::Stage::Reading;
+  aConnection.mReadingSince = mClock.Now();
   Parser& parser = aConnection.mParser.emplace();
   parser.header_limit(mLimits.mMaxHeaderBytes);
   parser.body_limit(mLimits.mMaxBodyBytes);
+  Watchdog watchdog(mClock, mClock.Now() + mLimits.mIdleTimeout, [&] {
+    CloseConnection(aConnection, "not received in time");
+  });
   boost::system::error_code readError;
-  {
-    Watchdog readWatchdog(mClock, mClock.Now() + mLimits.mIdleTimeout, [&] {
-      aConnection.Close();
-    });
+  bool again = true;
+  while (again) {
+    aConnection.mReadCancelled = false;
     auto [ec, n] = co_await http::async_read(
       aConnection.mSocket, aConnection.mBuffer, parser, kToken);
     readError = ec;
+    again = ec == asio::error::operation_aborted &&
+            aConnection.mReadCancelled && !mDeadlinePassed &&
+            aConnection.UnreadBytes() > 0;
+  }
+  co_return readError;
+}
+
+// Reads one request, calls the handler and writes the reply. Returns false if
+// the connection is to be closed.
+Task<bool>
+HttpServer::ServeOne(Connection& aConnection)
+{
+  auto readError = co_await ReadRequest(aConnection);
+  if (aConnection.mAnsweredByDrain) {
+    co_return false;
   }
   HttpReply reply;
   bool keepAlive = false;
-  if (readError) {
+  bool received = !readError || aConnection.UnreadBytes() > 0;
+  if (mDeadlinePassed && received) {
+    aConnection.mRequestLine = "late request";
+    aConnection.mRequestReadAt = mClock.Now();
+    reply = UnavailableReply();
+  } else if (readError) {
     int status = ReadErrorStatus(readError);
     if (status == 0) {
       co_return false;
     }
+    aConnection.mRequestLine = "unreadable request";
+    aConnection.mRequestReadAt = mClock.Now();
     std::string body =
       "{\"error\":\"" + std::string(FaultForStatus(status)) + "\"}";
     reply = MakeReply(status, kJsonType, std::move(body));
   } else {
-    keepAlive = parser.get().keep_alive();
-    HttpRequest request = ExtractRequest(parser);
+    keepAlive = aConnection.mParser->get().keep_alive();
+    HttpRequest request = ExtractRequest(*aConnection.mParser);
     aConnection.mParser.reset();
-    aConnection.mHandlingRequest = true;
+    aConnection.mStage = Connection::Stage::Handling;
     aConnection.mRequestLine = request.mMethod + " " + request.mTarget;
     aConnection.mRequestReadAt = mClock.Now();
     auto caller = std::make_shared<CallerState>();
     aConnection.WatchForDisconnect(caller);
     reply = co_await mHandler(request, *caller);
-    aConnection.mHandlingRequest = false;
+    if (aConnection.mAnsweredByDrain) {
+      co_return false;
+    }
   }
-  keepAlive = keepAlive && !mStopping;
-  auto message = ToMessage(std::move(reply), keepAlive);
-  Watchdog writeWatchdog(
-    mClock, mClock.Now() + mLimits.mIdleTimeout, [&] { aConnection.Close(); });
+  keepAlive = keepAlive && !mStopping && !mDraining;
+  bool sent = co_await WriteReply(aConnection, std::move(reply), keepAlive);
+  keepAlive = keepAlive && sent;
+  co_return keepAlive;
+}
+
+// Returns whether the reply was sent.
+Task<bool>
+HttpServer::WriteReply(Connection& aConnection,
+                       HttpReply aReply,
+                       bool aKeepAlive)
+{
+  aConnection.mStage = Connection::Stage::Replying;
+  auto message = ToMessage(std::move(aReply), aKeepAlive);
+  Watchdog watchdog(mClock, mClock.Now() + mLimits.mIdleTimeout, [&] {
+    CloseConnection(aConnection, "reply not sent in time");
+  });
   auto [ec, n] =
     co_await http::async_write(aConnection.mSocket, message, kToken);
-  co_return !ec && keepAlive;
+  if (!ec) {
+    aConnection.mStage = Connection::Stage::Replied;
+  }
+  co_return !ec;
+}
+
+// Closing a socket with unread input resets the connection, and the client may
+// lose the reply. What it sends after the last reply is therefore read, and
+// discarded, until it closes its side.
+Task<void>
+HttpServer::DiscardInput(Connection& aConnection)
+{
+  boost::system::error_code ec;
+  aConnection.mSocket.shutdown(tcp::socket::shutdown_send, ec);
+  Watchdog watchdog(
+    mClock, mClock.Now() + kLingerTimeout, [&] { aConnection.Close(); });
+  std::array<char, 1024> buf{};
+  while (!ec) {
+    auto [readError, n] =
+      co_await aConnection.mSocket.async_read_some(asio::buffer(buf), kToken);
+    ec = readError;
+  }
 }
 
 void
@@ -274,8 +445,8 @@
   mStopping = true;
   boost::system::error_code ec;
   mAcceptor.close(ec);
-  for (Connection* connection : mOpenConnections) {
-    if (!connection->mHandlingRequest) {
+  for (Connection* connection : *mOpenConnections) {
+    if (connection->mStage == Connection::Stage::Reading) {
       CloseConnection(*connection, "no longer accepting");
     }
   }
@@ -285,16 +456,24 @@
 void
 HttpServer::CloseConnection(Connection& aConnection, std::string_view aWhy)
 {
-  if (aConnection.mHandlingRequest) {
+  using Stage = Connection::Stage;
+  if (!aConnection.mSocket.is_open()) {
+    return;
+  }
+  Stage stage = aConnection.mStage;
+  std::size_t unread = aConnection.UnreadBytes();
+  if (stage == Stage::Handling || stage == Stage::Replying) {
     ++mDroppedRequests;
     LogWarn(mLogPart,
-            "{} dropped without an answer, {}, handled for_ms={}",
+            "{} dropped without {} answer, {}, handled for_ms={}",
             aConnection.mRequestLine,
+            stage == Stage::Handling ? "an" : "a complete",
             aWhy,
             ToMillis(mClock.Now() - aConnection.mRequestReadAt));
-  } else if (std::size_t n = aConnection.UnreadBytes(); n > 0) {
+  } else if (stage == Stage::Reading && unread > 0) {
     ++mDroppedRequests;
-    LogWarn(mLogPart, "connection closed with unread bytes={}, {}", n, aWhy);
+    LogWarn(
+      mLogPart, "connection closed with unread bytes={}, {}", unread, aWhy);
   }
   aConnection.Close();
 }
@@ -305,13 +484,135 @@
   return mTasks.Join();
 }
 
+Task<void>
+HttpServer::Drain(TimePoint aStopAccepting,
+                  TimePoint aDeadline,
+                  HttpReply aDeadlineReply)
+{
+  mDraining = true;
+  co_await EndAccepting(aStopAccepting, aDeadline);
+  co_await CloseIdleConnections(aDeadline);
+  AnswerOpenRequests(aDeadlineReply);
+  TimePoint end = mClock.Now() + kLingerTimeout;
+  while (HasOpenSockets() && mClock.Now() < end) {
+    co_await WaitUntil(mEnded, mClock, end);
+  }
+  if (Connections() > 0) {
+    Abort();
+  }
+  co_await Drained();
+}
+
+// Connections that wait in the listen queue are reset when the acceptor closes,
+// so the queue is emptied first. They go on arriving after the load balancer's
+// delay if it has too few other nodes.
+Task<void>
+HttpServer::EndAccepting(TimePoint aStopAccepting, TimePoint aDeadline)
+{
+  TimePoint due = std::min(aStopAccepting, aDeadline);
+  TimePoint latest = std::max(due, aDeadline - kAnswerReserve);
+  while (mClock.Now() < due) {
+    co_await mClock.SleepUntil(due);
+    due = std::min(latest, mLastAcceptAt + kArrivalTimeout);
+  }
+  boost::system::error_code ec;
+  mEmptyingListenQueue = true;
+  mAcceptor.non_blocking(true, ec);
+  mAcceptor.cancel(ec);
+  while (mAcceptor.is_open() && mClock.Now() < aDeadline) {
+    co_await WaitUntil(mEnded, mClock, aDeadline);
+  }
+  mAcceptor.close(ec);
+}
+
+// Closes connections without a request until all have ended or the deadline is
+// reached.
+Task<void>
+HttpServer::CloseIdleConnections(TimePoint aDeadline)
+{
+  TimePoint began = mClock.Now();
+  while (Connections() > 0 && mClock.Now() < aDeadline) {
+    TimePoint wakeAt = aDeadline;
+    for (Connection* connection : *mOpenConnections) {
+      if (connection->mStage != Connection::Stage::Reading) {
+        continue;
+      }
+      TimePoint closeAt =
+        std::max(began, connection->mReadingSince) + kIdleDrainTimeout;
+      if (closeAt > mClock.Now()) {
+        wakeAt = std::min(wakeAt, closeAt);
+      } else if (connection->IsIdle()) {
+        connection->CancelRead();
+      }
+    }
+    co_await WaitUntil(mEnded, mClock, wakeAt);
+  }
+}
+
+// A task of its own sends each answer, because the connection's task is in the
+// handler or in the middle of a request.
+void
+HttpServer::AnswerOpenRequests(const HttpReply& aDeadlineReply)
+{
+  using Stage = Connection::Stage;
+  mDeadlinePassed = true;
+  std::vector<std::shared_ptr<Connection>> open;
+  for (Connection* connection : *mOpenConnections) {
+    open.push_back(connection->shared_from_this());
+  }
+  for (auto& connection : open) {
+    bool handling = connection->mStage == Stage::Handling;
+    bool reading = connection->mStage == Stage::Reading;
+    if (handling || (reading && connection->UnreadBytes() > 0)) {
+      if (reading) {
+        connection->CancelRead();
+        connection->mRequestLine = "incomplete request";
+        connection->mRequestReadAt = mClock.Now();
+      }
+      LogWarn(mLogPart,
+              "{} answered at the end of the drain, handled for_ms={}",
+              connection->mRequestLine,
+              ToMillis(mClock.Now() - connection->mRequestReadAt));
+      connection->mAnsweredByDrain = true;
+      connection->mStage = Stage::Replying;
+      HttpReply reply = handling ? aDeadlineReply : UnavailableReply();
+      mTasks.Spawn("deadline reply",
+                   AnswerAtDeadline(connection, std::move(reply)));
+    } else if (reading) {
+      connection->CancelRead();
+    }
+  }
+}
+
+Task<void>
+HttpServer::AnswerAtDeadline(std::shared_ptr<Connection> aConnection,
+                             HttpReply aReply)
+{
+  bool sent = co_await WriteReply(*aConnection, std::move(aReply), false);
+  if (sent) {
+    co_await DiscardInput(*aConnection);
+  }
+  aConnection->Close();
+  Release(std::move(aConnection));
+}
+
+bool
+HttpServer::HasOpenSockets() const
+{
+  return std::any_of(mOpenConnections->begin(),
+                     mOpenConnections->end(),
+                     [](const Connection* aConnection) {
+                       return aConnection->mSocket.is_open();
+                     });
+}
+
 void
 HttpServer::Abort()
 {
   mStopping = true;
   boost::system::error_code ec;
   mAcceptor.close(ec);
-  for (Connection* connection : mOpenConnections) {
+  for (Connection* connection : *mOpenConnections) {
     CloseConnection(*connection, "aborted");
   }
   mTasks.CancelAll();
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -10,6 +10,7 @@
 #include <boost/leaf/result.hpp>
 
 #include <functional>
+#include <memory>
 #include <set>
 #include <string_view>
 
@@ -24,7 +25,8 @@
 {
   std::uint32_t mMaxHeaderBytes = 16 * 1024;
   std::uint64_t mMaxBodyBytes = 4 * 1024 * 1024;
-  /// Further connections are closed on accept.
+  /// Further connections are answered with 503; while many of them are open,
+  /// accepting pauses.
   std::size_t mMaxConnections = 1024;
   /// Timeout for receiving a request, including the wait for it, and for
   /// sending its reply.
@@ -55,6 +57,7 @@
 
   /// Stops accepting connections and closes those that wait for a request;
   /// requests in progress finish, and their connections close after the reply.
+  /// Requests that are only partly received are dropped.
   void StopAccepting();
 
   /// Completes once all connections have ended.
@@ -63,7 +66,18 @@
   /// Closes all connections immediately and cancels their tasks.
   void Abort();
 
-  std::size_t Connections() const { return mOpenConnections.size(); }
+  /// Ends the server without losing a request. From now on each connection
+  /// closes after its next reply; further requests on it are discarded, and
+  /// their client repeats them elsewhere. Connections are accepted until
+  /// aStopAccepting, and longer while new ones arrive. A request without a
+  /// reply at aDeadline gets aDeadlineReply if its handler is running, which is
+  /// then cancelled, and 503 if its handler hasn't started. Completes once no
+  /// connection is open, or shortly after aDeadline.
+  Task<void> Drain(TimePoint aStopAccepting,
+                   TimePoint aDeadline,
+                   HttpReply aDeadlineReply);
+
+  std::size_t Connections() const { return mOpenConnections->size(); }
 
   /// Connections that this server closed although they held a request, in whole
   /// or in part, that had not been answered.
@@ -71,10 +85,25 @@
 
 private:
   struct Connection;
+  using ConnectionSet = std::set<Connection*>;
 
   Task<void> Accept();
-  Task<void> Serve(boost::asio::ip::tcp::socket aSocket);
+  Task<void> EndAccepting(TimePoint aStopAccepting, TimePoint aDeadline);
+  Task<void> CloseIdleConnections(TimePoint aDeadline);
+  void AnswerOpenRequests(const HttpReply& aDeadlineReply);
+  Task<void> AnswerAtDeadline(std::shared_ptr<Connection> aConnection,
+                              HttpReply aReply);
+  bool HasOpenSockets() const;
+  void Admit(boost::asio::ip::tcp::socket aSocket);
+  Task<void> Serve(std::shared_ptr<Connection> aConnection);
+  Task<void> Reject(std::shared_ptr<Connection> aConnection);
   Task<bool> ServeOne(Connection& aConnection);
+  Task<boost::system::error_code> ReadRequest(Connection& aConnection);
+  Task<bool> WriteReply(Connection& aConnection,
+                        HttpReply aReply,
+                        bool aKeepAlive);
+  Task<void> DiscardInput(Connection& aConnection);
+  void Release(std::shared_ptr<Connection> aConnection);
   void CloseConnection(Connection& aConnection, std::string_view aWhy);
 
   asio::io_context& mContext;
@@ -85,8 +114,18 @@
   boost::asio::ip::tcp::acceptor mAcceptor;
   std::uint16_t mPort = 0;
   bool mStopping = false;
+  /// Drain has begun, has begun to empty the listen queue, and has answered the
+  /// requests that were open at its deadline.
+  bool mDraining = false;
+  bool mEmptyingListenQueue = false;
+  bool mDeadlinePassed = false;
+  TimePoint mLastAcceptAt = TimePoint::min();
   std::uint64_t mDroppedRequests = 0;
-  std::set<Connection*> mOpenConnections;
+  /// Shared, since a connection whose task is destroyed with the executor may
+  /// outlive the server.
+  std::shared_ptr<ConnectionSet> mOpenConnections;
+  /// Notified when a connection or accepting has ended.
+  Event mEnded;
   TaskGroup mTasks;
 };
 
