Count one deadline of a stop from the signal, and drain services together

Callers saw a node stay in rotation after SIGTERM, and requests that it took late in its stop ended without an answer when the platform killed it.

Cause: the kernel stopped the services one after the other. The entry's turn came once the fleet and every cell had been released; only then did readiness answer 503, and three quarters of the grace period were counted from there. With a slow store, or without one, that was later than the end of the grace period.

Now a service may have Drain. Readiness reads the kernel's stop state. The entry begins no call to an owner that it couldn't answer by the deadline, and waits for no owner beyond it: such a call gets 503 if it has not been sent to an owner. A call that an owner left unsettled, for example because it released the cell, is repeated at the next owner while there is time; calls are idempotent.

--- a/src/daemon/assembly.h
+++ b/src/daemon/assembly.h
@@ -42,9 +42,17 @@
   FleetPorts mFleet;
 };
 
-/// Adds the services that run workloads on the platform. They stop in reverse
-/// order: cells are released first; callers are served until the load balancer
-/// has taken the node out.
+/// Time for the drains of a stop; the rest of the grace period is for stopping
+/// the services and for the exit of the process.
+constexpr Duration
+DrainPeriod(Duration aGracePeriod)
+{
+  return aGracePeriod * 3 / 4;
+}
+
+/// Adds the services that run workloads on the platform. In a stop, cells are
+/// released while callers are served until the load balancer has taken the node
+/// out; the services that find the new owners stop last.
 void
 AddWorkloadServices(Kernel& aKernel, WorkloadOptions aOptions);
 
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -36,16 +36,17 @@
 void
 StopOnSignal(asio::io_context& aContext,
              asio::signal_set& aSignals,
-             Kernel& aKernel)
+             Kernel& aKernel,
+             Duration aDrainPeriod)
 {
-  aSignals.async_wait([&](boost::system::error_code aError, int) {
+  aSignals.async_wait([&, aDrainPeriod](boost::system::error_code aError, int) {
     if (aError) {
       return;
     }
     LogInfo(kPart, "stopping");
-    asio::co_spawn(aContext, aKernel.Stop(), [&](const std::exception_ptr&) {
-      aContext.stop();
-    });
+    asio::co_spawn(aContext,
+                   aKernel.Stop(aDrainPeriod),
+                   [&](const std::exception_ptr&) { aContext.stop(); });
     aSignals.async_wait([&](boost::system::error_code aSecondError, int) {
       if (!aSecondError) {
         aContext.stop();
@@ -54,6 +55,16 @@
   });
 }
 
+// The services of a daemon without workload services end their requests in
+// Stop.
+Duration
+DrainPeriodOf(const Settings& aSettings)
+{
+  return aSettings.mWorkload
+           ? DrainPeriod(aSettings.mWorkload->mShutdownGracePeriod)
+           : Duration::zero();
+}
+
 /// Platform clients of the workload services; must outlive them.
 struct WorkloadClients
 {
@@ -90,8 +101,7 @@
                     workload.mNodeCapacity };
   options.mEndpoints = { aSettings.mCallers,
                          workload.mReadiness,
-                         workload.mMetrics,
-                         workload.mShutdownGracePeriod };
+                         workload.mMetrics };
   options.mCells = { &aClients.mStore, &aClients.mWorkers, workload.mAdvice };
   options.mTimes.mStatusRetention = workload.mStatusRetention;
   options.mTimes.mRunLeaseDuration =
@@ -177,7 +187,7 @@
     return kExitStartFailure;
   }
   asio::signal_set signals(context, SIGINT, SIGTERM);
-  StopOnSignal(context, signals, kernel);
+  StopOnSignal(context, signals, kernel, DrainPeriodOf(aSettings));
   asio::signal_set hangUpSignals(context, SIGHUP);
   ValidateSettingsOnHangUp(hangUpSignals, aFile);
   context.run();
--- a/src/kernel/kernel.cpp
+++ b/src/kernel/kernel.cpp
@@ -8,6 +8,7 @@
   : mContext(aContext)
   , mClock(aClock)
   , mTracer(aSeed)
+  , mDrains(aContext)
 {
 }
 
@@ -55,9 +56,40 @@
 }
 
 Task<void>
-Kernel::Stop()
+Kernel::Drain(const Entry& aEntry)
+{
+  co_await aEntry.mDrain(aEntry.mService.get(), *mDrainDeadline);
+  LogInfo("kernel",
+          "service {} drained stop_ms={}",
+          aEntry.mName,
+          ToMillis(*TimeSinceStopRequest()));
+}
+
+// A drain that misses the deadline is cancelled: the rest of the stop needs the
+// remaining time.
+Task<void>
+Kernel::DrainServices()
+{
+  for (std::size_t i = 0; i < mStartedCount; ++i) {
+    if (mEntries[i].mDrain != nullptr) {
+      mDrains.Spawn("drain", Drain(mEntries[i]));
+    }
+  }
+  Watchdog watchdog(mClock, *mDrainDeadline, [this] { mDrains.CancelAll(); });
+  co_await mDrains.Join();
+  if (watchdog.Fired()) {
+    LogWarn("kernel",
+            "drain cancelled at its deadline stop_ms={}",
+            ToMillis(*TimeSinceStopRequest()));
+  }
+}
+
+Task<void>
+Kernel::Stop(Duration aDrainPeriod)
 {
   mStopRequestedAt = mClock.Now();
+  mDrainDeadline = *mStopRequestedAt + aDrainPeriod;
+  co_await DrainServices();
   while (mStartedCount > 0) {
     --mStartedCount;
     Entry& entry = mEntries[mStartedCount];
--- a/src/kernel/kernel.h
+++ b/src/kernel/kernel.h
@@ -10,6 +10,7 @@
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/result.hpp>
 
+#include <concepts>
 #include <memory>
 #include <optional>
 #include <string>
@@ -22,11 +23,21 @@
 
 namespace leaf = boost::leaf;
 
+/// A service that has work to complete, or to hand over, before the services
+/// are stopped. All others are still running then.
+template<class Service>
+concept Drainable = requires(Service& aService, TimePoint aDeadline) {
+  {
+    aService.Drain(aDeadline)
+  } -> std::same_as<Task<void>>;
+};
+
 /// Registry of a process's services and owner of the resources that they share:
 /// executor, clock, metrics and spans. Independent of what the services do.
 ///
 /// A service is any class with `leaf::result<void> Start()`, which looks up the
-/// services that it needs, and `Task<void> Stop()`, which ends its tasks.
+/// services that it needs, and `Task<void> Stop()`, which ends its tasks. It
+/// may be Drainable.
 class Kernel
 {
 public:
@@ -54,6 +65,7 @@
         service.release(),
         [](void* aService) { delete static_cast<Service*>(aService); }),
       [](void* aService) { return static_cast<Service*>(aService)->Start(); },
+      DrainOf<Service>(),
       [](void* aService) { return static_cast<Service*>(aService)->Stop(); } });
     return added;
   }
@@ -71,12 +83,20 @@
   /// failure.
   leaf::result<void> Start();
 
-  /// Stops the started services in reverse order.
-  Task<void> Stop();
+  /// Drains the started services, all at the same time and for at most
+  /// aDrainPeriod, then stops them in reverse order.
+  Task<void> Stop(Duration aDrainPeriod = Duration::zero());
+
+  /// True from the moment at which the stop was requested.
+  bool IsStopping() const { return mStopRequestedAt.has_value(); }
 
   /// Time since the stop was requested; none while the process runs normally.
   std::optional<Duration> TimeSinceStopRequest() const;
 
+  /// When the drains of a stop must have ended; none while the process runs
+  /// normally.
+  std::optional<TimePoint> DrainDeadline() const { return mDrainDeadline; }
+
   /// Task groups of all services.
   TaskGroup::Registry& Groups() { return mGroups; }
 
@@ -93,9 +113,25 @@
     std::type_index mType;
     ServicePtr mService;
     leaf::result<void> (*mStart)(void*);
+    /// Null if the service has nothing to drain.
+    Task<void> (*mDrain)(void*, TimePoint);
     Task<void> (*mStop)(void*);
   };
 
+  template<class Service>
+  static constexpr auto DrainOf() -> Task<void> (*)(void*, TimePoint)
+  {
+    if constexpr (Drainable<Service>) {
+      return [](void* aService, TimePoint aDeadline) {
+        return static_cast<Service*>(aService)->Drain(aDeadline);
+      };
+    } else {
+      return nullptr;
+    }
+  }
+
+  Task<void> DrainServices();
+  Task<void> Drain(const Entry& aEntry);
   leaf::result<void*> FindUntyped(std::string_view aName,
                                   std::type_index aType);
 
@@ -106,7 +142,9 @@
   TaskGroup::Registry mGroups;
   std::vector<Entry> mEntries;
   std::size_t mStartedCount = 0;
+  TaskGroup mDrains;
   std::optional<TimePoint> mStopRequestedAt;
+  std::optional<TimePoint> mDrainDeadline;
 };
 
 } // namespace buckthornshunt
--- a/src/services/entry_service.cpp
+++ b/src/services/entry_service.cpp
@@ -28,6 +28,9 @@
 constexpr Duration kMaxOwnerWait = std::chrono::milliseconds(900);
 constexpr Duration kOwnerCallTimeout = std::chrono::milliseconds(1200);
 constexpr Duration kOwnerRetryInterval = std::chrono::milliseconds(80);
+/// While the node stops, no call to an owner begins with less time than this,
+/// since its outcome would be unknown.
+constexpr Duration kMinOwnerCallTime = std::chrono::milliseconds(100);
 constexpr Duration kRetryAfter = std::chrono::seconds(1);
 /// A node that hasn't read the store for this long isn't ready.
 constexpr Duration kMaxReadyReadAge = std::chrono::seconds(10);
@@ -122,24 +125,28 @@
   return {};
 }
 
-// The readiness check fails first, so that the load balancer opens no new
-// connections; until then, connections are served.
+// The readiness check fails from the stop's request on, so that the load
+// balancer opens no new connections; until then, connections are served.
 Task<void>
-EntryService::Stop()
+EntryService::Drain(TimePoint aDeadline)
 {
-  mStopping = true;
   Clock& clock = mKernel.GetClock();
-  TimePoint deadline = clock.Now() + mEndpoints.mGracePeriod * 3 / 4;
-  co_await clock.Sleep(kBalancerDrainDelay);
+  TimePoint stopAccepting =
+    std::min(clock.Now() + kBalancerDrainDelay, aDeadline - kOwnerCallTimeout);
+  co_await clock.SleepUntil(stopAccepting);
   LogInfo(kPart,
           "closing the listener stop_ms={} connections={}",
           ToMillis(mKernel.TimeSinceStopRequest().value_or(Duration{})),
           mCallers->Connections());
   mCallers->StopAccepting();
-  {
-    Watchdog watchdog(clock, deadline, [this] { mCallers->Abort(); });
-    co_await mCallers->Drained();
-  }
+  co_await mCallers->Drained();
+}
+
+Task<void>
+EntryService::Stop()
+{
+  mCallers->Abort();
+  co_await mCallers->Drained();
   LogInfo(kPart,
           "drained stop_ms={} dropped={}",
           ToMillis(mKernel.TimeSinceStopRequest().value_or(Duration{})),
@@ -154,7 +161,7 @@
 EntryService::ServeReady(const HttpRequest&, CallerState&)
 {
   TimePoint now = mKernel.GetClock().Now();
-  bool ready = !mStopping && mDirectory->Config() != nullptr &&
+  bool ready = !mKernel.IsStopping() && mDirectory->Config() != nullptr &&
                now - mOwners->ReadAt() < kMaxReadyReadAge;
   co_return MakeReply(ready ? kOk : kUnavailable, kJsonType, "{}");
 }
@@ -235,6 +242,14 @@
           stop);
 }
 
+// Evaluated at each step of a call, since a stop may begin during the call.
+TimePoint
+EntryService::AnswerDeadline() const
+{
+  auto drainDeadline = mKernel.DrainDeadline();
+  return drainDeadline ? *drainDeadline - kAnswerMargin : TimePoint::max();
+}
+
 // Makes one call to the cell's current owner.
 Task<OwnerReply>
 EntryService::CallOwner(std::string aPool,
@@ -243,8 +258,13 @@
                         CallProgress& aProgress)
 {
   Clock& clock = mKernel.GetClock();
-  TimePoint deadline = std::min(aDeadline, clock.Now() + kOwnerCallTimeout);
-  RelayedCall relayed{ aPool, std::move(aCall), deadline - clock.Now() };
+  TimePoint now = clock.Now();
+  if (now >= std::min(aDeadline, AnswerDeadline() - kMinOwnerCallTime)) {
+    co_return NotOwner{};
+  }
+  TimePoint deadline =
+    std::min({ aDeadline, AnswerDeadline(), now + kOwnerCallTimeout });
+  RelayedCall relayed{ aPool, std::move(aCall), deadline - now };
   if (mCells->Find(aPool)) {
     ++aProgress.mLocalCalls;
     OwnerReply reply = co_await mCells->Handle(std::move(relayed));
@@ -285,8 +305,9 @@
   co_return std::get<OwnerReply>(std::move(reply));
 }
 
-// Retries until an owner answers. A submission that may have reached an owner
-// can't be reported as "not run", so it ends as unsettled.
+// Retries until an owner settles the call, which is idempotent. A call that an
+// owner may have handled can't be reported as "not run", so it ends as
+// unsettled.
 Task<CallerReply>
 EntryService::Route(std::string aPool,
                     CallerCall aCall,
@@ -294,7 +315,10 @@
                     CallProgress& aProgress)
 {
   Clock& clock = mKernel.GetClock();
-  TimePoint ownerDeadline = std::min(aDeadline, clock.Now() + kMaxOwnerWait);
+  TimePoint waitDeadline = std::min(aDeadline, clock.Now() + kMaxOwnerWait);
+  auto ownerDeadline = [&] {
+    return std::min(waitDeadline, AnswerDeadline() - kMinOwnerCallTime);
+  };
   bool again = true;
   while (again) {
     OwnerReply reply = co_await CallOwner(aPool, aCall, aDeadline, aProgress);
@@ -306,20 +330,21 @@
         co_await CallOtherOwners(aPool, aCall, aDeadline, aProgress);
       co_return otherReply;
     }
-    bool refused = answer != nullptr &&
-                   (std::holds_alternative<JobRefused>(*answer) ||
-                    std::holds_alternative<ServiceUnavailable>(*answer));
-    if (answer != nullptr && !(refused && aProgress.mMayHaveRun)) {
-      bool wait = std::holds_alternative<ServiceUnavailable>(*answer) &&
-                  clock.Now() < ownerDeadline;
-      if (!wait) {
+    if (answer != nullptr) {
+      bool unsettled = std::holds_alternative<CallOutcomeUnknown>(*answer);
+      bool unavailable = std::holds_alternative<ServiceUnavailable>(*answer);
+      bool refused = unavailable || std::holds_alternative<JobRefused>(*answer);
+      aProgress.mMayHaveRun = aProgress.mMayHaveRun || unsettled;
+      bool settled = !unsettled && !(refused && aProgress.mMayHaveRun);
+      bool wait = unavailable && clock.Now() < ownerDeadline();
+      if (settled && !wait) {
         co_return *answer;
       }
     }
-    again = clock.Now() < ownerDeadline;
+    again = clock.Now() < ownerDeadline();
     if (again) {
       TimePoint retryAt =
-        std::min(ownerDeadline, clock.Now() + kOwnerRetryInterval);
+        std::min(ownerDeadline(), clock.Now() + kOwnerRetryInterval);
       ++aProgress.mOwnerWaits;
       co_await WaitUntil(mOwners->Changed(), clock, retryAt);
     }
--- a/src/services/entry_service.h
+++ b/src/services/entry_service.h
@@ -22,8 +22,6 @@
   Endpoint mCallers;
   Endpoint mReady;
   Endpoint mMetrics;
-  /// Maximum duration of a stop.
-  Duration mGracePeriod = std::chrono::seconds(6);
 };
 
 /// Answers callers of the platform: finds the queue, forwards the call to the
@@ -36,6 +34,12 @@
   EntryService(Kernel& aKernel, EntryEndpoints aEndpoints);
 
   leaf::result<void> Start();
+
+  /// Serves callers until the load balancer has taken the node out, and answers
+  /// every request by the deadline.
+  Task<void> Drain(TimePoint aDeadline);
+
+  /// Closes all connections.
   Task<void> Stop();
 
 private:
@@ -56,6 +60,8 @@
     bool mMayHaveRun = false;
   };
 
+  /// By when all calls must be answered; the end of time unless the node stops.
+  TimePoint AnswerDeadline() const;
   Task<CallerReply> Route(std::string aPool,
                           CallerCall aCall,
                           TimePoint aDeadline,
@@ -79,7 +85,6 @@
   OwnerService* mOwners = nullptr;
   RelayService* mRelay = nullptr;
   CellService* mCells = nullptr;
-  bool mStopping = false;
   std::unique_ptr<HttpServer> mCallers;
   std::unique_ptr<HttpServer> mReady;
   std::unique_ptr<HttpServer> mMetrics;
--- a/tests/fake_store.cpp
+++ b/tests/fake_store.cpp
@@ -2,8 +2,6 @@
 
 namespace buckthornshunt::tests {
 
-using namespace std::chrono_literals;
-
 Store
 FakeStore::Port()
 {
@@ -69,7 +67,7 @@
 Task<Expected<StoreReply>>
 FakeStore::Call(StoreCall aCall, TimePoint aDeadline)
 {
-  co_await mClock.Sleep(4ms);
+  co_await mClock.Sleep(mLatency);
   if (mUnresponsive) {
     co_await mClock.SleepUntil(aDeadline);
     co_return Failure(TimeoutFailure{});
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -24,6 +24,8 @@
   int mAnswersToLose = 0;
   /// Number of calls that are rejected without effect.
   int mCallsToReject = 0;
+  /// Time that a call takes.
+  Duration mLatency = std::chrono::milliseconds(4);
   /// If set, every call times out.
   bool mUnresponsive = false;
 
