Release the fleet whose claim is in progress when its node stops

Callers, here the operators of waves and pools, saw the fleet without an owner for the 2.1 s of a takeover after a node had stopped.

Cause: the stop cancelled the task that claims the fleet's cell. The claim may have taken effect at the store by then; nobody released the cell, and its row named a node that had ended.

Evidence: a node that is stopped every 50 ms from its start, with 100 ms from a commit's effect to its answer, before the change (at 200 and 250 ms): CHECK( (!fleet || fleet->mReleased) ) is NOT correct!

Now the task isn't cancelled. It claims nothing once the stop was requested, and releases the cell that it owns or has just claimed, within the drain and while callers are served.

--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -78,18 +78,22 @@
   return {};
 }
 
+// WatchOwner releases the cell. It isn't cancelled, since a cancelled claim may
+// have taken effect, and nobody would release the cell then.
+Task<void>
+FleetService::Drain(TimePoint)
+{
+  mPersisted.NotifyAll();
+  co_await mTasks.Join();
+}
+
 Task<void>
 FleetService::Stop()
 {
-  mStopping = true;
   mTasks.CancelAll();
   mOwnerTasks.CancelAll();
   co_await mTasks.Join();
   co_await mOwnerTasks.Join();
-  if (mLease && !mLease->Lost()) {
-    ConditionalCommit nothing;
-    co_await mLease->Commit(std::move(nothing), true);
-  }
 }
 
 // --- Ownership
@@ -97,7 +101,7 @@
 Task<void>
 FleetService::WatchOwner()
 {
-  while (!mStopping) {
+  while (!mKernel.IsStopping()) {
     mOwners->Watch(kFleetCell);
     const OwnerObservation* sighting = mOwners->LastSeen(kFleetCell);
     bool free = mOwners->HasBeenRead(kFleetCell) &&
@@ -118,7 +122,7 @@
         !before || EvaluateOwnership(*before, mOwners->Self(), mClock.Now()) ==
                      OwnershipState::Free;
       std::optional<ClaimResult> claim;
-      if (free) {
+      if (free && !mKernel.IsStopping()) {
         std::optional<OwnerObservation> seen;
         claim = co_await ClaimCell(mKernel,
                                    *mPorts.mStore,
@@ -140,7 +144,8 @@
   }
 }
 
-// Does the work of the fleet's owner until the lease is lost.
+// Does the work of the fleet's owner until the lease is lost or, if the node
+// stops, released.
 Task<void>
 FleetService::RunAsOwner(ClaimResult aClaim)
 {
@@ -157,20 +162,32 @@
   LogInfo(
     kPart, "taken over term={} token={}", mLease->Row().mTerm, mLease->Token());
   bool loaded = false;
-  while (!loaded && !mLease->Lost()) {
+  auto isOwner = [this] { return !mLease->Lost() && !mKernel.IsStopping(); };
+  while (!loaded && isOwner()) {
     loaded = co_await LoadRows();
     if (!loaded) {
       co_await mClock.Sleep(kVmOrderRetryInterval);
     }
   }
-  mOwnerTasks.Spawn("renew", RenewLoop());
-  mOwnerTasks.Spawn("list", ListLoop());
-  mOwnerTasks.Spawn("plan", PlanLoop());
-  while (!mLease->Lost()) {
+  if (isOwner()) {
+    mOwnerTasks.Spawn("renew", RenewLoop());
+    mOwnerTasks.Spawn("list", ListLoop());
+    mOwnerTasks.Spawn("plan", PlanLoop());
+  }
+  while (isOwner()) {
     co_await WaitUntil(mPersisted, mClock, mClock.Now() + kCheckInterval);
   }
   mOwnerTasks.CancelAll();
   co_await mOwnerTasks.Join();
+  if (!mLease->Lost()) {
+    ConditionalCommit nothing;
+    bool released = co_await mLease->Commit(std::move(nothing), true);
+    LogInfo(kPart,
+            "released={} term={} token={}",
+            released ? 1 : 0,
+            mLease->Row().mTerm,
+            mLease->Token());
+  }
 }
 
 Task<bool>
--- a/src/services/fleet_service.h
+++ b/src/services/fleet_service.h
@@ -43,6 +43,9 @@
   FleetService(Kernel& aKernel, FleetPorts aPorts);
 
   leaf::result<void> Start();
+
+  /// Releases the fleet's cell; also one whose claim is still in progress.
+  Task<void> Drain(TimePoint aDeadline);
   Task<void> Stop();
 
 private:
@@ -75,7 +78,6 @@
   CellService* mCells = nullptr;
   TaskGroup mTasks;
   TaskGroup mOwnerTasks;
-  bool mStopping = false;
   std::unique_ptr<CellLease> mLease;
   TimePoint mOwnedSince;
   /// Number of owners of the fleet before this one.
--- a/tests/fake_store.cpp
+++ b/tests/fake_store.cpp
@@ -78,6 +78,7 @@
   }
   if (const auto* commit = std::get_if<ConditionalCommit>(&aCall)) {
     StoreReply reply = Commit(*commit);
+    co_await mClock.Sleep(mCommitReplyLatency);
     if (mAnswersToLose > 0) {
       --mAnswersToLose;
       co_return Failure(ConnectionLost{});
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -26,6 +26,8 @@
   int mCallsToReject = 0;
   /// Time that a call takes.
   Duration mLatency = std::chrono::milliseconds(4);
+  /// Time from the effect of a commit to its answer.
+  Duration mCommitReplyLatency{};
   /// If set, every call times out.
   bool mUnresponsive = false;
 
--- a/tests/node_stop_test.cpp
+++ b/tests/node_stop_test.cpp
@@ -407,6 +407,20 @@
   CHECK(node.StopMillis() <= ToMillis(kGracePeriod - kExitMargin));
 }
 
+TEST_CASE("a stop during the claim of the fleet leaves it owned")
+{
+  for (Duration at = 0ms; at < 2500ms; at += 50ms) {
+    CAPTURE(ToMillis(at));
+    StoppingNode node;
+    node.mFake.mCommitReplyLatency = 100ms;
+    node.Run(at);
+    node.RequestStop();
+    node.RunUntil([&] { return node.mStoppedAt.has_value(); });
+    std::optional<OwnerRow> fleet = node.OwnerOf("fleet");
+    CHECK((!fleet || fleet->mReleased));
+  }
+}
+
 namespace {
 
 /// A service whose drain takes a given time.
