Ignore further signals while a node stops

Callers lost their requests, without an answer, when a second SIGTERM or SIGINT arrived during a stop.

Cause: the second signal stopped the executor at once, with handlers in progress and connections open.

The new test raises SIGTERM, then SIGTERM and SIGINT; its subject was a function of the program before, which no test could reach.

The first signal starts the stop. Later ones are logged only: SIGKILL remains for a process that must end immediately. SIGHUP is handled as before.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,9 +1,8 @@
 #include "daemon/assembly.h"
 #include "daemon/settings.h"
+#include "daemon/stop_signals.h"
 #include "kernel/log.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <popt.h>
 
@@ -31,30 +30,6 @@
   return (std::uint64_t{ device() } << 32U) | device();
 }
 
-// The first signal stops the services in order; a second one ends the process
-// immediately.
-void
-StopOnSignal(asio::io_context& aContext,
-             asio::signal_set& aSignals,
-             Kernel& aKernel,
-             Duration aDrainPeriod)
-{
-  aSignals.async_wait([&, aDrainPeriod](boost::system::error_code aError, int) {
-    if (aError) {
-      return;
-    }
-    LogInfo(kPart, "stopping");
-    asio::co_spawn(aContext,
-                   aKernel.Stop(aDrainPeriod),
-                   [&](const std::exception_ptr&) { aContext.stop(); });
-    aSignals.async_wait([&](boost::system::error_code aSecondError, int) {
-      if (!aSecondError) {
-        aContext.stop();
-      }
-    });
-  });
-}
-
 // The services of a daemon without workload services end their requests in
 // Stop.
 Duration
@@ -186,8 +161,7 @@
       kPart, "start failed, exiting: {}", Describe(std::get<Failure>(started)));
     return kExitStartFailure;
   }
-  asio::signal_set signals(context, SIGINT, SIGTERM);
-  StopOnSignal(context, signals, kernel, DrainPeriodOf(aSettings));
+  StopSignals stopSignals(kernel, DrainPeriodOf(aSettings));
   asio::signal_set hangUpSignals(context, SIGHUP);
   ValidateSettingsOnHangUp(hangUpSignals, aFile);
   context.run();
--- a/tests/node_stop_test.cpp
+++ b/tests/node_stop_test.cpp
@@ -2,6 +2,7 @@
 // services in one process, with real sockets and a manual clock.
 
 #include "daemon/assembly.h"
+#include "daemon/stop_signals.h"
 #include "fake_store.h"
 #include "kernel/log.h"
 #include "kernel/trace.h"
@@ -18,6 +19,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <csignal>
 #include <deque>
 #include <memory>
 
@@ -512,3 +514,21 @@
   CHECK(fixture.mLong.mStoppedAt == begin + 1500ms);
   CHECK(fixture.mShort.mStoppedAt == begin + 1500ms);
 }
+
+TEST_CASE("a second signal cuts a stop short")
+{
+  DrainingKernel fixture;
+  TimePoint begin = fixture.mManual.Now();
+  StopSignals signals(fixture.mKernel, 5s);
+  std::raise(SIGTERM);
+  fixture.mManual.Advance(500ms);
+  CHECK(fixture.mKernel.IsStopping());
+  std::raise(SIGTERM);
+  std::raise(SIGINT);
+  fixture.mManual.Advance(500ms);
+  CHECK_FALSE(fixture.mContext.stopped());
+  CHECK(fixture.mKernel.TimeSinceStopRequest() == 1s);
+  fixture.mManual.Advance(10s);
+  CHECK(fixture.mLong.mDrained);
+  CHECK(fixture.mLong.mStoppedAt == begin + 2s);
+}
