--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -4,6 +4,7 @@
 #include "services/relay_service.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <doctest/doctest.h>
 
@@ -128,3 +129,16 @@
   CHECK(std::holds_alternative<TimeoutFailure>(std::get<Failure>(*shortCall)));
   CHECK(std::holds_alternative<ConnectionLost>(std::get<Failure>(*longCall)));
 }
+
+TEST_CASE("a call at a node that stops ends with its link")
+{
+  TwoNodes nodes;
+  TwoNodes::Answer call;
+  nodes.Call("slow", 9s, call);
+  nodes.RunUntil([&] { return nodes.mCallsReceived == 1; });
+  asio::co_spawn(nodes.mContext, nodes.mSecond.Stop(), asio::detached);
+  nodes.mManual.Advance(10ms);
+  nodes.mManual.Advance(10ms);
+  REQUIRE(call.has_value());
+  CHECK(std::holds_alternative<ConnectionLost>(std::get<Failure>(*call)));
+}
