--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -1,9 +1,8 @@
 #include "daemon/assembly.h"
 #include "daemon/settings.h"
+#include "daemon/stop_signals.h"
 #include "kernel/log.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <popt.h>
 
@@ -31,27 +30,14 @@
   return (std::uint64_t{ device() } << 32U) | device();
 }
 
-// The first signal stops the services in order; a second one ends the process
-// immediately.
-void
-StopOnSignal(asio::io_context& aContext,
-             asio::signal_set& aSignals,
-             Kernel& aKernel)
+// The services of a daemon without workload services end their requests in
+// Stop.
+Duration
+DrainPeriodOf(const Settings& aSettings)
 {
-  aSignals.async_wait([&](boost::system::error_code aError, int) {
-    if (aError) {
-      return;
-    }
-    LogInfo(kPart, "stopping");
-    asio::co_spawn(aContext, aKernel.Stop(), [&](const std::exception_ptr&) {
-      aContext.stop();
-    });
-    aSignals.async_wait([&](boost::system::error_code aSecondError, int) {
-      if (!aSecondError) {
-        aContext.stop();
-      }
-    });
-  });
+  return aSettings.mWorkload
+           ? DrainPeriod(aSettings.mWorkload->mShutdownGracePeriod)
+           : Duration::zero();
 }
 
 /// Platform clients of the workload services; must outlive them.
@@ -90,8 +76,7 @@
                     workload.mNodeCapacity };
   options.mEndpoints = { aSettings.mCallers,
                          workload.mReadiness,
-                         workload.mMetrics,
-                         workload.mShutdownGracePeriod };
+                         workload.mMetrics };
   options.mCells = { &aClients.mStore, &aClients.mWorkers, workload.mAdvice };
   options.mTimes.mStatusRetention = workload.mStatusRetention;
   options.mTimes.mRunLeaseDuration =
@@ -176,8 +161,7 @@
       kPart, "start failed, exiting: {}", Describe(std::get<Failure>(started)));
     return kExitStartFailure;
   }
-  asio::signal_set signals(context, SIGINT, SIGTERM);
-  StopOnSignal(context, signals, kernel);
+  StopSignals stopSignals(kernel, DrainPeriodOf(aSettings));
   asio::signal_set hangUpSignals(context, SIGHUP);
   ValidateSettingsOnHangUp(hangUpSignals, aFile);
   context.run();
--- a/tests/fake_store.cpp
+++ b/tests/fake_store.cpp
@@ -2,8 +2,6 @@
 
 namespace buckthornshunt::tests {
 
-using namespace std::chrono_literals;
-
 Store
 FakeStore::Port()
 {
@@ -69,7 +67,7 @@
 Task<Expected<StoreReply>>
 FakeStore::Call(StoreCall aCall, TimePoint aDeadline)
 {
-  co_await mClock.Sleep(4ms);
+  co_await mClock.Sleep(mLatency);
   if (mUnresponsive) {
     co_await mClock.SleepUntil(aDeadline);
     co_return Failure(TimeoutFailure{});
@@ -80,6 +78,7 @@
   }
   if (const auto* commit = std::get_if<ConditionalCommit>(&aCall)) {
     StoreReply reply = Commit(*commit);
+    co_await mClock.Sleep(mCommitReplyLatency);
     if (mAnswersToLose > 0) {
       --mAnswersToLose;
       co_return Failure(ConnectionLost{});
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -24,6 +24,10 @@
   int mAnswersToLose = 0;
   /// Number of calls that are rejected without effect.
   int mCallsToReject = 0;
+  /// Time that a call takes.
+  Duration mLatency = std::chrono::milliseconds(4);
+  /// Time from the effect of a commit to its answer.
+  Duration mCommitReplyLatency{};
   /// If set, every call times out.
   bool mUnresponsive = false;
 
