Answer calls at a released cell by what was stored

Callers whose submission or cancellation was at an owner that released its cell got 504 at once, whether the release stored their job or not. A read that waited for the cell to load was answered only once all tasks had ended.

AwaitStored returned as soon as the release began, and the release's own commit was never applied to the cell.

A waiting call now ends when the release is over. The release applies its commit to the cell, so that stored changes are confirmed; a change that was in no commit can't be stored any more and is answered 503. 504 remains for a change in a commit without an answer. The release has a deadline, which also bounds its calls to the store. Tasks that a cancellation reaches late see that the cell is inactive and start nothing more.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -317,6 +317,13 @@
          !it->second.mCommitting;
 }
 
+bool
+Cell::IsCommitting(std::string_view aId) const
+{
+  auto it = mJobs.find(aId);
+  return it != mJobs.end() && it->second.mCommitting;
+}
+
 std::uint64_t
 Cell::Waiting(std::string_view aQueue) const
 {
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -201,6 +201,8 @@
   std::optional<JobPhase> PhaseOf(std::string_view aId) const;
   /// Whether the job's latest change is committed.
   bool IsStored(std::string_view aId) const;
+  /// Whether a change of the job is in a commit whose outcome isn't known.
+  bool IsCommitting(std::string_view aId) const;
   std::uint64_t Waiting(std::string_view aQueue) const;
 
   // Workers.
--- a/src/services/cell_lease.cpp
+++ b/src/services/cell_lease.cpp
@@ -99,7 +99,7 @@
 // Retries are idempotent: each commit changes the owner row, so a duplicate
 // that arrives late finds another revision and is rejected.
 Task<bool>
-CellLease::Commit(ConditionalCommit aRows, bool aRelease)
+CellLease::Commit(ConditionalCommit aRows, bool aRelease, TimePoint aDeadline)
 {
   Clock& clock = mKernel.GetClock();
   ++mRow.mSequence;
@@ -110,13 +110,12 @@
   commit.mPuts.push_back({ name, EncodeOwnerRow(mRow) });
   TimePoint firstSent = clock.Now();
   mCommitSentAt = firstSent;
+  TimePoint giveUpAt =
+    aRelease ? std::min(aDeadline, firstSent + kOwnerLeaseDuration) : aDeadline;
   Duration timeout = kFirstCommitTimeout;
-  while (!mLost) {
+  while (!mLost && clock.Now() < giveUpAt) {
     TimePoint sent = clock.Now();
-    if (aRelease && sent > firstSent + kOwnerLeaseDuration) {
-      co_return false;
-    }
-    TimePoint deadline = sent + timeout;
+    TimePoint deadline = std::min(sent + timeout, aDeadline);
     timeout = kCommitTimeout;
     auto reply = co_await CallStore(mStore, commit, deadline);
     if (Ok(reply)) {
@@ -153,7 +152,8 @@
               mRow.mSequence,
               FailureName(std::get<Failure>(reply)));
     }
-    co_await clock.Sleep(kCommitRetryInterval);
+    co_await clock.SleepUntil(
+      std::min(clock.Now() + kCommitRetryInterval, aDeadline));
   }
   co_return false;
 }
--- a/src/services/cell_lease.h
+++ b/src/services/cell_lease.h
@@ -47,9 +47,11 @@
   void SetSealed(std::vector<std::string> aWorkers);
 
   /// Commits rows and renews the lease. Retries until the commit is known to
-  /// have taken effect (true) or the cell is lost (false). A release stops
-  /// retrying after the lease duration (false).
-  Task<bool> Commit(ConditionalCommit aRows, bool aRelease);
+  /// have taken effect (true), the cell is lost or the deadline has passed
+  /// (false). A release stops retrying after the lease duration (false).
+  Task<bool> Commit(ConditionalCommit aRows,
+                    bool aRelease,
+                    TimePoint aDeadline = TimePoint::max());
 
 private:
   Kernel& mKernel;
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -87,26 +87,39 @@
 // Sending stops before the release, so that no order is in flight that the next
 // owner doesn't know of.
 Task<void>
-CellRuntime::Stop(bool aRelease)
+CellRuntime::Stop(TimePoint aDeadline)
 {
   mReleasing = true;
+  mCommitted.NotifyAll();
   mTasks.CancelAll();
   co_await mTasks.Join();
-  mCommitted.NotifyAll();
-  if (aRelease && !Lost() && mLoaded) {
-    if (mInFlightChanges) {
-      // The cancelled commit may or may not have taken effect, so it is
-      // repeated.
-      mCell->OnNotCommitted(*mInFlightChanges);
-    }
-    CellChanges changes = mCell->TakeReleaseChanges(mClock.Now());
-    bool released = co_await mLease.Commit(MakeCommit(changes), true);
+  if (!Lost()) {
+    bool released = co_await Release(aDeadline);
     LogInfo(kPart,
             "pool={} released={} term={}",
             mPool,
             released ? 1 : 0,
             mLease.Row().mTerm);
   }
+  mClosed = true;
+  mCommitted.NotifyAll();
+}
+
+// A cell that isn't loaded is released with the rows that its last owner left.
+Task<bool>
+CellRuntime::Release(TimePoint aDeadline)
+{
+  if (!mLoaded) {
+    bool released = co_await mLease.Commit({}, true, aDeadline);
+    co_return released;
+  }
+  if (mInFlightChanges) {
+    // The cancelled commit may or may not have taken effect, so it is repeated.
+    mCell->OnNotCommitted(*mInFlightChanges);
+  }
+  CellChanges changes = mCell->TakeReleaseChanges(mClock.Now());
+  bool ok = co_await CommitChanges(std::move(changes), true, aDeadline);
+  co_return ok;
 }
 
 void
@@ -160,7 +173,7 @@
   std::vector<StoredRow> progress;
   std::vector<StoredRow> cells;
   bool ok = false;
-  while (!ok && !Lost()) {
+  while (!ok && Active()) {
     jobs.clear();
     progress.clear();
     cells.clear();
@@ -175,6 +188,9 @@
       co_await mClock.Sleep(kLoadRetryInterval);
     }
   }
+  if (!Active()) {
+    co_return;
+  }
   bool stillOurs =
     std::any_of(cells.begin(), cells.end(), [&](const StoredRow& aRow) {
       return aRow.mName.mKey == kOwnerKey &&
@@ -257,7 +273,7 @@
 void
 CellRuntime::OnDirectoryChange()
 {
-  if (!mLoaded) {
+  if (!mLoaded || mReleasing) {
     return;
   }
   if (auto config = mDirectory.Config()) {
@@ -278,7 +294,7 @@
 Task<void>
 CellRuntime::PlanLoop()
 {
-  while (!Lost()) {
+  while (Active()) {
     TimePoint began = mClock.Now();
     if (HoldsLease()) {
       std::vector<CellOrder> orders =
@@ -360,7 +376,7 @@
 CellRuntime::SendOrders(std::string aWorker)
 {
   WorkerQueue& queue = mWorkerQueues[aWorker];
-  while (!queue.mOrders.empty() && !Lost()) {
+  while (!queue.mOrders.empty() && Active()) {
     WorkerCall call = std::move(queue.mOrders.front());
     queue.mOrders.pop_front();
     auto it = mCell->Workers().find(aWorker);
@@ -465,7 +481,7 @@
 Task<void>
 CellRuntime::MonitorWorker(std::string aWorker)
 {
-  while (!Lost() && mCell->Workers().contains(aWorker)) {
+  while (Active() && mCell->Workers().contains(aWorker)) {
     if (!mCell->NeedsRenewal(aWorker) || !HoldsLease()) {
       TimePoint deadline = mClock.Now() + kOwnerRenewalInterval;
       co_await WaitUntil(mWorkersChanged, mClock, deadline);
@@ -616,7 +632,7 @@
 CellRuntime::CommitLoop()
 {
   TimePoint renewed = mClock.Now() - kOwnerRenewalInterval;
-  while (!Lost()) {
+  while (Active()) {
     TimePoint deadline = renewed + kOwnerRenewalInterval;
     bool set = co_await mCommitDue.WaitAndReset(mClock, deadline);
     if (set) {
@@ -631,7 +647,8 @@
       bool withSeals = mCommitRequested;
       mCommitRequested = false;
       mInFlightChanges = changes;
-      bool ok = co_await mLease.Commit(MakeCommit(changes), false);
+      bool ok =
+        co_await CommitChanges(std::move(changes), false, TimePoint::max());
       mInFlightChanges.reset();
       if (!ok) {
         MarkLost("the commit was rejected");
@@ -640,15 +657,30 @@
       renewed = began;
       // Seals set during this commit are stored by the next one.
       mSealsCommitted = mSealsCommitted || (withSeals && !mCommitRequested);
-      LogChanges(changes);
+    } else {
+      // Ends that need no row may be acknowledged.
+      mCell->OnCommitted(changes, mClock.Now());
     }
-    mCell->OnCommitted(changes, mClock.Now());
-    mCommitted.NotifyAll();
     mPlanDue.Set();
     mWorkersChanged.NotifyAll();
   }
 }
 
+// Commits changes and applies them to the cell; returns as CellLease::Commit.
+Task<bool>
+CellRuntime::CommitChanges(CellChanges aChanges,
+                           bool aRelease,
+                           TimePoint aDeadline)
+{
+  bool ok = co_await mLease.Commit(MakeCommit(aChanges), aRelease, aDeadline);
+  if (ok) {
+    LogChanges(aChanges);
+    mCell->OnCommitted(aChanges, mClock.Now());
+    mCommitted.NotifyAll();
+  }
+  co_return ok;
+}
+
 void
 CellRuntime::LogChanges(const CellChanges& aChanges) const
 {
@@ -704,7 +736,7 @@
   mCommitRequested = true;
   mCommitDue.Set();
   mPlanDue.Set();
-  while (!Lost() && !mSealsCommitted && mClock.Now() < aDeadline) {
+  while (Active() && !mSealsCommitted && mClock.Now() < aDeadline) {
     co_await WaitUntil(mCommitted, mClock, aDeadline);
   }
   co_return mSealsCommitted;
@@ -789,15 +821,20 @@
     std::get<CountQueuedJobs>(aCall).mQueue) };
 }
 
-Task<bool>
+Task<CellRuntime::ChangeState>
 CellRuntime::AwaitStored(std::string aId, TimePoint aDeadline)
 {
   mCommitDue.Set();
-  while (!Lost() && !mReleasing && !mCell->IsStored(aId) &&
+  while (!Lost() && !mClosed && !mCell->IsStored(aId) &&
          mClock.Now() < aDeadline) {
     co_await WaitUntil(mCommitted, mClock, aDeadline);
   }
-  co_return mCell->IsStored(aId);
+  if (mCell->IsStored(aId)) {
+    co_return ChangeState::Stored;
+  }
+  // Without further commits, a change that is in none was never made.
+  bool noEffect = (Lost() || mClosed) && !mCell->IsCommitting(aId);
+  co_return noEffect ? ChangeState::NotStored : ChangeState::Unknown;
 }
 
 Task<CallerReply>
@@ -833,8 +870,13 @@
             ToMillis(retry));
     co_return JobRefused{ retry };
   }
-  bool stored = co_await AwaitStored(id, aDeadline);
-  if (!stored) {
+  ChangeState state = co_await AwaitStored(id, aDeadline);
+  if (state == ChangeState::NotStored) {
+    LogInfo(
+      kPart, "job={} pool={} unavailable, the cell was released", id, mPool);
+    co_return ServiceUnavailable{ std::chrono::seconds(1) };
+  }
+  if (state == ChangeState::Unknown) {
     LogWarn(kPart,
             "job={} pool={} unsettled, not stored before the deadline",
             id,
@@ -855,10 +897,16 @@
     co_return JobNotFound{};
   }
   mPlanDue.Set();
-  bool stored = co_await AwaitStored(aCall.mId, aDeadline);
-  LogInfo(
-    kPart, "job={} pool={} cancel stored={}", aCall.mId, mPool, stored ? 1 : 0);
-  if (!stored) {
+  ChangeState state = co_await AwaitStored(aCall.mId, aDeadline);
+  LogInfo(kPart,
+          "job={} pool={} cancel stored={}",
+          aCall.mId,
+          mPool,
+          state == ChangeState::Stored ? 1 : 0);
+  if (state == ChangeState::NotStored) {
+    co_return ServiceUnavailable{ std::chrono::seconds(1) };
+  }
+  if (state == ChangeState::Unknown) {
     co_return CallOutcomeUnknown{};
   }
   co_return JobCancelled{};
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -52,8 +52,10 @@
   /// Starts to load the cell's rows, then to plan and commit.
   void Start();
 
-  /// Stops every task; with aRelease, releases the cell in the store.
-  Task<void> Stop(bool aRelease);
+  /// Stops every task, then stores the remaining changes and releases the cell
+  /// unless it is lost. Gives the release up at aDeadline. Must not be
+  /// cancelled.
+  Task<void> Stop(TimePoint aDeadline);
 
   const std::string& Pool() const { return mPool; }
 
@@ -63,6 +65,9 @@
   bool Lost() const { return mLease.Lost(); }
   bool Loaded() const { return mLoaded; }
 
+  /// False once the lease is lost or the cell is being released.
+  bool Active() const { return !mReleasing && !Lost(); }
+
   /// Answers a caller's call; ServiceUnavailable if the cell can't take it now.
   Task<CallerReply> Handle(CallerCall aCall, TimePoint aDeadline);
 
@@ -80,6 +85,15 @@
                          TimePoint aDeadline);
 
 private:
+  /// What is known about a job's latest change.
+  enum class ChangeState : std::uint8_t
+  {
+    Stored,
+    /// Not stored, and in no commit.
+    NotStored,
+    Unknown
+  };
+
   /// Unsent orders to a worker, in the order they were decided.
   struct WorkerQueue
   {
@@ -95,6 +109,10 @@
                const std::vector<StoredRow>& aCells);
   Task<void> PlanLoop();
   Task<void> CommitLoop();
+  Task<bool> Release(TimePoint aDeadline);
+  Task<bool> CommitChanges(CellChanges aChanges,
+                           bool aRelease,
+                           TimePoint aDeadline);
   ConditionalCommit MakeCommit(const CellChanges& aChanges) const;
   Task<void> MonitorWorker(std::string aWorker);
   Task<bool> RenewWorkerLeases(const std::string& aWorker);
@@ -115,7 +133,7 @@
 
   Task<CallerReply> Submit(SubmitJob aCall, TimePoint aDeadline);
   Task<CallerReply> Cancel(CancelJob aCall, TimePoint aDeadline);
-  Task<bool> AwaitStored(std::string aId, TimePoint aDeadline);
+  Task<ChangeState> AwaitStored(std::string aId, TimePoint aDeadline);
 
   Kernel& mKernel;
   Clock& mClock;
@@ -125,6 +143,8 @@
   CellLease mLease;
   bool mLoaded = false;
   bool mReleasing = false;
+  /// No further change will be stored.
+  bool mClosed = false;
   /// Commit even if no row has changed.
   bool mCommitRequested = false;
   bool mSealsCommitted = true;
--- a/src/services/cell_service.cpp
+++ b/src/services/cell_service.cpp
@@ -78,7 +78,8 @@
     owned.push_back(runtime);
   }
   for (const std::shared_ptr<CellRuntime>& runtime : owned) {
-    co_await runtime->Stop(true);
+    TimePoint deadline = mKernel.GetClock().Now() + kOwnerLeaseDuration;
+    co_await runtime->Stop(deadline);
   }
   mRelay->Broadcast("released", Json());
   mTasks.CancelAll();
@@ -156,7 +157,8 @@
 Task<void>
 CellService::StopLostCell(std::shared_ptr<CellRuntime> aRuntime)
 {
-  co_await aRuntime->Stop(false);
+  TimePoint deadline = mKernel.GetClock().Now() + kOwnerLeaseDuration;
+  co_await aRuntime->Stop(deadline);
 }
 
 // Each node claims the cells in its own order, with longer delays for later
@@ -259,7 +261,8 @@
 {
   LogInfo(
     kPart, "cell={} released for handoff to a larger node", aRuntime->Pool());
-  co_await aRuntime->Stop(true);
+  TimePoint deadline = mKernel.GetClock().Now() + kOwnerLeaseDuration;
+  co_await aRuntime->Stop(deadline);
   mRelay->Broadcast("released", Json());
   mOwners->Refresh();
 }
--- /dev/null
+++ b/tests/cell_service_test.cpp
@@ -0,0 +1,543 @@
+// Calls at an owner that releases its cells, on a manual clock. The store and
+// the workers are simulated.
+
+#include "fake_store.h"
+#include "kernel/kernel.h"
+#include "services/cell_service.h"
+#include "services/directory_service.h"
+#include "services/owner_service.h"
+#include "services/relay_service.h"
+#include "wire/cell_codec.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <doctest/doctest.h>
+
+#include <functional>
+#include <memory>
+
+using namespace buckthornshunt;
+using namespace buckthornshunt::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::string_view kPool = "p0";
+
+std::string
+JobName(int aNumber)
+{
+  return "job" + std::to_string(1000 + aNumber);
+}
+
+Endpoint
+FreeEndpoint(asio::io_context& aContext)
+{
+  using asio::ip::tcp;
+  tcp::acceptor acceptor(aContext, { asio::ip::make_address("127.0.0.1"), 0 });
+  return { "127.0.0.1", acceptor.local_endpoint().port() };
+}
+
+/// A worker that runs what it is told to and ends runs at the test's request.
+class FakeWorkers
+{
+public:
+  explicit FakeWorkers(Clock& aClock)
+    : mClock(aClock)
+  {
+  }
+
+  Workers Port()
+  {
+    return InProcessWorkers{
+      [this](const WorkerAddress&, WorkerCall aCall, TimePoint) {
+        return Call(std::move(aCall));
+      }
+    };
+  }
+
+  void EndAllRuns()
+  {
+    for (const auto& [task, run] : mRuns) {
+      mEnds.push_back({ ++mLastEnd, task, run, RunEnd::Done, "" });
+    }
+    mRuns.clear();
+  }
+
+  void EndOneRunOfEachJob()
+  {
+    std::string last;
+    for (auto it = mRuns.begin(); it != mRuns.end();) {
+      bool ends = it->first.mJob != last;
+      last = it->first.mJob;
+      if (ends) {
+        mEnds.push_back(
+          { ++mLastEnd, it->first, it->second, RunEnd::Done, "" });
+        it = mRuns.erase(it);
+      } else {
+        ++it;
+      }
+    }
+  }
+
+  Duration mDelay = 2ms;
+  /// A cancelled call ends with its answer.
+  bool mIgnoresCancellation = false;
+  std::map<TaskId, std::uint64_t> mRuns;
+  /// Number of starts of each task.
+  std::map<TaskId, int> mStarts;
+
+private:
+  struct Visitor
+  {
+    WorkerReply operator()(const StartRun& aCall) const
+    {
+      if (!Accepts(aCall.mToken)) {
+        return OrderRefused{ StartRefusal::Fenced, 0 };
+      }
+      mWorkers.mRuns[aCall.mTask] = aCall.mRun;
+      ++mWorkers.mStarts[aCall.mTask];
+      return OrderDone{};
+    }
+    WorkerReply operator()(const StopRun& aCall) const
+    {
+      if (mWorkers.mRuns.erase(aCall.mTask) > 0) {
+        mWorkers.mEnds.push_back({ ++mWorkers.mLastEnd,
+                                   aCall.mTask,
+                                   aCall.mRun,
+                                   RunEnd::Stopped,
+                                   "" });
+      }
+      return OrderDone{};
+    }
+    WorkerReply operator()(const ThrottleRun&) const { return OrderDone{}; }
+    WorkerReply operator()(const RequestAdvice&) const { return Advice{}; }
+    WorkerReply operator()(const RenewLease& aCall) const
+    {
+      if (!Accepts(aCall.mToken)) {
+        return OrderRefused{ StartRefusal::Fenced, 0 };
+      }
+      std::erase_if(mWorkers.mEnds, [&](const EndedRun& aEnd) {
+        return aEnd.mSequence <= aCall.mAcknowledgedSequence;
+      });
+      WorkerStatus status;
+      status.mIncarnation = 5;
+      for (const auto& [task, run] : mWorkers.mRuns) {
+        status.mActiveRuns.push_back({ task, run, "", 100, std::nullopt });
+      }
+      status.mEndedRuns = mWorkers.mEnds;
+      return status;
+    }
+    bool Accepts(FencingToken aToken) const
+    {
+      bool accepted = aToken >= mWorkers.mToken;
+      mWorkers.mToken = std::max(mWorkers.mToken, aToken);
+      return accepted;
+    }
+
+    FakeWorkers& mWorkers;
+  };
+
+  Task<Expected<WorkerReply>> Call(WorkerCall aCall)
+  {
+    if (mIgnoresCancellation) {
+      co_await asio::this_coro::reset_cancellation_state(
+        asio::disable_cancellation());
+    }
+    co_await mClock.Sleep(mDelay);
+    co_return std::visit(Visitor{ *this }, aCall);
+  }
+
+  Clock& mClock;
+  FencingToken mToken{};
+  std::uint64_t mLastEnd = 0;
+  std::vector<EndedRun> mEnds;
+};
+
+/// A node with the services that cells need.
+struct CellNode
+{
+  CellNode(asio::io_context& aContext,
+           ManualClock& aManual,
+           Store& aStore,
+           const CellPorts& aPorts,
+           const LocalNode& aSelf)
+    : mKernel(aContext, Clock(aContext, aManual), ToNumber(aSelf.mIncarnation))
+    , mDirectory(mKernel.Add<DirectoryService>(DirectoryService::kName, aStore))
+    , mOwners(mKernel.Add<OwnerService>(OwnerService::kName, aStore, aSelf))
+    , mRelay(
+        mKernel.Add<RelayService>(RelayService::kName, aSelf.mPeerEndpoint))
+    , mCells(
+        mKernel.Add<CellService>(CellService::kName, aPorts, CellDurations{}))
+  {
+    REQUIRE(mKernel.Start());
+  }
+
+  Kernel mKernel;
+  DirectoryService& mDirectory;
+  OwnerService& mOwners;
+  RelayService& mRelay;
+  CellService& mCells;
+};
+
+/// A call's reply, once there is one.
+struct PendingReply
+{
+  std::optional<OwnerReply> mReply;
+  TimePoint mAt;
+
+  template<class Reply>
+  bool Is() const
+  {
+    const auto* reply = mReply ? std::get_if<CallerReply>(&*mReply) : nullptr;
+    return reply != nullptr && std::holds_alternative<Reply>(*reply);
+  }
+};
+using PendingReplyPtr = std::shared_ptr<PendingReply>;
+
+/// Nodes that share a store in which commits take effect, and are answered,
+/// after settable delays.
+class CellFleet
+{
+public:
+  explicit CellFleet(int aPools = 1)
+    : mManual(mContext)
+    , mClock(mContext, mManual)
+    , mFake(mClock)
+    , mFakePort(mFake.Port())
+    , mStore(InProcessStore{ [this](StoreCall aCall, TimePoint aDeadline) {
+      return CallSlowly(std::move(aCall), aDeadline);
+    } })
+    , mFakeWorkers(mClock)
+    , mWorkers(mFakeWorkers.Port())
+  {
+    WriteConfig(aPools, std::string(kPool));
+    AddRow("servers",
+           "w",
+           { { "service", kPool },
+             { "address", "127.0.0.1:9" },
+             { "zone", "z" },
+             { "state", "ready" },
+             { "machine", "m" },
+             { "born", 5 },
+             { "capacity", { { "cpu", 1000000 }, { "mem_mb", 1000000 } } } });
+  }
+
+  ~CellFleet()
+  {
+    mBeforeCommit = mBeforeAnswer = 0ms;
+    mFake.mUnresponsive = false;
+    for (auto& node : mNodes) {
+      auto stopped = Stop(*node);
+      mManual.Advance(20s);
+      CHECK(*stopped);
+    }
+  }
+
+  /// Queue "qN" sends its jobs to pool "pN", but the first one to
+  /// aPoolOfFirst.
+  void WriteConfig(int aPools, const std::string& aPoolOfFirst)
+  {
+    Json routes = Json::array();
+    Json services = Json::array();
+    for (int i = 0; i < aPools; ++i) {
+      std::string pool = "p" + std::to_string(i);
+      services.push_back({ { "name", pool } });
+      routes.push_back({ { "name", "q" + std::to_string(i) },
+                         { "host", "h" },
+                         { "path_prefix", "/" + pool },
+                         { "service", i == 0 ? aPoolOfFirst : pool },
+                         { "target_latency_ms", 100000 },
+                         { "max_attempts", 3 } });
+    }
+    AddRow("op",
+           "config",
+           { { "version", ++mConfigVersion },
+             { "routes", routes },
+             { "services", services } });
+  }
+
+  void AddRow(std::string_view aTable, std::string_view aKey, const Json& aBody)
+  {
+    RowName name{ std::string(aTable), "", std::string(aKey) };
+    ConditionalCommit commit;
+    commit.mPuts.push_back({ name, aBody.dump() });
+    TimePoint deadline = mManual.Now() + 1s;
+    asio::co_spawn(mContext,
+                   CallStore(mFakePort, commit, deadline),
+                   [](const std::exception_ptr&, const auto&) {});
+    mManual.Advance(5ms);
+  }
+
+  CellNode& AddNode()
+  {
+    ++mLastNode;
+    LocalNode self{ "n" + std::to_string(mLastNode),
+                    FreeEndpoint(mContext),
+                    Incarnation(mLastNode) };
+    CellPorts ports;
+    ports.mStore = &mStore;
+    ports.mWorkers = &mWorkers;
+    mNodes.push_back(
+      std::make_unique<CellNode>(mContext, mManual, mStore, ports, self));
+    return *mNodes.back();
+  }
+
+  /// A node that owns the cells of all pools.
+  CellNode& AddOwner()
+  {
+    CellNode& node = AddNode();
+    mManual.Advance(6s);
+    REQUIRE(node.mCells.Find(kPool));
+    return node;
+  }
+
+  PendingReplyPtr Call(CellNode& aNode,
+                       CallerCall aCall,
+                       Duration aPatience = 1200ms)
+  {
+    auto pending = std::make_shared<PendingReply>();
+    RelayedCall call{ std::string(kPool), std::move(aCall), aPatience };
+    asio::co_spawn(
+      mContext,
+      aNode.mCells.Handle(std::move(call)),
+      [this, pending](const std::exception_ptr& aError, OwnerReply aReply) {
+        CHECK_FALSE(aError);
+        pending->mReply = std::move(aReply);
+        pending->mAt = mManual.Now();
+      });
+    mManual.Advance(0ms);
+    return pending;
+  }
+
+  PendingReplyPtr Submit(CellNode& aNode,
+                         const std::string& aId,
+                         bool aLongRunning = false,
+                         std::uint32_t aTasks = 1)
+  {
+    StepSpec step;
+    step.mTaskCount = aTasks;
+    step.mTaskResources.mCpuMillis = 100;
+    step.mEstimatedRunTime = 100ms;
+    step.mLongRunning = aLongRunning;
+    SubmitJob call{ "q0", aId, {} };
+    call.mSpec.mSteps.push_back(step);
+    return Call(aNode, std::move(call));
+  }
+
+  PendingReplyPtr Cancel(CellNode& aNode, const std::string& aId)
+  {
+    return Call(aNode, CancelJob{ "q0", aId });
+  }
+
+  /// Asks the node to release the cell; returns once it has begun.
+  void RequestHandoff(CellNode& aNode)
+  {
+    Kernel kernel(mContext, mClock, 1);
+    RelayService relay(kernel, FreeEndpoint(mContext));
+    REQUIRE(relay.Start());
+    bool answered = false;
+    Json body = { { "pool", kPool } };
+    TimePoint deadline = mManual.Now() + 1s;
+    asio::co_spawn(
+      mContext,
+      relay.Call(aNode.mOwners.Self().mPeerEndpoint,
+                 "ask for cell",
+                 std::move(body),
+                 deadline),
+      [&](const std::exception_ptr&, const Expected<Json>& aReply) {
+        CHECK(Ok(aReply));
+        answered = true;
+      });
+    RunUntil(answered);
+    bool stopped = false;
+    asio::co_spawn(mContext, relay.Stop(), [&](const std::exception_ptr&) {
+      stopped = true;
+    });
+    RunUntil(stopped);
+  }
+
+  void RunUntil(const bool& aDone)
+  {
+    while (!aDone) {
+      mContext.restart();
+      mContext.run_one();
+    }
+  }
+
+  /// True once the node's cells have stopped.
+  std::shared_ptr<bool> Stop(CellNode& aNode)
+  {
+    return Run(aNode.mKernel.Stop());
+  }
+
+  std::shared_ptr<bool> Run(Task<void> aTask)
+  {
+    auto ended = std::make_shared<bool>(false);
+    asio::co_spawn(
+      mContext, std::move(aTask), [ended](const std::exception_ptr& aError) {
+        CHECK_FALSE(aError);
+        *ended = true;
+      });
+    mManual.Advance(0ms);
+    return ended;
+  }
+
+  bool IsJobStored(const std::string& aId) const
+  {
+    return mFake.mRows.contains({ "jobs", std::string(kPool), aId });
+  }
+
+  std::optional<JobPhase> StoredPhase(const std::string& aId) const
+  {
+    auto it = mFake.mRows.find({ "progress", std::string(kPool), aId });
+    if (it == mFake.mRows.end()) {
+      return std::nullopt;
+    }
+    auto progress = ToExpected<StoredProgress>(
+      [&] { return DecodeProgress(it->second.mValue); });
+    REQUIRE(Ok(progress));
+    return std::get<StoredProgress>(progress).mPhase;
+  }
+
+  /// The cell's owner row; none if the cell has never been claimed.
+  std::optional<OwnerRow> Owner(std::string_view aPool) const
+  {
+    auto it = mFake.mRows.find({ "cells", std::string(aPool), "owner" });
+    if (it == mFake.mRows.end()) {
+      return std::nullopt;
+    }
+    auto row =
+      ToExpected<OwnerRow>([&] { return DecodeOwnerRow(it->second.mValue); });
+    REQUIRE(Ok(row));
+    return std::get<OwnerRow>(row);
+  }
+
+  asio::io_context mContext;
+  ManualClock mManual;
+  Clock mClock;
+  FakeStore mFake;
+  Store mFakePort;
+  Store mStore;
+  FakeWorkers mFakeWorkers;
+  Workers mWorkers;
+  Duration mBeforeCommit{};
+  Duration mBeforeAnswer{};
+
+private:
+  // A call may have no effect after its deadline, as with a closed connection.
+  Task<Expected<StoreReply>> CallSlowly(StoreCall aCall, TimePoint aDeadline)
+  {
+    bool commit = std::holds_alternative<ConditionalCommit>(aCall);
+    Duration before = commit ? mBeforeCommit : 0ms;
+    if (mClock.Now() + before >= aDeadline) {
+      co_await mClock.SleepUntil(aDeadline);
+      co_return Failure(TimeoutFailure{});
+    }
+    co_await mClock.Sleep(before);
+    auto reply = co_await CallStore(mFakePort, std::move(aCall), aDeadline);
+    if (commit) {
+      TimePoint answered = std::min(mClock.Now() + mBeforeAnswer, aDeadline);
+      co_await mClock.SleepUntil(answered);
+      if (mClock.Now() >= aDeadline) {
+        co_return Failure(TimeoutFailure{});
+      }
+    }
+    co_return reply;
+  }
+
+  std::vector<std::unique_ptr<CellNode>> mNodes;
+  std::uint16_t mLastNode = 0;
+  std::uint64_t mConfigVersion = 0;
+};
+
+} // namespace
+
+TEST_CASE("a submission during a release is answered by what was stored")
+{
+  int accepted = 0;
+  for (int ms = 0; ms < 60; ++ms) {
+    CAPTURE(ms);
+    CellFleet fleet;
+    CellNode& node = fleet.AddOwner();
+    fleet.mBeforeCommit = fleet.mBeforeAnswer = 10ms;
+    auto reply = fleet.Submit(node, "a");
+    fleet.mManual.Advance(std::chrono::milliseconds(ms));
+    TimePoint began = fleet.mManual.Now();
+    fleet.Stop(node);
+    fleet.mManual.Advance(2s);
+    REQUIRE(reply->mReply);
+    bool stored = fleet.IsJobStored("a");
+    CHECK(reply->Is<JobAccepted>() == stored);
+    CHECK(reply->Is<ServiceUnavailable>() != stored);
+    CHECK(reply->mAt <= began + 200ms);
+    accepted += stored ? 1 : 0;
+  }
+  CHECK(accepted > 0);
+}
+
+TEST_CASE("a cancellation during a release is answered by what was stored")
+{
+  for (int ms = 0; ms < 60; ++ms) {
+    CAPTURE(ms);
+    CellFleet fleet;
+    CellNode& node = fleet.AddOwner();
+    fleet.Submit(node, "a");
+    fleet.mManual.Advance(100ms);
+    fleet.mBeforeCommit = fleet.mBeforeAnswer = 10ms;
+    auto reply = fleet.Cancel(node, "a");
+    fleet.mManual.Advance(std::chrono::milliseconds(ms));
+    fleet.Stop(node);
+    fleet.mManual.Advance(2s);
+    REQUIRE(reply->mReply);
+    bool stored = fleet.StoredPhase("a") == JobPhase::Cancelled;
+    CHECK(reply->Is<JobCancelled>() == stored);
+    CHECK(reply->Is<ServiceUnavailable>() != stored);
+  }
+}
+
+TEST_CASE("a stored job is never reported unknown while its cell moves")
+{
+  CellFleet fleet;
+  CellNode& first = fleet.AddOwner();
+  auto submitted = fleet.Submit(first, "a", true);
+  fleet.mManual.Advance(500ms);
+  REQUIRE(submitted->Is<JobAccepted>());
+  CellNode& second = fleet.AddNode();
+  fleet.mManual.Advance(1s);
+  fleet.mBeforeCommit = fleet.mBeforeAnswer = 20ms;
+  fleet.Stop(first);
+  int answered = 0;
+  for (int ms = 0; ms < 3000; ++ms) {
+    CAPTURE(ms);
+    auto read = fleet.Call(second, ReadJob{ "q0", "a" }, 100ms);
+    auto readAtFirst = fleet.Call(first, ReadJob{ "q0", "a" }, 100ms);
+    fleet.mManual.Advance(1ms);
+    CHECK_FALSE(read->Is<JobNotFound>());
+    CHECK_FALSE(readAtFirst->Is<JobNotFound>());
+    answered += read->Is<JobPhaseReply>() ? 1 : 0;
+  }
+  CHECK(answered > 1000);
+  // The long-running task is adopted, not started again.
+  CHECK(fleet.mFakeWorkers.mStarts[{ "a", 0, 0, 0 }] == 1);
+  CHECK(fleet.mFakeWorkers.mRuns.size() == 1);
+}
+
+TEST_CASE("a long-running task that ends in a handover runs again in 3 s")
+{
+  for (int ms = 0; ms < 1500; ms += 50) {
+    CAPTURE(ms);
+    CellFleet fleet;
+    CellNode& first = fleet.AddOwner();
+    fleet.Submit(first, "a", true);
+    fleet.mManual.Advance(500ms);
+    fleet.AddNode();
+    fleet.mManual.Advance(1s);
+    fleet.Stop(first);
+    fleet.mManual.Advance(std::chrono::milliseconds(ms));
+    fleet.mFakeWorkers.EndAllRuns();
+    fleet.mManual.Advance(3s);
+    CHECK(fleet.mFakeWorkers.mRuns.size() == 1);
+  }
+}
