Store all changes before a cell is released

A release stored the changes of 30 jobs and dropped the others: submissions beyond them were not stored, and ends of runs that the owner had seen were in no row, while the released worker set doesn't name a worker without runs.

Before: "a release stores the changes of more jobs than one commit holds", CHECK( late[i]->Is<JobAccepted>() ) with false from the first job on.

Changes that don't fit the release are committed first, in order. Only the last commit, which then covers all seen ends, reduces the worker set and releases the cell.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -239,8 +239,10 @@
 
   // Commits.
   CellChanges TakeChanges(TimePoint aNow);
+  /// Whether TakeChanges would return the changes of all jobs.
+  bool FitsOneCommit() const;
   /// As TakeChanges, for an owner that sends no more orders: the worker set
-  /// holds only those that may still run something.
+  /// holds only those that may still run something. All changes must fit.
   CellChanges TakeReleaseChanges(TimePoint aNow);
   void OnCommitted(const CellChanges& aChanges, TimePoint aNow);
   /// The commit certainly had no effect; its changes are queued again.
--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -5,11 +5,16 @@
 
 namespace buckthornshunt {
 
+namespace {
+
+/// The store accepts 100 entries in a commit; a job may need three.
+constexpr std::size_t kMaxJobsPerCommit = 30;
+
+} // namespace
+
 CellChanges
 Cell::TakeChanges(TimePoint aNow)
 {
-  // The store accepts 100 entries in a commit; a job may need three.
-  constexpr std::size_t kMaxJobsPerCommit = 30;
   CellChanges changes;
   while (!mDirtyJobs.empty() && changes.mProgress.size() < kMaxJobsPerCommit &&
          changes.mNewJobs.size() < kMaxJobsPerCommit) {
@@ -61,6 +66,12 @@
   return changes;
 }
 
+bool
+Cell::FitsOneCommit() const
+{
+  return mDirtyJobs.size() <= kMaxJobsPerCommit;
+}
+
 CellChanges
 Cell::TakeReleaseChanges(TimePoint aNow)
 {
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -117,8 +117,15 @@
     // The cancelled commit may or may not have taken effect, so it is repeated.
     mCell->OnNotCommitted(*mInFlightChanges);
   }
-  CellChanges changes = mCell->TakeReleaseChanges(mClock.Now());
-  bool ok = co_await CommitChanges(std::move(changes), true, aDeadline);
+  bool ok = true;
+  while (ok && !mCell->FitsOneCommit()) {
+    CellChanges changes = mCell->TakeChanges(mClock.Now());
+    ok = co_await CommitChanges(std::move(changes), false, aDeadline);
+  }
+  if (ok) {
+    CellChanges changes = mCell->TakeReleaseChanges(mClock.Now());
+    ok = co_await CommitChanges(std::move(changes), true, aDeadline);
+  }
   co_return ok;
 }
 
--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -497,6 +497,42 @@
   }
 }
 
+TEST_CASE("a release stores the changes of more jobs than one commit holds")
+{
+  constexpr int kJobs = 75;
+  CellFleet fleet;
+  CellNode& node = fleet.AddOwner();
+  std::vector<PendingReplyPtr> replies;
+  for (int i = 0; i < kJobs; ++i) {
+    replies.push_back(fleet.Submit(node, JobName(i)));
+  }
+  fleet.mManual.Advance(1s);
+  REQUIRE(fleet.mFakeWorkers.mRuns.size() == kJobs);
+  fleet.mFakeWorkers.EndAllRuns();
+  // Until the ends are listed.
+  while (node.mCells.Find(kPool)->State().Workers().at("w").mRuns.size() > 0) {
+    fleet.mManual.Advance(1ms);
+  }
+  std::vector<PendingReplyPtr> late;
+  for (int i = kJobs; i < 2 * kJobs; ++i) {
+    late.push_back(fleet.Submit(node, JobName(i)));
+  }
+  fleet.Stop(node);
+  fleet.mManual.Advance(2s);
+  for (int i = 0; i < kJobs; ++i) {
+    CAPTURE(i);
+    CHECK(replies[i]->Is<JobAccepted>());
+    CHECK(fleet.StoredPhase(JobName(i)) == JobPhase::Completed);
+    CHECK(late[i]->Is<JobAccepted>());
+    CHECK(fleet.IsJobStored(JobName(kJobs + i)));
+  }
+  // The next owner starts no task again whose end the first one has seen.
+  fleet.AddOwner();
+  for (int i = 0; i < kJobs; ++i) {
+    CHECK(fleet.mFakeWorkers.mStarts[{ JobName(i), 0, 0, 0 }] == 1);
+  }
+}
+
 TEST_CASE("a stored job is never reported unknown while its cell moves")
 {
   CellFleet fleet;
