Keep a commit within the entries that the store accepts

A commit with 30 changed, 29 new and 30 expired jobs has 121 entries, the store accepts 100. Such a commit is refused however often it is sent, so the owner can't renew its lease, and each submission at it ends as 504.

The number of expired jobs was limited by itself. Before: "a commit holds no more entries than the store accepts", CHECK( 121 <= 100 ).

Expired jobs now get what the changed jobs leave of the limit; the rest is deleted by later commits.

--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -7,8 +7,10 @@
 
 namespace {
 
-/// The store accepts 100 entries in a commit; a job may need three.
 constexpr std::size_t kMaxJobsPerCommit = 30;
+/// The store accepts 100 entries in a commit. Two are the owner row and its
+/// condition, one is the worker set.
+constexpr std::size_t kMaxJobRowsPerCommit = 97;
 
 } // namespace
 
@@ -41,8 +43,12 @@
       changes.mEndedJobs.push_back(job->mId);
     }
   }
+  std::size_t rows = changes.mNewJobs.size() + changes.mProgress.size() +
+                     changes.mEndedJobs.size();
+  std::size_t maxExpired =
+    std::min(kMaxJobsPerCommit, kMaxJobRowsPerCommit - rows);
   for (auto it = mJobs.begin();
-       it != mJobs.end() && changes.mExpiredJobs.size() < kMaxJobsPerCommit;
+       it != mJobs.end() && changes.mExpiredJobs.size() < maxExpired;
        ++it) {
     const CellJob& job = it->second;
     if (job.mCommittedPhase != JobPhase::Pending &&
--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -577,3 +577,45 @@
     CHECK(fleet.mFakeWorkers.mRuns.size() == 1);
   }
 }
+
+TEST_CASE("a commit holds no more entries than the store accepts")
+{
+  constexpr std::size_t kMaxEntries = 100;
+  Cell cell(CellDurations{}, FencingToken(1), 1, TimePoint{});
+  TimePoint now{};
+  auto add = [&](int aFirst, int aCount, JobPhase aPhase) {
+    for (int i = aFirst; i < aFirst + aCount; ++i) {
+      JobSpec spec;
+      spec.mSteps.push_back({});
+      spec.mSteps[0].mTaskCount = 1;
+      StoredProgress progress;
+      progress.mPhase = aPhase;
+      cell.Restore(
+        RestoreJob({ JobName(i), "q", spec, 1, WallTime{} }, progress),
+        now,
+        WallTime{});
+    }
+  };
+  add(0, 200, JobPhase::Cancelled);
+  now += 2 * CellDurations{}.mStatusRetention + 1s;
+  add(200, 100, JobPhase::Pending);
+  for (int i = 200; i < 300; ++i) {
+    cell.Cancel(JobName(i), now);
+    JobSpec spec;
+    spec.mSteps.push_back({});
+    spec.mSteps[0].mTaskCount = 1;
+    spec.mSteps[0].mLongRunning = true;
+    cell.Submit({ JobName(i) + "n", "q", spec, WallTime{} }, now);
+  }
+  for (int i = 0; i < 50; ++i) {
+    CellChanges changes = cell.TakeChanges(now);
+    // The owner row is written and checked.
+    std::size_t entries = 2 + changes.mNewJobs.size() +
+                          changes.mProgress.size() + changes.mEndedJobs.size() +
+                          changes.mExpiredJobs.size() +
+                          (changes.mWorkers ? 1 : 0);
+    CHECK(entries <= kMaxEntries);
+    cell.OnCommitted(changes, now);
+  }
+  CHECK(cell.TakeChanges(now).Empty());
+}
