Release all cells of a stopping node at the same time and in order

A node with several cells released them one after the other, each retried for a whole lease. A handoff in progress was cancelled by the stop, and a cell that was being claimed or loaded stayed with the node that had gone, until its lease had ended.

Stop awaited each release in turn and then cancelled all tasks, also those that were releasing a cell and held the last reference to it. TakeOver ignored a claim that succeeded while the node was stopping.

Before: "cells of a stopping node are released at the same time", CHECK( *stopped ) is false after 650 ms with six cells; "a node that stops at any moment of a takeover leaves the cell free", CHECK( (!owner || owner->mReleased) ) fails from 636 ms on; "a node that stops at any moment of a handoff leaves the cell free", AddressSanitizer: heap-use-after-free, the cell is destroyed while a call to a worker runs, and with calls that end at once the same CHECK for the first 14 ms.

Drain releases all cells at once, until a deadline, and waits for handoffs and claims in progress. Releases are in a task group that is never cancelled, and the service holds each cell until its release has ended. A claim that succeeds while the node stops is released. Stop drains if nobody has.

--- a/src/services/cell_service.cpp
+++ b/src/services/cell_service.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <functional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace buckthornshunt {
@@ -34,6 +35,9 @@
   , mPorts(std::move(aPorts))
   , mTimes(aTimes)
   , mTasks(aKernel.Context(), &aKernel.Groups())
+  , mTakeovers(aKernel.Context(), &aKernel.Groups())
+  , mReleases(aKernel.Context())
+  , mDrainProgress(aKernel.Context())
 {
 }
 
@@ -70,20 +74,55 @@
 }
 
 Task<void>
-CellService::Stop()
+CellService::Drain(TimePoint aDeadline)
 {
+  Clock& clock = mKernel.GetClock();
   mStopping = true;
-  std::vector<std::shared_ptr<CellRuntime>> owned;
-  for (const auto& [pool, runtime] : mOwned) {
-    owned.push_back(runtime);
+  mDrainDeadline = aDeadline;
+  for (const auto& [pool, runtime] : std::exchange(mOwned, {})) {
+    BeginRelease(runtime, aDeadline);
   }
-  for (const std::shared_ptr<CellRuntime>& runtime : owned) {
-    TimePoint deadline = mKernel.GetClock().Now() + kOwnerLeaseDuration;
-    co_await runtime->Stop(deadline);
+  mDrainProgress.NotifyAll();
+  while ((!mReleasing.empty() || !mPendingTakeovers.empty()) &&
+         clock.Now() < aDeadline) {
+    co_await WaitUntil(mDrainProgress, clock, aDeadline);
   }
-  mRelay->Broadcast("released", Json());
+}
+
+Task<void>
+CellService::Stop()
+{
+  if (!mStopping) {
+    co_await Drain(mKernel.GetClock().Now() + kOwnerLeaseDuration);
+  }
+  mTakeovers.CancelAll();
   mTasks.CancelAll();
+  co_await mTakeovers.Join();
   co_await mTasks.Join();
+  co_await mReleases.Join();
+}
+
+void
+CellService::BeginRelease(std::shared_ptr<CellRuntime> aRuntime,
+                          TimePoint aDeadline)
+{
+  mReleasing.insert(aRuntime);
+  mReleases.Spawn("release", ReleaseCell(std::move(aRuntime), aDeadline));
+}
+
+// The other nodes are notified of each cell by itself, so that a slow release
+// delays no other cell's takeover.
+Task<void>
+CellService::ReleaseCell(std::shared_ptr<CellRuntime> aRuntime,
+                         TimePoint aDeadline)
+{
+  co_await aRuntime->Stop(aDeadline);
+  if (!aRuntime->Lost()) {
+    mRelay->Broadcast("released", Json());
+  }
+  mOwners->Refresh();
+  mReleasing.erase(aRuntime);
+  mDrainProgress.NotifyAll();
 }
 
 std::shared_ptr<CellRuntime>
@@ -147,20 +186,13 @@
     for (std::shared_ptr<CellRuntime>& runtime : lost) {
       mOwned.erase(runtime->Pool());
       mOwners->Refresh();
-      mTasks.Spawn("retire", StopLostCell(std::move(runtime)));
+      BeginRelease(std::move(runtime), clock.Now() + kOwnerLeaseDuration);
     }
     TimePoint deadline = clock.Now() + kCheckInterval;
     co_await WaitUntil(mOwners->Changed(), clock, deadline);
   }
 }
 
-Task<void>
-CellService::StopLostCell(std::shared_ptr<CellRuntime> aRuntime)
-{
-  TimePoint deadline = mKernel.GetClock().Now() + kOwnerLeaseDuration;
-  co_await aRuntime->Stop(deadline);
-}
-
 // Each node claims the cells in its own order, with longer delays for later
 // ones; otherwise the first node to start would take them all.
 std::size_t
@@ -193,7 +225,7 @@
     sighting == nullptr ||
     EvaluateOwnership(*sighting, mOwners->Self(), now) == OwnershipState::Free;
   if (free) {
-    mTasks.Spawn("take over", TakeOver(std::string(aPool)));
+    mTakeovers.Spawn("take over", TakeOver(std::string(aPool)));
     mPendingTakeovers.emplace(std::string(aPool), true);
   }
 }
@@ -251,35 +283,40 @@
   std::shared_ptr<CellRuntime> runtime = Find(std::get<0>(pool));
   if (runtime && runtime->Loaded()) {
     mOwned.erase(std::get<0>(pool));
-    mTasks.Spawn("hand over", HandOff(std::move(runtime)));
+    LogInfo(
+      kPart, "cell={} released for handoff to a larger node", runtime->Pool());
+    TimePoint deadline = mKernel.GetClock().Now() + kOwnerLeaseDuration;
+    BeginRelease(std::move(runtime), deadline);
   }
   co_return Json();
 }
 
 Task<void>
-CellService::HandOff(std::shared_ptr<CellRuntime> aRuntime)
+CellService::TakeOver(std::string aPool)
 {
-  LogInfo(
-    kPart, "cell={} released for handoff to a larger node", aRuntime->Pool());
-  TimePoint deadline = mKernel.GetClock().Now() + kOwnerLeaseDuration;
-  co_await aRuntime->Stop(deadline);
-  mRelay->Broadcast("released", Json());
-  mOwners->Refresh();
+  Clock& clock = mKernel.GetClock();
+  TimePoint claimAt = clock.Now() + ClaimDelayWithJitter();
+  while (!mStopping && clock.Now() < claimAt) {
+    co_await WaitUntil(mDrainProgress, clock, claimAt);
+  }
+  if (!mStopping) {
+    co_await ClaimFreeCell(aPool);
+  }
+  mPendingTakeovers.erase(aPool);
+  mDrainProgress.NotifyAll();
 }
 
 // Claims the cell on condition that its row hasn't changed since it was found
 // to be free.
 Task<void>
-CellService::TakeOver(std::string aPool)
+CellService::ClaimFreeCell(std::string aPool)
 {
   Clock& clock = mKernel.GetClock();
-  co_await clock.Sleep(ClaimDelayWithJitter());
   const OwnerObservation* sighting = mOwners->LastSeen(aPool);
   bool free = sighting == nullptr ||
               EvaluateOwnership(*sighting, mOwners->Self(), clock.Now()) ==
                 OwnershipState::Free;
-  if (!free || mStopping) {
-    mPendingTakeovers.erase(aPool);
+  if (!free) {
     co_return;
   }
   std::optional<OwnerObservation> before;
@@ -292,14 +329,39 @@
   if (seen) {
     mOwners->ObserveRow(aPool, seen->mRow, seen->mRevision);
   }
-  if (claim && !mStopping) {
-    mOwners->ObserveRow(aPool, claim->mRow, claim->mRevision);
-    auto runtime = std::make_shared<CellRuntime>(
-      mKernel, mPorts, *mDirectory, aPool, mTimes, std::move(*claim));
-    mOwned.insert_or_assign(aPool, runtime);
-    runtime->Start();
+  if (!claim) {
+    co_return;
+  }
+  mOwners->ObserveRow(aPool, claim->mRow, claim->mRevision);
+  if (mStopping) {
+    co_await ReleaseClaim(std::move(aPool), std::move(*claim));
+    co_return;
   }
-  mPendingTakeovers.erase(aPool);
+  auto runtime = std::make_shared<CellRuntime>(
+    mKernel, mPorts, *mDirectory, aPool, mTimes, std::move(*claim));
+  mOwned.insert_or_assign(aPool, runtime);
+  runtime->Start();
+}
+
+// Releases a cell whose claim succeeded after the drain had begun.
+Task<void>
+CellService::ReleaseClaim(std::string aPool, ClaimResult aClaim)
+{
+  CellLease lease(mKernel,
+                  *mPorts.mStore,
+                  aPool,
+                  std::move(aClaim.mRow),
+                  aClaim.mRevision,
+                  aClaim.mSentAt);
+  ConditionalCommit nothing;
+  bool released =
+    co_await lease.Commit(std::move(nothing), true, mDrainDeadline);
+  LogInfo(kPart,
+          "cell={} claimed while stopping released={}",
+          aPool,
+          released ? 1 : 0);
+  mRelay->Broadcast("released", Json());
+  mOwners->Refresh();
 }
 
 } // namespace buckthornshunt
--- a/src/services/cell_service.h
+++ b/src/services/cell_service.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -25,7 +26,10 @@
   CellService(Kernel& aKernel, CellPorts aPorts, CellDurations aTimes);
 
   leaf::result<void> Start();
-  /// Releases every cell.
+  /// Takes over no further cell and releases all cells at the same time, until
+  /// aDeadline at the latest.
+  Task<void> Drain(TimePoint aDeadline);
+  /// Ends what is left; drains first unless Drain was called.
   Task<void> Stop();
 
   /// Returns the cell, or null if this node doesn't own it.
@@ -44,12 +48,15 @@
   Task<void> WatchCells();
   Task<void> WatchDirectory();
   Task<void> TakeOver(std::string aPool);
-  Task<void> StopLostCell(std::shared_ptr<CellRuntime> aRuntime);
+  Task<void> ClaimFreeCell(std::string aPool);
+  Task<void> ReleaseClaim(std::string aPool, ClaimResult aClaim);
+  void BeginRelease(std::shared_ptr<CellRuntime> aRuntime, TimePoint aDeadline);
+  Task<void> ReleaseCell(std::shared_ptr<CellRuntime> aRuntime,
+                         TimePoint aDeadline);
   void MaybeTakeOver(std::string_view aPool);
   void MaybeRequestHandoff(std::string_view aPool);
   Task<void> RequestHandoff(std::string aPool, Endpoint aOwner);
   Task<Json> OnHandoffRequest(Json aBody);
-  Task<void> HandOff(std::shared_ptr<CellRuntime> aRuntime);
   std::size_t ClaimOrder(std::string_view aPool) const;
   Duration ClaimDelayWithJitter();
 
@@ -60,8 +67,16 @@
   OwnerService* mOwners = nullptr;
   RelayService* mRelay = nullptr;
   TaskGroup mTasks;
+  TaskGroup mTakeovers;
+  /// Ends by itself: a cancelled release would destroy a running cell.
+  TaskGroup mReleases;
   bool mStopping = false;
+  TimePoint mDrainDeadline;
+  /// Notified when a drain begins, and when a takeover or a release has ended.
+  Event mDrainProgress;
   std::map<std::string, std::shared_ptr<CellRuntime>, std::less<>> mOwned;
+  /// Cells that are being released, handed off or were lost.
+  std::set<std::shared_ptr<CellRuntime>> mReleasing;
   /// When this node last requested a handoff from a smaller one.
   TimePoint mHandoffRequestedAt;
   /// Pools whose takeover is in progress.
--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -533,6 +533,73 @@
   }
 }
 
+TEST_CASE("a node that stops at any moment of a takeover leaves the cell free")
+{
+  for (int ms = 400; ms < 1000; ms += 2) {
+    CAPTURE(ms);
+    CellFleet fleet;
+    fleet.mBeforeCommit = fleet.mBeforeAnswer = 10ms;
+    CellNode& node = fleet.AddNode();
+    fleet.mManual.Advance(std::chrono::milliseconds(ms));
+    auto stopped = fleet.Stop(node);
+    fleet.mManual.Advance(4s);
+    CHECK(*stopped);
+    auto owner = fleet.Owner(kPool);
+    CHECK((!owner || owner->mReleased));
+  }
+}
+
+TEST_CASE("a node that stops at any moment of a handoff leaves the cell free")
+{
+  for (int ms = 0; ms < 60; ++ms) {
+    CAPTURE(ms);
+    CellFleet fleet;
+    CellNode& node = fleet.AddOwner();
+    fleet.Submit(node, "a");
+    fleet.mManual.Advance(100ms);
+    fleet.mBeforeCommit = fleet.mBeforeAnswer = 10ms;
+    fleet.mFakeWorkers.mDelay = 20ms;
+    fleet.mFakeWorkers.mIgnoresCancellation = true;
+    fleet.mManual.Advance(70ms);
+    fleet.RequestHandoff(node);
+    fleet.mManual.Advance(std::chrono::milliseconds(ms));
+    auto stopped = fleet.Stop(node);
+    fleet.mManual.Advance(4s);
+    CHECK(*stopped);
+    auto owner = fleet.Owner(kPool);
+    CHECK((!owner || owner->mReleased));
+  }
+}
+
+TEST_CASE("cells of a stopping node are released at the same time")
+{
+  constexpr int kPools = 6;
+  CellFleet fleet(kPools);
+  CellNode& node = fleet.AddOwner();
+  REQUIRE(node.mCells.Owned().size() == kPools);
+  fleet.mBeforeCommit = fleet.mBeforeAnswer = 150ms;
+  // A commit in progress delays a release by its own length at most.
+  auto stopped = fleet.Stop(node);
+  fleet.mManual.Advance(650ms);
+  CHECK(*stopped);
+  for (int i = 0; i < kPools; ++i) {
+    CHECK(fleet.Owner("p" + std::to_string(i))->mReleased);
+  }
+}
+
+TEST_CASE("a drain ends at its deadline although the store is silent")
+{
+  CellFleet fleet(3);
+  CellNode& node = fleet.AddOwner();
+  fleet.mFake.mUnresponsive = true;
+  TimePoint deadline = fleet.mManual.Now() + 700ms;
+  auto drained = fleet.Run(node.mCells.Drain(deadline));
+  fleet.mManual.Advance(699ms);
+  CHECK_FALSE(*drained);
+  fleet.mManual.Advance(1ms);
+  CHECK(*drained);
+}
+
 TEST_CASE("a stored job is never reported unknown while its cell moves")
 {
   CellFleet fleet;
