Take over the cells of pools whose queues have moved

The jobs of a queue that moved to another pool remain in the cell that accepted them. Once the owner of that cell had stopped, nobody took it over, so its jobs were lost: they didn't run, and reads found no owner.

WatchCells looked only at pools that a queue sends its jobs to.

Pools of the configuration whose cell has had an owner are taken over too.

--- a/src/services/cell_service.cpp
+++ b/src/services/cell_service.cpp
@@ -163,16 +163,12 @@
   Clock& clock = mKernel.GetClock();
   while (!mStopping) {
     if (auto config = mDirectory->Config()) {
-      std::set<std::string_view> pools;
-      for (const QueueConfig& queue : config->mQueues) {
-        pools.insert(queue.mPool);
-      }
+      std::set<std::string_view> pools = PoolsWithJobs(*config);
       std::vector<std::string_view> order(pools.begin(), pools.end());
       std::sort(order.begin(), order.end(), [&](auto aLeft, auto aRight) {
         return ClaimOrder(aLeft) < ClaimOrder(aRight);
       });
       for (std::string_view pool : order) {
-        mOwners->Watch(pool);
         MaybeTakeOver(pool);
         MaybeRequestHandoff(pool);
       }
@@ -193,6 +189,25 @@
   }
 }
 
+// Pools that queues send their jobs to, and pools that have had an owner: the
+// jobs of a queue that moved remain in the cell that accepted them.
+std::set<std::string_view>
+CellService::PoolsWithJobs(const WorkloadConfig& aConfig)
+{
+  std::set<std::string_view> pools;
+  for (const QueueConfig& queue : aConfig.mQueues) {
+    mOwners->Watch(queue.mPool);
+    pools.insert(queue.mPool);
+  }
+  for (const WorkerPoolConfig& pool : aConfig.mPools) {
+    mOwners->Watch(pool.mName);
+    if (mOwners->LastSeen(pool.mName) != nullptr) {
+      pools.insert(pool.mName);
+    }
+  }
+  return pools;
+}
+
 // Each node claims the cells in its own order, with longer delays for later
 // ones; otherwise the first node to start would take them all.
 std::size_t
--- a/src/services/cell_service.h
+++ b/src/services/cell_service.h
@@ -57,6 +57,7 @@
   void MaybeRequestHandoff(std::string_view aPool);
   Task<void> RequestHandoff(std::string aPool, Endpoint aOwner);
   Task<Json> OnHandoffRequest(Json aBody);
+  std::set<std::string_view> PoolsWithJobs(const WorkloadConfig& aConfig);
   std::size_t ClaimOrder(std::string_view aPool) const;
   Duration ClaimDelayWithJitter();
 
--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -645,6 +645,26 @@
   }
 }
 
+TEST_CASE("a job of a queue that moved to another pool survives its owner")
+{
+  CellFleet fleet(2);
+  CellNode& first = fleet.AddOwner();
+  auto submitted = fleet.Submit(first, "a", true);
+  fleet.mManual.Advance(500ms);
+  REQUIRE(submitted->Is<JobAccepted>());
+  fleet.WriteConfig(2, "p1");
+  CellNode& second = fleet.AddNode();
+  fleet.mManual.Advance(1s);
+  fleet.Stop(first);
+  fleet.mManual.Advance(4s);
+  auto read = fleet.Call(second, ReadJob{ "q0", "a" });
+  fleet.mManual.Advance(10ms);
+  CHECK(read->Is<JobPhaseReply>());
+  fleet.mFakeWorkers.EndAllRuns();
+  fleet.mManual.Advance(3s);
+  CHECK(fleet.mFakeWorkers.mRuns.size() == 1);
+}
+
 TEST_CASE("a commit holds no more entries than the store accepts")
 {
   constexpr std::size_t kMaxEntries = 100;
