--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -201,6 +201,8 @@
   std::optional<JobPhase> PhaseOf(std::string_view aId) const;
   /// Whether the job's latest change is committed.
   bool IsStored(std::string_view aId) const;
+  /// Whether a change of the job is in a commit whose outcome isn't known.
+  bool IsCommitting(std::string_view aId) const;
   std::uint64_t Waiting(std::string_view aQueue) const;
 
   // Workers.
@@ -237,8 +239,10 @@
 
   // Commits.
   CellChanges TakeChanges(TimePoint aNow);
+  /// Whether TakeChanges would return the changes of all jobs.
+  bool FitsOneCommit() const;
   /// As TakeChanges, for an owner that sends no more orders: the worker set
-  /// holds only those that may still run something.
+  /// holds only those that may still run something. All changes must fit.
   CellChanges TakeReleaseChanges(TimePoint aNow);
   void OnCommitted(const CellChanges& aChanges, TimePoint aNow);
   /// The commit certainly had no effect; its changes are queued again.
--- a/src/services/cell_service.cpp
+++ b/src/services/cell_service.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <functional>
 #include <set>
+#include <utility>
 #include <vector>
 
 namespace buckthornshunt {
@@ -34,6 +35,9 @@
   , mPorts(std::move(aPorts))
   , mTimes(aTimes)
   , mTasks(aKernel.Context(), &aKernel.Groups())
+  , mTakeovers(aKernel.Context(), &aKernel.Groups())
+  , mReleases(aKernel.Context())
+  , mDrainProgress(aKernel.Context())
 {
 }
 
@@ -70,19 +74,55 @@
 }
 
 Task<void>
-CellService::Stop()
+CellService::Drain(TimePoint aDeadline)
 {
+  Clock& clock = mKernel.GetClock();
   mStopping = true;
-  std::vector<std::shared_ptr<CellRuntime>> owned;
-  for (const auto& [pool, runtime] : mOwned) {
-    owned.push_back(runtime);
+  mDrainDeadline = aDeadline;
+  for (const auto& [pool, runtime] : std::exchange(mOwned, {})) {
+    BeginRelease(runtime, aDeadline);
   }
-  for (const std::shared_ptr<CellRuntime>& runtime : owned) {
-    co_await runtime->Stop(true);
+  mDrainProgress.NotifyAll();
+  while ((!mReleasing.empty() || !mPendingTakeovers.empty()) &&
+         clock.Now() < aDeadline) {
+    co_await WaitUntil(mDrainProgress, clock, aDeadline);
   }
-  mRelay->Broadcast("released", Json());
+}
+
+Task<void>
+CellService::Stop()
+{
+  if (!mStopping) {
+    co_await Drain(mKernel.GetClock().Now() + kOwnerLeaseDuration);
+  }
+  mTakeovers.CancelAll();
   mTasks.CancelAll();
+  co_await mTakeovers.Join();
   co_await mTasks.Join();
+  co_await mReleases.Join();
+}
+
+void
+CellService::BeginRelease(std::shared_ptr<CellRuntime> aRuntime,
+                          TimePoint aDeadline)
+{
+  mReleasing.insert(aRuntime);
+  mReleases.Spawn("release", ReleaseCell(std::move(aRuntime), aDeadline));
+}
+
+// The other nodes are notified of each cell by itself, so that a slow release
+// delays no other cell's takeover.
+Task<void>
+CellService::ReleaseCell(std::shared_ptr<CellRuntime> aRuntime,
+                         TimePoint aDeadline)
+{
+  co_await aRuntime->Stop(aDeadline);
+  if (!aRuntime->Lost()) {
+    mRelay->Broadcast("released", Json());
+  }
+  mOwners->Refresh();
+  mReleasing.erase(aRuntime);
+  mDrainProgress.NotifyAll();
 }
 
 std::shared_ptr<CellRuntime>
@@ -123,16 +163,12 @@
   Clock& clock = mKernel.GetClock();
   while (!mStopping) {
     if (auto config = mDirectory->Config()) {
-      std::set<std::string_view> pools;
-      for (const QueueConfig& queue : config->mQueues) {
-        pools.insert(queue.mPool);
-      }
+      std::set<std::string_view> pools = PoolsWithJobs(*config);
       std::vector<std::string_view> order(pools.begin(), pools.end());
       std::sort(order.begin(), order.end(), [&](auto aLeft, auto aRight) {
         return ClaimOrder(aLeft) < ClaimOrder(aRight);
       });
       for (std::string_view pool : order) {
-        mOwners->Watch(pool);
         MaybeTakeOver(pool);
         MaybeRequestHandoff(pool);
       }
@@ -146,17 +182,30 @@
     for (std::shared_ptr<CellRuntime>& runtime : lost) {
       mOwned.erase(runtime->Pool());
       mOwners->Refresh();
-      mTasks.Spawn("retire", StopLostCell(std::move(runtime)));
+      BeginRelease(std::move(runtime), clock.Now() + kOwnerLeaseDuration);
     }
     TimePoint deadline = clock.Now() + kCheckInterval;
     co_await WaitUntil(mOwners->Changed(), clock, deadline);
   }
 }
 
-Task<void>
-CellService::StopLostCell(std::shared_ptr<CellRuntime> aRuntime)
+// Pools that queues send their jobs to, and pools that have had an owner: the
+// jobs of a queue that moved remain in the cell that accepted them.
+std::set<std::string_view>
+CellService::PoolsWithJobs(const WorkloadConfig& aConfig)
 {
-  co_await aRuntime->Stop(false);
+  std::set<std::string_view> pools;
+  for (const QueueConfig& queue : aConfig.mQueues) {
+    mOwners->Watch(queue.mPool);
+    pools.insert(queue.mPool);
+  }
+  for (const WorkerPoolConfig& pool : aConfig.mPools) {
+    mOwners->Watch(pool.mName);
+    if (mOwners->LastSeen(pool.mName) != nullptr) {
+      pools.insert(pool.mName);
+    }
+  }
+  return pools;
 }
 
 // Each node claims the cells in its own order, with longer delays for later
@@ -191,7 +240,7 @@
     sighting == nullptr ||
     EvaluateOwnership(*sighting, mOwners->Self(), now) == OwnershipState::Free;
   if (free) {
-    mTasks.Spawn("take over", TakeOver(std::string(aPool)));
+    mTakeovers.Spawn("take over", TakeOver(std::string(aPool)));
     mPendingTakeovers.emplace(std::string(aPool), true);
   }
 }
@@ -249,34 +298,40 @@
   std::shared_ptr<CellRuntime> runtime = Find(std::get<0>(pool));
   if (runtime && runtime->Loaded()) {
     mOwned.erase(std::get<0>(pool));
-    mTasks.Spawn("hand over", HandOff(std::move(runtime)));
+    LogInfo(
+      kPart, "cell={} released for handoff to a larger node", runtime->Pool());
+    TimePoint deadline = mKernel.GetClock().Now() + kOwnerLeaseDuration;
+    BeginRelease(std::move(runtime), deadline);
   }
   co_return Json();
 }
 
 Task<void>
-CellService::HandOff(std::shared_ptr<CellRuntime> aRuntime)
+CellService::TakeOver(std::string aPool)
 {
-  LogInfo(
-    kPart, "cell={} released for handoff to a larger node", aRuntime->Pool());
-  co_await aRuntime->Stop(true);
-  mRelay->Broadcast("released", Json());
-  mOwners->Refresh();
+  Clock& clock = mKernel.GetClock();
+  TimePoint claimAt = clock.Now() + ClaimDelayWithJitter();
+  while (!mStopping && clock.Now() < claimAt) {
+    co_await WaitUntil(mDrainProgress, clock, claimAt);
+  }
+  if (!mStopping) {
+    co_await ClaimFreeCell(aPool);
+  }
+  mPendingTakeovers.erase(aPool);
+  mDrainProgress.NotifyAll();
 }
 
 // Claims the cell on condition that its row hasn't changed since it was found
 // to be free.
 Task<void>
-CellService::TakeOver(std::string aPool)
+CellService::ClaimFreeCell(std::string aPool)
 {
   Clock& clock = mKernel.GetClock();
-  co_await clock.Sleep(ClaimDelayWithJitter());
   const OwnerObservation* sighting = mOwners->LastSeen(aPool);
   bool free = sighting == nullptr ||
               EvaluateOwnership(*sighting, mOwners->Self(), clock.Now()) ==
                 OwnershipState::Free;
-  if (!free || mStopping) {
-    mPendingTakeovers.erase(aPool);
+  if (!free) {
     co_return;
   }
   std::optional<OwnerObservation> before;
@@ -289,14 +344,39 @@
   if (seen) {
     mOwners->ObserveRow(aPool, seen->mRow, seen->mRevision);
   }
-  if (claim && !mStopping) {
-    mOwners->ObserveRow(aPool, claim->mRow, claim->mRevision);
-    auto runtime = std::make_shared<CellRuntime>(
-      mKernel, mPorts, *mDirectory, aPool, mTimes, std::move(*claim));
-    mOwned.insert_or_assign(aPool, runtime);
-    runtime->Start();
+  if (!claim) {
+    co_return;
+  }
+  mOwners->ObserveRow(aPool, claim->mRow, claim->mRevision);
+  if (mStopping) {
+    co_await ReleaseClaim(std::move(aPool), std::move(*claim));
+    co_return;
   }
-  mPendingTakeovers.erase(aPool);
+  auto runtime = std::make_shared<CellRuntime>(
+    mKernel, mPorts, *mDirectory, aPool, mTimes, std::move(*claim));
+  mOwned.insert_or_assign(aPool, runtime);
+  runtime->Start();
+}
+
+// Releases a cell whose claim succeeded after the drain had begun.
+Task<void>
+CellService::ReleaseClaim(std::string aPool, ClaimResult aClaim)
+{
+  CellLease lease(mKernel,
+                  *mPorts.mStore,
+                  aPool,
+                  std::move(aClaim.mRow),
+                  aClaim.mRevision,
+                  aClaim.mSentAt);
+  ConditionalCommit nothing;
+  bool released =
+    co_await lease.Commit(std::move(nothing), true, mDrainDeadline);
+  LogInfo(kPart,
+          "cell={} claimed while stopping released={}",
+          aPool,
+          released ? 1 : 0);
+  mRelay->Broadcast("released", Json());
+  mOwners->Refresh();
 }
 
 } // namespace buckthornshunt
