Drain the callers' server, and end the fleet's drain by its deadline

Joins the entry's drain with HttpServer::Drain: a connection that holds a request, in whole or in part, is no longer closed when the listener closes; connections are accepted while the balancer still sends them; what still runs at the end is answered. The fleet's drain waited for a claim without a bound of its own.

--- a/src/services/entry_service.cpp
+++ b/src/services/entry_service.cpp
@@ -37,6 +37,8 @@
 /// The load balancer checks once a second and needs two failed checks; with a
 /// margin, it opens no new connections after this delay.
 constexpr Duration kBalancerDrainDelay = std::chrono::milliseconds(2600);
+/// Part of a drain in which no more calls run and the last connections close.
+constexpr Duration kCloseReserve = std::chrono::milliseconds(600);
 
 const std::string&
 QueueName(const CallerCall& aCall)
@@ -130,16 +132,14 @@
 Task<void>
 EntryService::Drain(TimePoint aDeadline)
 {
-  Clock& clock = mKernel.GetClock();
-  TimePoint stopAccepting =
-    std::min(clock.Now() + kBalancerDrainDelay, aDeadline - kOwnerCallTimeout);
-  co_await clock.SleepUntil(stopAccepting);
+  TimePoint stopAccepting = mKernel.GetClock().Now() + kBalancerDrainDelay;
+  HttpReply deadlineReply = platform::EncodeCallerReply(CallOutcomeUnknown{});
+  co_await mCallers->Drain(
+    stopAccepting, aDeadline - kCloseReserve, std::move(deadlineReply));
   LogInfo(kPart,
-          "closing the listener stop_ms={} connections={}",
+          "drained stop_ms={} dropped={}",
           ToMillis(mKernel.TimeSinceStopRequest().value_or(Duration{})),
-          mCallers->Connections());
-  mCallers->StopAccepting();
-  co_await mCallers->Drained();
+          mCallers->DroppedRequests());
 }
 
 Task<void>
@@ -147,10 +147,6 @@
 {
   mCallers->Abort();
   co_await mCallers->Drained();
-  LogInfo(kPart,
-          "drained stop_ms={} dropped={}",
-          ToMillis(mKernel.TimeSinceStopRequest().value_or(Duration{})),
-          mCallers->DroppedRequests());
   mReady->Abort();
   mMetrics->Abort();
   co_await mReady->Drained();
@@ -247,7 +243,8 @@
 EntryService::AnswerDeadline() const
 {
   auto drainDeadline = mKernel.DrainDeadline();
-  return drainDeadline ? *drainDeadline - kAnswerMargin : TimePoint::max();
+  return drainDeadline ? *drainDeadline - kCloseReserve - kAnswerMargin
+                       : TimePoint::max();
 }
 
 // Makes one call to the cell's current owner.
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -78,11 +78,13 @@
   return {};
 }
 
-// WatchOwner releases the cell. It isn't cancelled, since a cancelled claim may
-// have taken effect, and nobody would release the cell then.
+// WatchOwner releases the cell. It isn't cancelled before the deadline, since a
+// cancelled claim may have taken effect, and nobody would release the cell
+// then.
 Task<void>
-FleetService::Drain(TimePoint)
+FleetService::Drain(TimePoint aDeadline)
 {
+  Watchdog watchdog(mClock, aDeadline, [this] { mTasks.CancelAll(); });
   mPersisted.NotifyAll();
   co_await mTasks.Join();
 }
