Wait for joined tasks also when the join is cancelled

Callers saw a process that ended while it stopped, with all its open connections at the same moment: glibc's "double free or corruption", or a crash in a later handler.

Cause: TaskGroup::Join waits in a loop. A cancellation ended the wait, and the next co_await of the loop threw. The joining coroutine then unwound and destroyed the owner of the group, while the group's tasks were still suspended. The signals of these tasks went with the group, so a task that was resumed later cleared a slot in freed memory, which frees the handler in it a second time; its own object was gone, too. CellService::Stop can do this to a cell that is being handed over or retired, in CellRuntime::Stop.

Evidence: the new test, before the change, under the address sanitizer: ERROR: AddressSanitizer: heap-use-after-free READ of size 8 in boost::asio::cancellation_slot::clear() freed by boost::asio::cancellation_signal::~cancellation_signal()

Join now keeps waiting when its caller is cancelled, and restores the caller's setting afterwards, so that the caller's next co_await throws as before. Whatever owns a group can no longer be destroyed by a coroutine that joins it before the tasks have ended.

--- a/src/kernel/task.cpp
+++ b/src/kernel/task.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
 
@@ -110,12 +111,17 @@
   }
 }
 
+// Ignores the cancellation of its caller: the tasks refer to objects that the
+// caller may destroy once this returns or throws.
 Task<void>
 TaskGroup::Join()
 {
+  bool throws = co_await asio::this_coro::throw_if_cancelled();
+  co_await asio::this_coro::throw_if_cancelled(false);
   while (!mRunning.empty()) {
     co_await mChanged.Wait();
   }
+  co_await asio::this_coro::throw_if_cancelled(throws);
 }
 
 } // namespace buckthornshunt
--- a/src/kernel/task.h
+++ b/src/kernel/task.h
@@ -58,7 +58,7 @@
   /// Requests cancellation of all running coroutines.
   void CancelAll();
 
-  /// Returns once no coroutine is running.
+  /// Returns once no coroutine is running, also if the caller is cancelled.
   Task<void> Join();
 
   std::size_t Size() const { return mRunning.size(); }
--- /dev/null
+++ b/tests/task_test.cpp
@@ -0,0 +1,72 @@
+// Groups of coroutines: cancellation and waiting for their end.
+
+#include "kernel/clock.h"
+#include "kernel/task.h"
+
+#include <boost/asio/this_coro.hpp>
+#include <doctest/doctest.h>
+
+#include <memory>
+
+using namespace buckthornshunt;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// Owns a task that takes a second to end after it is cancelled.
+class SlowOwner
+{
+public:
+  SlowOwner(asio::io_context& aContext, Clock& aClock, bool& aTaskEnded)
+    : mClock(aClock)
+    , mTaskEnded(aTaskEnded)
+    , mTasks(aContext)
+  {
+    mTasks.Spawn("slow", Run());
+  }
+
+  Task<void> Stop()
+  {
+    mTasks.CancelAll();
+    co_await mTasks.Join();
+  }
+
+private:
+  Task<void> Run()
+  {
+    co_await asio::this_coro::throw_if_cancelled(false);
+    co_await mClock.Sleep(1s);
+    mTaskEnded = true;
+  }
+
+  Clock& mClock;
+  bool& mTaskEnded;
+  TaskGroup mTasks;
+};
+
+Task<void>
+StopAndDestroy(std::unique_ptr<SlowOwner> aOwner)
+{
+  co_await aOwner->Stop();
+}
+
+} // namespace
+
+TEST_CASE("a join that is cancelled waits until its tasks have ended")
+{
+  asio::io_context context(1);
+  ManualClock manual(context);
+  Clock clock(context, manual);
+  bool taskEnded = false;
+  TaskGroup group(context);
+  auto owner = std::make_unique<SlowOwner>(context, clock, taskEnded);
+  group.Spawn("stop", StopAndDestroy(std::move(owner)));
+  manual.Advance(100ms);
+  group.CancelAll();
+  manual.Advance(100ms);
+  CHECK_FALSE(taskEnded);
+  CHECK(group.Size() == 1);
+  manual.Advance(1s);
+  CHECK(taskEnded);
+  CHECK(group.Size() == 0);
+}
