--- a/src/kernel/task.cpp
+++ b/src/kernel/task.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/system/system_error.hpp>
 
@@ -56,14 +57,12 @@
   }
 }
 
-// A cancelled coroutine runs on to its next suspension. Whatever it spawned
-// there would miss the cancellation, and Join would wait for it for ever.
+// A cancelled coroutine whose operation has completed runs on to its next
+// suspension. What it spawns until then must be cancelled too, or Join would
+// wait for it for ever.
 void
 TaskGroup::Spawn(std::string_view aName, Task<void> aTask)
 {
-  if (mCancelling) {
-    return;
-  }
   std::uint64_t id = mNextId++;
   auto signal = std::make_shared<asio::cancellation_signal>();
   mRunning.emplace(id, signal);
@@ -73,6 +72,9 @@
   asio::co_spawn(mContext,
                  std::move(aTask),
                  asio::bind_cancellation_slot(signal->slot(), std::move(done)));
+  if (mCancelled) {
+    Cancel(signal);
+  }
 }
 
 // A cancelled coroutine normally ends with operation_aborted. Any other
@@ -105,24 +107,35 @@
 // Asio may deliver a cancellation later through the executor, when the task and
 // its entry no longer exist; the posted handler keeps the signal alive until
 // then.
+void
+TaskGroup::Cancel(const SignalPtr& aSignal)
+{
+  aSignal->emit(asio::cancellation_type::terminal);
+  asio::post(mContext, [held = aSignal] {});
+}
+
 void
 TaskGroup::CancelAll()
 {
-  mCancelling = true;
+  mCancelled = true;
   auto running = mRunning;
-  for (auto& [id, signal] : running) {
-    signal->emit(asio::cancellation_type::terminal);
-    asio::post(mContext, [held = signal] {});
+  for (const auto& [id, signal] : running) {
+    Cancel(signal);
   }
 }
 
+// Ignores the cancellation of its caller: the tasks refer to objects that the
+// caller may destroy once this returns or throws.
 Task<void>
 TaskGroup::Join()
 {
+  bool throws = co_await asio::this_coro::throw_if_cancelled();
+  co_await asio::this_coro::throw_if_cancelled(false);
   while (!mRunning.empty()) {
     co_await mChanged.Wait();
   }
-  mCancelling = false;
+  mCancelled = false;
+  co_await asio::this_coro::throw_if_cancelled(throws);
 }
 
 } // namespace buckthornshunt
--- a/src/kernel/task.h
+++ b/src/kernel/task.h
@@ -52,21 +52,23 @@
   TaskGroup(const TaskGroup&) = delete;
   TaskGroup& operator=(const TaskGroup&) = delete;
 
-  /// Starts a coroutine, unless the group is being cancelled. aName must be a
-  /// string literal, since it isn't copied.
+  /// Starts a coroutine. aName must be a string literal, since it isn't copied.
   void Spawn(std::string_view aName, Task<void> aTask);
 
-  /// Requests cancellation of all running coroutines. No others start until
-  /// they have ended and Join has returned.
+  /// Requests cancellation of all running coroutines, and of those spawned
+  /// before Join returns.
   void CancelAll();
 
-  /// Returns once no coroutine is running.
+  /// Returns once no coroutine is running, also if the caller is cancelled.
   Task<void> Join();
 
   std::size_t Size() const { return mRunning.size(); }
   asio::io_context& Context() { return mContext; }
 
 private:
+  using SignalPtr = std::shared_ptr<asio::cancellation_signal>;
+
+  void Cancel(const SignalPtr& aSignal);
   void Finish(std::uint64_t aId,
               std::string_view aName,
               const std::exception_ptr& aError);
@@ -74,9 +76,9 @@
   asio::io_context& mContext;
   Registry* mRegistry;
   Event mChanged;
-  bool mCancelling = false;
+  bool mCancelled = false;
   std::uint64_t mNextId = 0;
-  std::map<std::uint64_t, std::shared_ptr<asio::cancellation_signal>> mRunning;
+  std::map<std::uint64_t, SignalPtr> mRunning;
 };
 
 } // namespace buckthornshunt
