Reject CBOR that overflows the stack and text that isn't UTF-8

A row or a message of another node that consists of nested CBOR strings of indefinite length ended the process: the library's reader recurses into the chunks of such strings, which the limit on nesting doesn't see, and overflows the stack. A stored row did so at each start again. Text that isn't UTF-8 was accepted from CBOR, and an order that carries it can't be written as JSON: the library throws, and an exception of a task terminates the process.

Evidence, before this change: nested CBOR strings overflow the stack of the reader test case CRASHED: SIGSEGV, binary_reader.hpp:2888 in unexpect_eof text that isn't UTF-8 ends the process when it is sent as JSON ERROR: CHECK_FALSE( Ok(Decode([&] { return DecodeStoredJob("j", ToCbor(job)); })) ) A container that declares a huge size was rejected before as well; its test is a guard.

The heads of all items are now checked in one pass without recursion before the library reads the bytes. Encoders never write strings of indefinite length. Strings and keys must be UTF-8, and so must the header fields of callers that are stored or passed on.

--- a/src/wire/api_codec.cpp
+++ b/src/wire/api_codec.cpp
@@ -28,6 +28,9 @@
   if (aText.size() > aMaxBytes) {
     return Fail(MessageFailure{ MessageFault::TooLarge, aField });
   }
+  if (!IsUtf8(aText)) {
+    return Fail(MessageFailure{ MessageFault::Malformed, aField });
+  }
   return std::string(aText);
 }
 
--- a/src/wire/json_fields.cpp
+++ b/src/wire/json_fields.cpp
@@ -2,12 +2,68 @@
 
 #include "wire/json_sax.h"
 
+#include <websocketpp/utf8_validator.hpp>
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
 namespace buckthornshunt {
 
 namespace {
 
+// Heads of CBOR items: the major type and the kind of its argument.
+constexpr unsigned kMajorTypeShift = 5;
+constexpr unsigned kArgumentMask = 0x1f;
+constexpr unsigned kFirstSizedArgument = 24;
+constexpr unsigned kReservedArgument = 28;
+constexpr unsigned kIndefiniteLength = 31;
+constexpr unsigned kByteString = 2;
+constexpr unsigned kMap = 5;
+constexpr unsigned kBitsPerByte = 8;
+
+// Checks what the library's CBOR reader doesn't guard against: it recurses into
+// the chunks of strings of indefinite length, which the encoder never writes,
+// and throws an exception for a container that declares an impossible size.
+bool
+IsSafeCbor(std::string_view aBytes)
+{
+  std::size_t at = 0;
+  while (at < aBytes.size()) {
+    unsigned head = static_cast<unsigned char>(aBytes[at++]);
+    unsigned type = head >> kMajorTypeShift;
+    unsigned kind = head & kArgumentMask;
+    bool isString = type == kByteString || type == kByteString + 1;
+    if (kind >= kReservedArgument) {
+      if (kind == kIndefiniteLength && isString) {
+        return false;
+      }
+      continue;
+    }
+    std::uint64_t argument = kind;
+    if (kind >= kFirstSizedArgument) {
+      std::size_t size = std::size_t{ 1 } << (kind - kFirstSizedArgument);
+      if (size > aBytes.size() - at) {
+        return false;
+      }
+      argument = 0;
+      for (unsigned char byte : aBytes.substr(at, size)) {
+        argument = (argument << kBitsPerByte) | byte;
+      }
+      at += size;
+    }
+    bool hasSize = type >= kByteString && type <= kMap;
+    if (hasSize && argument > aBytes.size() - at) {
+      return false;
+    }
+    at += isString ? argument : 0;
+  }
+  return true;
+}
+
 /// Builds a document and stops the parser beyond kMaxJsonDepth, since deep
-/// nesting can overflow the stack of the library's recursive CBOR reader.
+/// nesting can overflow the stack of the library's recursive CBOR reader. Text
+/// must be UTF-8, without which it can't be written as JSON again.
 class DepthLimitedBuilder : public nlohmann::detail::json_sax_dom_parser<Json>
 {
   using Builder = nlohmann::detail::json_sax_dom_parser<Json>;
@@ -28,6 +84,11 @@
     return Enter() && Builder::start_array(aSize);
   }
   bool end_array() { return Leave() && Builder::end_array(); }
+  bool string(std::string& aText)
+  {
+    return IsUtf8(aText) && Builder::string(aText);
+  }
+  bool key(std::string& aText) { return IsUtf8(aText) && Builder::key(aText); }
 
 private:
   bool Enter() { return ++mDepth <= kMaxJsonDepth; }
@@ -70,9 +131,19 @@
   return Parse(aText, Json::input_format_t::json);
 }
 
+bool
+IsUtf8(std::string_view aText)
+{
+  websocketpp::utf8_validator::validator validator;
+  return validator.decode(aText.begin(), aText.end()) && validator.complete();
+}
+
 leaf::result<Json>
 ParseCbor(std::string_view aBytes)
 {
+  if (!IsSafeCbor(aBytes)) {
+    return Fail(MessageFailure{ MessageFault::Malformed, {} });
+  }
   return Parse(aBytes, Json::input_format_t::cbor);
 }
 
--- a/src/wire/json_fields.h
+++ b/src/wire/json_fields.h
@@ -49,7 +49,11 @@
 leaf::result<Json>
 ParseJson(std::string_view aText);
 
-/// Parses CBOR bytes; fails like ParseJson.
+/// True if the text is well-formed UTF-8.
+bool
+IsUtf8(std::string_view aText);
+
+/// Parses CBOR bytes; fails like ParseJson, and for strings that are not UTF-8.
 leaf::result<Json>
 ParseCbor(std::string_view aBytes);
 
