Check the ports of owner rows and of the worker set

Ports were cut to 16 bits: a node with 65616 in its owner row was called at port 80. A negative port in one entry of the stored worker set failed the whole set, and the next owner of the cell then waited for no earlier worker, so that tasks could start a second time.

One decoder for endpoints now checks the range. An owner row with a bad port is rejected as a whole. An entry of the worker set that can't be read stays in the set without what can't be read: its runs count as unknown until their lease has expired.

--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -1,5 +1,12 @@
 #include "wire/cell_codec.h"
 
+#include "wire/endpoint_codec.h"
+
+#include <algorithm>
+#include <limits>
+#include <set>
+#include <tuple>
+
 namespace buckthornshunt {
 
 namespace {
@@ -250,9 +257,9 @@
   BOOST_LEAF_AUTO(json, ParseCbor(aBytes));
   OwnerRow row;
   BOOST_LEAF_ASSIGN(row.mNode, ReadString(json, "n"));
-  BOOST_LEAF_ASSIGN(row.mPeerEndpoint.mHost, ReadString(json, "h"));
-  BOOST_LEAF_AUTO(port, ReadUnsigned(json, "p"));
-  row.mPeerEndpoint.mPort = static_cast<std::uint16_t>(port);
+  BOOST_LEAF_AUTO(host, Member(json, "h"));
+  BOOST_LEAF_AUTO(port, Member(json, "p"));
+  BOOST_LEAF_ASSIGN(row.mPeerEndpoint, RemoteEndpointFromParts(*host, *port));
   BOOST_LEAF_AUTO(incarnation, ReadUnsigned(json, "i"));
   row.mIncarnation = Incarnation(incarnation);
   BOOST_LEAF_AUTO(term, ReadUnsigned(json, "t"));
@@ -296,19 +303,36 @@
     return Fail(MessageFailure{ MessageFault::WrongType, {} });
   }
   for (const Json& at : json) {
-    // Rows written by the previous version lack the VM.
-    bool hasVm = at.is_array() && at.size() == 4 && at[3].is_string();
-    bool ok = at.is_array() && (at.size() == 3 || hasVm) && at[0].is_string() &&
-              at[1].is_string() && at[2].is_number_unsigned();
-    if (!ok) {
-      return Fail(MessageFailure{ MessageFault::WrongType, {} });
-    }
-    Endpoint endpoint{ at[1].get<std::string>(), at[2].get<std::uint16_t>() };
-    workers.push_back({ at[0].get<std::string>(),
-                        std::move(endpoint),
-                        hasVm ? at[3].get<std::string>() : std::string() });
+    workers.push_back(WorkerFromJson(at));
   }
   return workers;
 }
 
 } // namespace buckthornshunt
+namespace {
+
+// An earlier owner's runs may still exist on a worker whose entry is malformed.
+// The entry is kept without what can't be read, so that tasks wait until that
+// worker's leases have expired.
+WorkerAddress
+WorkerFromJson(const Json& aJson)
+{
+  WorkerAddress worker;
+  if (!aJson.is_array() || aJson.empty() || !aJson[0].is_string()) {
+    return worker;
+  }
+  worker.mId = aJson[0].get<std::string>();
+  // Rows written by the previous version lack the VM.
+  if (aJson.size() >= 4 && aJson[3].is_string()) {
+    worker.mVm = aJson[3].get<std::string>();
+  }
+  if (aJson.size() >= 3) {
+    worker.mEndpoint = leaf::try_handle_all(
+      [&] { return RemoteEndpointFromParts(aJson[1], aJson[2]); },
+      [] { return Endpoint{}; });
+  }
+  return worker;
+}
+
+} // namespace
+
--- a/src/wire/cell_codec.h
+++ b/src/wire/cell_codec.h
@@ -43,5 +43,7 @@
 JobSpecFromJson(const Json& aJson);
 
 } // namespace buckthornshunt
+/// A malformed entry names a worker without an endpoint, and without an id if
+/// that can't be read.
 
 #endif
--- a/src/wire/row_codec.cpp
+++ b/src/wire/row_codec.cpp
@@ -1,7 +1,5 @@
 #include "wire/row_codec.h"
 
-#include <charconv>
-
 namespace buckthornshunt {
 
 namespace {
@@ -367,37 +365,4 @@
   return batch;
 }
 
-Json
-EndpointToJson(const Endpoint& aEndpoint)
-{
-  return ToString(aEndpoint);
-}
-
-leaf::result<Endpoint>
-EndpointFromJson(const Json& aJson)
-{
-  if (!aJson.is_string()) {
-    return Fail(MessageFailure{ MessageFault::WrongType, "endpoint" });
-  }
-  return ParseEndpoint(aJson.get_ref<const std::string&>());
-}
-
-leaf::result<Endpoint>
-ParseEndpoint(std::string_view aText)
-{
-  std::size_t colon = aText.rfind(':');
-  if (colon == std::string_view::npos || colon == 0) {
-    return Fail(MessageFailure{ MessageFault::Malformed, "endpoint" });
-  }
-  Endpoint endpoint;
-  endpoint.mHost = aText.substr(0, colon);
-  std::string_view port = aText.substr(colon + 1);
-  const char* end = port.data() + port.size();
-  auto [at, ec] = std::from_chars(port.data(), end, endpoint.mPort);
-  if (ec != std::errc{} || at != end) {
-    return Fail(MessageFailure{ MessageFault::Malformed, "endpoint" });
-  }
-  return endpoint;
-}
-
 } // namespace buckthornshunt
--- a/src/wire/row_codec.h
+++ b/src/wire/row_codec.h
@@ -5,6 +5,7 @@
 #include "decide/ownership.h"
 #include "decide/table_replica.h"
 #include "decide/wave.h"
+#include "wire/endpoint_codec.h"
 #include "wire/json_fields.h"
 
 #include <string>
@@ -116,15 +117,6 @@
 leaf::result<RowBatch>
 BatchFromJson(const Json& aJson);
 
-Json
-EndpointToJson(const Endpoint& aEndpoint);
-leaf::result<Endpoint>
-EndpointFromJson(const Json& aJson);
-
-/// Parses "host:port"; fails with MessageFailure.
-leaf::result<Endpoint>
-ParseEndpoint(std::string_view aText);
-
 } // namespace buckthornshunt
 
 #endif
--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -24,6 +24,9 @@
 
 constexpr std::size_t kDeepNesting = 100'000;
 
+constexpr std::uint64_t kMaxUnsigned =
+  std::numeric_limits<std::uint64_t>::max();
+
 template<class Read>
 auto
 Decode(Read aRead)
@@ -47,6 +50,33 @@
            { "a", 1700000000000 } };
 }
 
+Json
+OwnerJson()
+{
+  return { { "n", "node" }, { "h", "10.0.0.1" },
+           { "p", 7U },     { "i", 5U },
+           { "t", 2U },     { "s", 9U },
+           { "r", false },  { "x", Json::array({ "w" }) },
+           { "d", 110 } };
+}
+
+Json
+WorkerJson()
+{
+  return { { "service", "p" },
+           { "address", "10.0.0.9:8080" },
+           { "zone", "a" },
+           { "version", "v1" },
+           { "slots", 8 },
+           { "state", "ready" },
+           { "capacity", { { "cpu", 16000 }, { "mem_mb", 32768 } } },
+           { "labels", Json::array({ "k", "r1" }) },
+           { "machine", "m1" },
+           { "born", 1700000000000 },
+           { "remaining_ms", 1500 },
+           { "seq", 4 } };
+}
+
 } // namespace
 
 TEST_CASE("nested CBOR strings overflow the stack of the reader")
@@ -87,3 +117,36 @@
   CHECK_FALSE(
     Ok(Decode([&] { return buckthornshunt::DecodeCallerRequest(request); })));
 }
+
+TEST_CASE("a port out of range is cut to 16 bits")
+{
+  for (const Json& port :
+       { Json(65536U + 80U), Json(kMaxUnsigned), Json(-1), Json(0U) }) {
+    Json owner = OwnerJson();
+    owner["p"] = port;
+    CHECK_FALSE(Ok(Decode([&] { return DecodeOwnerRow(ToCbor(owner)); })));
+    Json workers = Json::array({ Json::array({ "w", "10.0.0.1", port, "vm" }),
+                                 Json::array({ "x", "10.0.0.2", 7, "vm" }) });
+    auto read = Decode([&] { return DecodeWorkerSet(ToCbor(workers)); });
+    REQUIRE(Ok(read));
+    // A worker that can't be reached may still run something.
+    REQUIRE(std::get<0>(read).size() == 2);
+    CHECK(std::get<0>(read)[0].mId == "w");
+    CHECK(std::get<0>(read)[0].mEndpoint == Endpoint{});
+    CHECK(std::get<0>(read)[1].mEndpoint == Endpoint{ "10.0.0.2", 7 });
+  }
+  for (const char* address : { "10.0.0.9:65536",
+                               "10.0.0.9:-1",
+                               "10.0.0.9:0",
+                               "10.0.0.9:99999999999999999999",
+                               "10.0.0.9:80x",
+                               "10.0.0.9:",
+                               "10.0.0.9",
+                               ":80",
+                               "" }) {
+    Json worker = WorkerJson();
+    worker["address"] = address;
+    CHECK_FALSE(
+      Ok(Decode([&] { return DecodeWorkerReport("w", worker.dump()); })));
+  }
+}
