Bound the numbers of rows, messages and requests

Numbers were taken as they came and overflowed later: durations in milliseconds when converted to nanoseconds, resources in the sums of a pool, a number of tasks that no memory holds, demand that is infinite or not a number in the fleet's plan.

Each number has a range within which the arithmetic on it can't overflow. The limits of a job are checked by one function for requests, relayed calls and stored rows, so that what is accepted can be read back. A pool's report, a sync and a job's progress are still read whole or not at all; the comments give the reason for each.

--- a/src/services/relay_service.cpp
+++ b/src/services/relay_service.cpp
@@ -2,6 +2,7 @@
 
 #include "kernel/log.h"
 #include "kernel/wait.h"
+#include "wire/relay_codec.h"
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -23,11 +24,6 @@
 /// dead: a busy node answers some call within a few hundred milliseconds.
 constexpr Duration kSilenceTimeout = std::chrono::milliseconds(700);
 
-// Calls are [number, kind, timeout in ms, body]; answers are [number, body].
-// Calls with number 0 get no answer.
-constexpr std::size_t kCallFields = 4;
-constexpr std::size_t kReplyFields = 2;
-
 } // namespace
 
 RelayService::RelayService(Kernel& aKernel, Endpoint aListen)
@@ -36,6 +32,7 @@
   , mTasks(aKernel.Context(), &aKernel.Groups())
   , mAcceptor(aKernel.Context())
   , mConnector(TcpConnector{})
+  , mMalformed(aKernel.GetMetrics(), kPart)
 {
 }
 
@@ -123,29 +120,21 @@
 Task<void>
 RelayService::HandleCall(LinkPtr aLink, std::string aMessage)
 {
-  auto call = ToExpected<Json>([&] { return ParseCbor(aMessage); });
-  if (!Ok(call)) {
-    LogWarn(
-      kPart, "malformed call ignored: {}", Describe(std::get<Failure>(call)));
+  auto decoded = ToExpected<LinkCall>([&] { return DecodeLinkCall(aMessage); });
+  if (!Ok(decoded)) {
+    mMalformed.Record("calls", "", Describe(std::get<Failure>(decoded)));
     co_return;
   }
-  Json fields = std::get<Json>(std::move(call));
-  bool valid = fields.is_array() && fields.size() == kCallFields &&
-               fields[0].is_number_unsigned() && fields[1].is_string() &&
-               fields[2].is_number_integer();
-  auto handler =
-    valid ? mHandlers.find(fields[1].get<std::string>()) : mHandlers.end();
+  LinkCall call = std::get<LinkCall>(std::move(decoded));
+  auto handler = mHandlers.find(call.mKind);
   if (handler == mHandlers.end()) {
-    LogWarn(kPart, "call of invalid shape or unknown kind ignored");
+    mMalformed.Record("calls", call.mKind, "unknown kind");
     co_return;
   }
-  auto number = fields[0].get<std::uint64_t>();
-  TimePoint deadline = mKernel.GetClock().Now() +
-                       std::chrono::milliseconds(fields[2].get<std::int64_t>());
-  Json body = std::move(fields[3]);
-  Json reply = co_await handler->second(std::move(body), deadline);
-  if (number != 0 && !aLink->mFailed) {
-    Json message = Json::array({ number, std::move(reply) });
+  TimePoint deadline = mKernel.GetClock().Now() + call.mTimeLeft;
+  Json reply = co_await handler->second(std::move(call.mBody), deadline);
+  if (call.mNumber != 0 && !aLink->mFailed) {
+    Json message = Json::array({ call.mNumber, std::move(reply) });
     Send(*aLink, message);
   }
 }
@@ -222,18 +211,16 @@
 {
   auto parsed = ToExpected<Json>([&] { return ParseCbor(aMessage); });
   if (!Ok(parsed)) {
-    LogWarn(kPart,
-            "malformed answer ignored: {}",
-            Describe(std::get<Failure>(parsed)));
+    mMalformed.Record("answers", "", Describe(std::get<Failure>(parsed)));
     return;
   }
   Json reply = std::get<Json>(std::move(parsed));
-  if (reply.is_array() && reply.size() == kCallFields) {
+  if (reply.is_array() && reply.size() == kLinkCallFields) {
     // A broadcast of the called node.
     mTasks.Spawn("told", HandleCall(aOut.mLink, std::string(aMessage)));
     return;
   }
-  bool valid = reply.is_array() && reply.size() == kReplyFields &&
+  bool valid = reply.is_array() && reply.size() == kLinkReplyFields &&
                reply[0].is_number_unsigned();
   auto it =
     valid ? aOut.mCalls.find(reply[0].get<std::uint64_t>()) : aOut.mCalls.end();
--- a/src/services/relay_service.h
+++ b/src/services/relay_service.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNSHUNT_SERVICES_RELAY_SERVICE_H
 #define BUCKTHORNSHUNT_SERVICES_RELAY_SERVICE_H
 
+#include "kernel/entry_log.h"
 #include "kernel/kernel.h"
 #include "ports/peer_link.h"
 #include "wire/json_fields.h"
@@ -108,6 +109,7 @@
   std::map<Endpoint, OutgoingPtr> mOutgoing;
   std::set<LinkPtr> mIncoming;
   std::uint64_t mNextCall = 1;
+  MalformedEntryLog mMalformed;
 };
 
 } // namespace buckthornshunt
--- a/src/wire/api_codec.cpp
+++ b/src/wire/api_codec.cpp
@@ -18,7 +18,7 @@
 
 constexpr std::size_t kMaxNameBytes = 128;
 constexpr std::size_t kMaxKeyBytes = 256;
-constexpr std::int64_t kMaxMillis = 7LL * 24 * 3600 * 1000;
+constexpr std::int64_t kMaxHeaderMillis = 7LL * 24 * 3600 * 1000;
 
 leaf::result<std::string>
 ReadBoundedText(std::string_view aText,
@@ -51,7 +51,7 @@
     return Duration::zero();
   }
   std::int64_t millis = 0;
-  if (!ParseMillis(text, millis) || millis <= 0 || millis > kMaxMillis) {
+  if (!ParseMillis(text, millis) || millis <= 0 || millis > kMaxHeaderMillis) {
     return Fail(MessageFailure{ MessageFault::WrongType, std::string(aField) });
   }
   return Duration(std::chrono::milliseconds(millis));
@@ -180,8 +180,7 @@
   if (!ParseNotRunReason(reason, outcome.mReason)) {
     return Fail(MessageFailure{ MessageFault::WrongType, "reason" });
   }
-  BOOST_LEAF_AUTO(after, ReadSigned(json, "retry_after_ms"));
-  outcome.mRetryAfter = std::chrono::milliseconds(after);
+  BOOST_LEAF_ASSIGN(outcome.mRetryAfter, ReadMillis(json, "retry_after_ms"));
   return Outcome(outcome);
 }
 
--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -11,6 +11,11 @@
 
 namespace {
 
+constexpr std::uint64_t kMaxUnsigned32 =
+  std::numeric_limits<std::uint32_t>::max();
+/// Maximum of each resource of a task; sums over a job's tasks don't overflow.
+constexpr std::int64_t kMaxResource = 1'000'000'000;
+
 // Field names are short because there are many small rows.
 Json
 StepToJson(const StepSpec& aStep)
@@ -42,12 +47,14 @@
   return json;
 }
 
-std::uint64_t
-ReadNumberOrZero(const Json& aJson, const char* aName)
+// Reads a member that is omitted if it is 0.
+leaf::result<std::int64_t>
+ReadOrZero(const Json& aJson, const char* aName, std::int64_t aMax)
 {
-  auto it = aJson.find(aName);
-  bool present = it != aJson.end() && it->is_number_unsigned();
-  return present ? it->get<std::uint64_t>() : 0;
+  if (!aJson.contains(aName)) {
+    return 0;
+  }
+  return ReadInRange(aJson, aName, 0, aMax);
 }
 
 std::string
@@ -62,14 +69,14 @@
 StepFromJson(const Json& aJson, std::size_t aStepIndex)
 {
   StepSpec step;
-  BOOST_LEAF_AUTO(taskCount, ReadUnsigned(aJson, "n"));
-  step.mTaskCount = static_cast<std::uint32_t>(taskCount);
-  BOOST_LEAF_ASSIGN(step.mTaskResources.mCpuMillis, ReadSigned(aJson, "c"));
-  BOOST_LEAF_ASSIGN(step.mTaskResources.mMemoryMb, ReadSigned(aJson, "m"));
-  BOOST_LEAF_AUTO(estimateMillis, ReadSigned(aJson, "e"));
-  step.mEstimatedRunTime = std::chrono::milliseconds(estimateMillis);
-  step.mTaskResources.mGpus =
-    static_cast<std::int64_t>(ReadNumberOrZero(aJson, "g"));
+  BOOST_LEAF_ASSIGN(step.mTaskCount, ReadUnsigned32(aJson, "n"));
+  BOOST_LEAF_ASSIGN(step.mTaskResources.mCpuMillis,
+                    ReadInRange(aJson, "c", 0, kMaxResource));
+  BOOST_LEAF_ASSIGN(step.mTaskResources.mMemoryMb,
+                    ReadInRange(aJson, "m", 0, kMaxResource));
+  BOOST_LEAF_ASSIGN(step.mEstimatedRunTime, ReadMillis(aJson, "e"));
+  BOOST_LEAF_ASSIGN(step.mTaskResources.mGpus,
+                    ReadOrZero(aJson, "g", kMaxResource));
   if (auto it = aJson.find("a"); it != aJson.end() && it->is_array()) {
     for (const Json& dependency : *it) {
       if (!dependency.is_number_unsigned() ||
@@ -79,7 +86,8 @@
       step.mDependencies.push_back(dependency.get<std::uint32_t>());
     }
   }
-  std::uint64_t flags = ReadNumberOrZero(aJson, "f");
+  BOOST_LEAF_AUTO(storedFlags, ReadOrZero(aJson, "f", kMaxUnsigned32));
+  auto flags = static_cast<std::uint32_t>(storedFlags);
   step.mCheckpointable = (flags & 1U) != 0;
   step.mGang = (flags & 2U) != 0;
   step.mSameRack = (flags & 4U) != 0;
@@ -89,11 +97,12 @@
   step.mRequiredLabel = ReadStringOrEmpty(aJson, "l");
   step.mPreferredRack = ReadStringOrEmpty(aJson, "r");
   step.mImage = ReadStringOrEmpty(aJson, "i");
-  step.mMaxPerWorker = static_cast<std::uint32_t>(ReadNumberOrZero(aJson, "w"));
-  step.mTailLatencyTarget =
-    std::chrono::milliseconds(ReadNumberOrZero(aJson, "t"));
-  step.mMaxUnavailable =
-    static_cast<std::uint32_t>(ReadNumberOrZero(aJson, "x"));
+  BOOST_LEAF_AUTO(maxPerWorker, ReadOrZero(aJson, "w", kMaxTasksPerJob));
+  step.mMaxPerWorker = static_cast<std::uint32_t>(maxPerWorker);
+  BOOST_LEAF_AUTO(targetMillis, ReadOrZero(aJson, "t", kMaxMillis));
+  step.mTailLatencyTarget = std::chrono::milliseconds(targetMillis);
+  BOOST_LEAF_AUTO(maxUnavailable, ReadOrZero(aJson, "x", kMaxTasksPerJob));
+  step.mMaxUnavailable = static_cast<std::uint32_t>(maxUnavailable);
   return step;
 }
 
@@ -117,7 +126,8 @@
   bool ok = aJson.is_array() && aJson.size() == kTaskFieldCount &&
             aJson[4].is_array() && aJson[5].is_string();
   for (std::size_t i = 0; ok && i < 4; ++i) {
-    ok = aJson[i].is_number_unsigned();
+    ok = aJson[i].is_number_unsigned() &&
+         aJson[i].get<std::uint64_t>() <= kMaxUnsigned32;
   }
   if (!ok) {
     return Fail(MessageFailure{ MessageFault::WrongType, "t" });
@@ -139,6 +149,31 @@
 
 } // namespace
 
+leaf::result<void>
+CheckJobSpec(const JobSpec& aSpec)
+{
+  std::uint64_t tasks = 0;
+  for (const StepSpec& step : aSpec.mSteps) {
+    if (step.mTaskCount == 0 || step.mTaskCount > kMaxTasksPerStep) {
+      return Fail(MessageFailure{ MessageFault::TooLarge, "count" });
+    }
+    tasks += step.mTaskCount;
+  }
+  std::uint64_t occurrences = std::max(aSpec.mOccurrences, 1U);
+  if (aSpec.mSteps.empty() || aSpec.mSteps.size() > kMaxSteps ||
+      tasks * occurrences > kMaxTasksPerJob) {
+    return Fail(MessageFailure{ MessageFault::TooLarge, "steps" });
+  }
+  // Both factors are limited, so the product doesn't overflow.
+  std::int64_t last =
+    aSpec.mFirstStartTime.mMillis +
+    static_cast<std::int64_t>(occurrences) * ToMillis(aSpec.mInterval);
+  if (aSpec.mFirstStartTime.mMillis < 0 || last > kMaxTimeMillis) {
+    return Fail(MessageFailure{ MessageFault::TooLarge, "interval" });
+  }
+  return {};
+}
+
 Json
 JobSpecToJson(const JobSpec& aSpec)
 {
@@ -165,12 +200,14 @@
     BOOST_LEAF_AUTO(step, StepFromJson((*steps)[i], i));
     spec.mSteps.push_back(std::move(step));
   }
-  spec.mOccurrences = static_cast<std::uint32_t>(ReadNumberOrZero(aJson, "o"));
+  BOOST_LEAF_AUTO(occurrences, ReadOrZero(aJson, "o", kMaxTasksPerJob));
+  spec.mOccurrences = static_cast<std::uint32_t>(occurrences);
   if (spec.mOccurrences > 0) {
-    BOOST_LEAF_ASSIGN(spec.mFirstStartTime.mMillis, ReadSigned(aJson, "d"));
-    BOOST_LEAF_AUTO(intervalMillis, ReadSigned(aJson, "i"));
-    spec.mInterval = std::chrono::milliseconds(intervalMillis);
+    BOOST_LEAF_ASSIGN(spec.mFirstStartTime.mMillis,
+                      ReadInRange(aJson, "d", 0, kMaxTimeMillis));
+    BOOST_LEAF_ASSIGN(spec.mInterval, ReadMillis(aJson, "i"));
   }
+  BOOST_LEAF_CHECK(CheckJobSpec(spec));
   return spec;
 }
 
@@ -192,9 +229,9 @@
   BOOST_LEAF_ASSIGN(job.mQueue, ReadString(json, "q"));
   BOOST_LEAF_AUTO(spec, Member(json, "j"));
   BOOST_LEAF_ASSIGN(job.mSpec, JobSpecFromJson(*spec));
-  BOOST_LEAF_AUTO(term, ReadUnsigned(json, "t"));
-  job.mAcceptedTerm = static_cast<std::uint32_t>(term);
-  BOOST_LEAF_ASSIGN(job.mSubmitted.mMillis, ReadSigned(json, "a"));
+  BOOST_LEAF_ASSIGN(job.mAcceptedTerm, ReadUnsigned32(json, "t"));
+  BOOST_LEAF_ASSIGN(job.mSubmitted.mMillis,
+                    ReadInRange(json, "a", 0, kMaxTimeMillis));
   return job;
 }
 
@@ -224,14 +261,20 @@
   BOOST_LEAF_ASSIGN(progress.mQueue, ReadString(json, "q"));
   BOOST_LEAF_AUTO(occurrences, ReadArray(json, "d"));
   for (const Json& at : *occurrences) {
-    if (!at.is_number_unsigned()) {
+    if (!at.is_number_unsigned() || at.get<std::uint64_t>() > kMaxUnsigned32) {
       return Fail(MessageFailure{ MessageFault::WrongType, "d" });
     }
     progress.mDoneOccurrences.push_back(at.get<std::uint32_t>());
   }
   BOOST_LEAF_AUTO(tasks, ReadArray(json, "t"));
+  // A job's tasks are read whole or not at all: a task that is left out would
+  // run again, one that is listed twice would count twice towards its step.
+  std::set<std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>> listed;
   for (const Json& at : *tasks) {
     BOOST_LEAF_AUTO(task, TaskFromJson(at));
+    if (!listed.emplace(task.mOccurrence, task.mStep, task.mIndex).second) {
+      return Fail(MessageFailure{ MessageFault::WrongType, "t" });
+    }
     progress.mTasks.push_back(std::move(task));
   }
   return progress;
@@ -262,8 +305,7 @@
   BOOST_LEAF_ASSIGN(row.mPeerEndpoint, RemoteEndpointFromParts(*host, *port));
   BOOST_LEAF_AUTO(incarnation, ReadUnsigned(json, "i"));
   row.mIncarnation = Incarnation(incarnation);
-  BOOST_LEAF_AUTO(term, ReadUnsigned(json, "t"));
-  row.mTerm = static_cast<std::uint32_t>(term);
+  BOOST_LEAF_ASSIGN(row.mTerm, ReadUnsigned32(json, "t"));
   BOOST_LEAF_ASSIGN(row.mSequence, ReadUnsigned(json, "s"));
   BOOST_LEAF_ASSIGN(row.mReleased, ReadBool(json, "r"));
   BOOST_LEAF_AUTO(drainingWorkers, ReadArray(json, "x"));
@@ -274,10 +316,8 @@
     row.mDrainingWorkers.push_back(at.get<std::string>());
   }
   // Rows written by the previous version lack this field.
-  auto delay = json.find("d");
-  if (delay != json.end() && delay->is_number_integer()) {
-    row.mBaseClaimDelay = std::chrono::milliseconds(delay->get<std::int64_t>());
-  }
+  BOOST_LEAF_AUTO(delayMillis, ReadOrZero(json, "d", kMaxMillis));
+  row.mBaseClaimDelay = std::chrono::milliseconds(delayMillis);
   return row;
 }
 
@@ -294,21 +334,6 @@
   return ToCbor(list);
 }
 
-leaf::result<std::vector<WorkerAddress>>
-DecodeWorkerSet(std::string_view aBytes)
-{
-  BOOST_LEAF_AUTO(json, ParseCbor(aBytes));
-  std::vector<WorkerAddress> workers;
-  if (!json.is_array()) {
-    return Fail(MessageFailure{ MessageFault::WrongType, {} });
-  }
-  for (const Json& at : json) {
-    workers.push_back(WorkerFromJson(at));
-  }
-  return workers;
-}
-
-} // namespace buckthornshunt
 namespace {
 
 // An earlier owner's runs may still exist on a worker whose entry is malformed.
@@ -336,3 +361,18 @@
 
 } // namespace
 
+leaf::result<std::vector<WorkerAddress>>
+DecodeWorkerSet(std::string_view aBytes)
+{
+  BOOST_LEAF_AUTO(json, ParseCbor(aBytes));
+  std::vector<WorkerAddress> workers;
+  if (!json.is_array()) {
+    return Fail(MessageFailure{ MessageFault::WrongType, {} });
+  }
+  for (const Json& at : json) {
+    workers.push_back(WorkerFromJson(at));
+  }
+  return workers;
+}
+
+} // namespace buckthornshunt
--- a/src/wire/cell_codec.h
+++ b/src/wire/cell_codec.h
@@ -13,6 +13,17 @@
 
 namespace buckthornshunt {
 
+/// Limits of a job, which keep the records of its tasks in memory.
+constexpr std::size_t kMaxSteps = 256;
+constexpr std::uint32_t kMaxTasksPerStep = 100'000;
+/// Maximum number of tasks in all occurrences of a job.
+constexpr std::uint64_t kMaxTasksPerJob = 1'000'000;
+
+/// Fails with MessageFailure if the job exceeds a limit or the time of its last
+/// occurrence can't be represented.
+leaf::result<void>
+CheckJobSpec(const JobSpec& aSpec);
+
 /// CBOR encodings of the rows that a cell keeps in the store. Decoders fail
 /// with MessageFailure.
 std::string
@@ -32,6 +43,8 @@
 
 std::string
 EncodeWorkerSet(std::span<const WorkerAddress> aWorkers);
+/// A malformed entry names a worker without an endpoint, and without an id if
+/// that can't be read.
 leaf::result<std::vector<WorkerAddress>>
 DecodeWorkerSet(std::string_view aBytes);
 
@@ -43,7 +56,5 @@
 JobSpecFromJson(const Json& aJson);
 
 } // namespace buckthornshunt
-/// A malformed entry names a worker without an endpoint, and without an id if
-/// that can't be read.
 
 #endif
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -1,9 +1,13 @@
 #include "wire/fleet_codec.h"
 
+#include <limits>
+
 namespace buckthornshunt {
 
 namespace {
 
+// Lists of names are read whole or not at all: a worker that is left out of
+// those that are sealed would get new runs.
 leaf::result<std::vector<std::string>>
 ReadStrings(const Json& aObject, const char* aName)
 {
@@ -18,14 +22,29 @@
   return strings;
 }
 
+constexpr double kMaxCores = 1e9;
+constexpr std::uint64_t kMaxRuns = std::numeric_limits<std::uint32_t>::max();
+
+bool
+IsIntegerUpTo(const Json& aJson, std::uint64_t aMax)
+{
+  bool negative = !aJson.is_number_unsigned() && aJson.is_number_integer() &&
+                  aJson.get<std::int64_t>() < 0;
+  return aJson.is_number_integer() && !negative &&
+         aJson.get<std::uint64_t>() <= aMax;
+}
+
+// Fails for infinities and for NaN, which the plan can't compare.
 leaf::result<double>
-ReadDouble(const Json& aObject, const char* aName)
+ReadCores(const Json& aObject, const char* aName)
 {
   BOOST_LEAF_AUTO(at, Member(aObject, aName));
-  if (!at->is_number()) {
+  double cores = at->is_number() ? at->get<double>() : -1;
+  bool ok = cores >= 0 && cores <= kMaxCores;
+  if (!ok) {
     return Fail(MessageFailure{ MessageFault::WrongType, aName });
   }
-  return at->get<double>();
+  return cores;
 }
 
 // A worker is an array: id, runs, has long-running runs, sealed; an unlisted
@@ -86,8 +105,9 @@
   BOOST_LEAF_ASSIGN(wave.mCompleted, ReadBool(json, "c"));
   // Rows written by the previous version lack this field.
   auto seen = json.find("s");
-  if (seen != json.end() && seen->is_number_integer()) {
-    wave.mSeen.mMillis = seen->get<std::int64_t>();
+  if (seen != json.end()) {
+    BOOST_LEAF_ASSIGN(wave.mSeen.mMillis,
+                      ReadInRange(json, "s", 0, kMaxTimeMillis));
   }
   return wave;
 }
@@ -113,13 +133,15 @@
   BOOST_LEAF_ASSIGN(sync.mPool, ReadString(aJson, "pool"));
   BOOST_LEAF_ASSIGN(sync.mToken, ReadUnsigned(aJson, "token"));
   BOOST_LEAF_ASSIGN(sync.mSealed, ReadStrings(aJson, "sealed"));
-  BOOST_LEAF_ASSIGN(sync.mIncomingCores, ReadDouble(aJson, "incoming"));
+  BOOST_LEAF_ASSIGN(sync.mIncomingCores, ReadCores(aJson, "incoming"));
   BOOST_LEAF_AUTO(ended, Member(aJson, "ended"));
-  for (const auto& [id, incarnationStart] : ended->items()) {
-    if (!incarnationStart.is_number_integer()) {
-      return Fail(MessageFailure{ MessageFault::WrongType, "ended" });
-    }
-    sync.mEnded.emplace(id, incarnationStart.get<std::int64_t>());
+  if (!ended->is_object()) {
+    return Fail(MessageFailure{ MessageFault::WrongType, "ended" });
+  }
+  for (const auto& [id, unused] : ended->items()) {
+    BOOST_LEAF_AUTO(incarnationStart,
+                    ReadInRange(*ended, id.c_str(), 0, kMaxTimeMillis));
+    sync.mEnded.emplace(id, incarnationStart);
   }
   return sync;
 }
@@ -150,19 +172,20 @@
 PoolUsageFromJson(const Json& aJson)
 {
   PoolUsage usage;
-  BOOST_LEAF_ASSIGN(usage.mBusyCores, ReadDouble(aJson, "busy"));
-  BOOST_LEAF_ASSIGN(usage.mWaitingCores, ReadDouble(aJson, "waiting"));
-  BOOST_LEAF_ASSIGN(usage.mForecastDemandCores, ReadDouble(aJson, "asked"));
-  BOOST_LEAF_ASSIGN(usage.mMeanDemandCores, ReadDouble(aJson, "mean"));
-  BOOST_LEAF_ASSIGN(usage.mLongRunningCores, ReadDouble(aJson, "lasting"));
-  BOOST_LEAF_AUTO(vms, ReadUnsigned(aJson, "vms"));
-  usage.mMinVms = static_cast<std::uint32_t>(vms);
+  BOOST_LEAF_ASSIGN(usage.mBusyCores, ReadCores(aJson, "busy"));
+  BOOST_LEAF_ASSIGN(usage.mWaitingCores, ReadCores(aJson, "waiting"));
+  BOOST_LEAF_ASSIGN(usage.mForecastDemandCores, ReadCores(aJson, "asked"));
+  BOOST_LEAF_ASSIGN(usage.mMeanDemandCores, ReadCores(aJson, "mean"));
+  BOOST_LEAF_ASSIGN(usage.mLongRunningCores, ReadCores(aJson, "lasting"));
+  BOOST_LEAF_ASSIGN(usage.mMinVms, ReadUnsigned32(aJson, "vms"));
   BOOST_LEAF_AUTO(workers, ReadArray(aJson, "workers"));
+  // One malformed worker rejects the report: a worker that is left out would
+  // look empty, and its VM would be taken away.
   for (const Json& at : *workers) {
     bool unlisted = at.is_array() && at.size() == kUnlistedWorkerFieldCount &&
-                    at[4].is_string() && at[5].is_number_integer();
+                    at[4].is_string() && IsIntegerUpTo(at[5], kMaxTimeMillis);
     bool ok = at.is_array() && (at.size() == kWorkerFieldCount || unlisted) &&
-              at[0].is_string() && at[1].is_number_unsigned() &&
+              at[0].is_string() && IsIntegerUpTo(at[1], kMaxRuns) &&
               at[2].is_boolean() && at[3].is_boolean();
     if (!ok) {
       return Fail(MessageFailure{ MessageFault::WrongType, "workers" });
--- a/src/wire/job_codec.cpp
+++ b/src/wire/job_codec.cpp
@@ -81,8 +81,7 @@
   BOOST_LEAF_ASSIGN(job.mOperation, ReadString(json, "operation"));
   BOOST_LEAF_ASSIGN(job.mTeam, ReadString(json, "team"));
   BOOST_LEAF_ASSIGN(job.mBody, ReadBytes(json, "body"));
-  BOOST_LEAF_AUTO(declared, ReadSigned(json, "declared"));
-  job.mDeclared = Duration(declared);
+  BOOST_LEAF_ASSIGN(job.mDeclared, ReadNanos(json, "declared"));
   BOOST_LEAF_AUTO(state, ReadString(json, "state"));
   BOOST_LEAF_ASSIGN(job.mState, ParseJobState(state));
   BOOST_LEAF_ASSIGN(job.mTries, ReadUnsigned(json, "tries"));
--- a/src/wire/json_fields.cpp
+++ b/src/wire/json_fields.cpp
@@ -186,9 +186,52 @@
 leaf::result<std::int64_t>
 ReadSigned(const Json& aObject, const char* aName)
 {
-  return ReadAs<std::int64_t>(aObject, aName, [](const Json& aValue) {
-    return aValue.is_number_integer();
-  });
+  return ReadInRange(aObject,
+                     aName,
+                     std::numeric_limits<std::int64_t>::min(),
+                     std::numeric_limits<std::int64_t>::max());
+}
+
+leaf::result<std::int64_t>
+ReadInRange(const Json& aObject,
+            const char* aName,
+            std::int64_t aMin,
+            std::int64_t aMax)
+{
+  BOOST_LEAF_AUTO(member, Member(aObject, aName));
+  // Integers that aren't negative are unsigned and may be larger than aMax.
+  bool fits = member->is_number_unsigned()
+                ? std::in_range<std::int64_t>(member->get<std::uint64_t>())
+                : member->is_number_integer();
+  if (!fits || member->get<std::int64_t>() < aMin ||
+      member->get<std::int64_t>() > aMax) {
+    return Fail(MessageFailure{ MessageFault::WrongType, aName });
+  }
+  return member->get<std::int64_t>();
+}
+
+leaf::result<std::uint32_t>
+ReadUnsigned32(const Json& aObject, const char* aName)
+{
+  constexpr std::uint32_t kMax = std::numeric_limits<std::uint32_t>::max();
+  BOOST_LEAF_AUTO(value, ReadInRange(aObject, aName, 0, kMax));
+  return static_cast<std::uint32_t>(value);
+}
+
+leaf::result<Duration>
+ReadMillis(const Json& aObject, const char* aName)
+{
+  BOOST_LEAF_AUTO(millis, ReadInRange(aObject, aName, 0, kMaxMillis));
+  return Duration(std::chrono::milliseconds(millis));
+}
+
+leaf::result<Duration>
+ReadNanos(const Json& aObject, const char* aName)
+{
+  constexpr std::int64_t kMax =
+    Duration(std::chrono::milliseconds(kMaxMillis)).count();
+  BOOST_LEAF_AUTO(nanos, ReadInRange(aObject, aName, -kMax, kMax));
+  return Duration(nanos);
 }
 
 leaf::result<bool>
--- a/src/wire/json_fields.h
+++ b/src/wire/json_fields.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNSHUNT_WIRE_JSON_FIELDS_H
 
 #include "buckthornshunt/failure.h"
+#include "buckthornshunt/time.h"
 
 #include <boost/leaf/error.hpp>
 #include <boost/leaf/handle_errors.hpp>
@@ -21,6 +22,13 @@
 /// Maximum nesting depth of untrusted documents.
 constexpr std::size_t kMaxJsonDepth = 24;
 
+/// Maximum duration in messages: ten years, which any time can be moved by
+/// without an overflow.
+constexpr std::int64_t kMaxMillis = 10LL * 365 * 86'400'000;
+/// Maximum time in messages: the year 2200 in Unix milliseconds. Its distance
+/// from any other time fits into a Duration.
+constexpr std::int64_t kMaxTimeMillis = 7'258'118'400'000;
+
 /// Creates a LEAF error that carries a Failure.
 template<class Kind>
 leaf::error_id
@@ -75,6 +83,26 @@
 leaf::result<std::int64_t>
 ReadSigned(const Json& aObject, const char* aName);
 
+/// Reads an integer from aMin to aMax.
+leaf::result<std::int64_t>
+ReadInRange(const Json& aObject,
+            const char* aName,
+            std::int64_t aMin,
+            std::int64_t aMax);
+
+/// Reads a 32-bit number.
+leaf::result<std::uint32_t>
+ReadUnsigned32(const Json& aObject, const char* aName);
+
+/// Reads a duration of 0 to kMaxMillis in whole milliseconds.
+leaf::result<Duration>
+ReadMillis(const Json& aObject, const char* aName);
+
+/// Reads a duration of at most kMaxMillis, which may be negative, in
+/// nanoseconds.
+leaf::result<Duration>
+ReadNanos(const Json& aObject, const char* aName);
+
 leaf::result<bool>
 ReadBool(const Json& aObject, const char* aName);
 
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -46,8 +46,7 @@
   request.mIdempotency =
     idempotent ? Idempotency::Idempotent : Idempotency::NonIdempotent;
   BOOST_LEAF_ASSIGN(request.mBody, ReadBytes(aJson, "body"));
-  BOOST_LEAF_AUTO(declared, ReadSigned(aJson, "declared"));
-  request.mDeclaredRunTime = Duration(declared);
+  BOOST_LEAF_ASSIGN(request.mDeclaredRunTime, ReadNanos(aJson, "declared"));
   BOOST_LEAF_ASSIGN(request.mTraceId, ReadUnsigned(aJson, "trace"));
   BOOST_LEAF_ASSIGN(request.mSpanId, ReadUnsigned(aJson, "span"));
   return request;
@@ -92,8 +91,7 @@
   if (!ParseNotRunReason(reason, outcome.mReason)) {
     return Fail(MessageFailure{ MessageFault::WrongType, "reason" });
   }
-  BOOST_LEAF_AUTO(retryAfter, ReadSigned(aJson, "retry_after"));
-  outcome.mRetryAfter = Duration(retryAfter);
+  BOOST_LEAF_ASSIGN(outcome.mRetryAfter, ReadNanos(aJson, "retry_after"));
   return Outcome(outcome);
 }
 
@@ -209,8 +207,7 @@
   BOOST_LEAF_ASSIGN(message.mCallId, ReadUnsigned(aJson, "call"));
   BOOST_LEAF_AUTO(request, Member(aJson, "request"));
   BOOST_LEAF_ASSIGN(message.mRequest, RequestFromJson(*request));
-  BOOST_LEAF_AUTO(timeLeft, ReadSigned(aJson, "time_left"));
-  message.mTimeLeft = Duration(timeLeft);
+  BOOST_LEAF_ASSIGN(message.mTimeLeft, ReadNanos(aJson, "time_left"));
   return PeerMessage(std::move(message));
 }
 
@@ -336,7 +333,8 @@
     BOOST_LEAF_ASSIGN(span.mName, ReadString(entry, "name"));
     BOOST_LEAF_ASSIGN(span.mNode, ReadString(entry, "node"));
     BOOST_LEAF_ASSIGN(span.mStart.mMillis, ReadSigned(entry, "start_ms"));
-    BOOST_LEAF_AUTO(micros, ReadSigned(entry, "length_us"));
+    BOOST_LEAF_AUTO(micros,
+                    ReadInRange(entry, "length_us", 0, kMaxMillis * 1000));
     span.mDuration = std::chrono::microseconds(micros);
     BOOST_LEAF_ASSIGN(span.mNote, ReadString(entry, "note"));
     spans.push_back(std::move(span));
--- a/src/wire/relay_codec.cpp
+++ b/src/wire/relay_codec.cpp
@@ -3,6 +3,7 @@
 #include "wire/cell_codec.h"
 
 #include <array>
+#include <utility>
 
 namespace buckthornshunt {
 
@@ -104,15 +105,29 @@
     SubmitJob{ std::move(queue), std::move(id), std::move(spec) });
 }
 
-leaf::result<Duration>
-ReadMillis(const Json& aJson)
+} // namespace
+
+leaf::result<LinkCall>
+DecodeLinkCall(std::string_view aBytes)
 {
-  BOOST_LEAF_AUTO(millis, ReadSigned(aJson, "ms"));
-  return Duration(std::chrono::milliseconds(millis));
+  BOOST_LEAF_AUTO(fields, ParseCbor(aBytes));
+  bool ok = fields.is_array() && fields.size() == kLinkCallFields &&
+            fields[0].is_number_unsigned() && fields[1].is_string() &&
+            fields[2].is_number_integer();
+  bool tooLarge = ok && fields[2].is_number_unsigned() &&
+                  !std::in_range<std::int64_t>(fields[2].get<std::uint64_t>());
+  std::int64_t millis = ok ? fields[2].get<std::int64_t>() : 0;
+  if (!ok || tooLarge || millis < -kMaxMillis || millis > kMaxMillis) {
+    return Fail(MessageFailure{ MessageFault::WrongType, "call" });
+  }
+  LinkCall call;
+  call.mNumber = fields[0].get<std::uint64_t>();
+  call.mKind = fields[1].get<std::string>();
+  call.mTimeLeft = std::chrono::milliseconds(millis);
+  call.mBody = std::move(fields[3]);
+  return call;
 }
 
-} // namespace
-
 Json
 RelayedCallToJson(const RelayedCall& aCall)
 {
@@ -126,7 +141,7 @@
 {
   RelayedCall relayed;
   BOOST_LEAF_ASSIGN(relayed.mPool, ReadString(aJson, "pool"));
-  BOOST_LEAF_ASSIGN(relayed.mPatience, ReadMillis(aJson));
+  BOOST_LEAF_ASSIGN(relayed.mPatience, ReadMillis(aJson, "ms"));
   BOOST_LEAF_AUTO(call, Member(aJson, "call"));
   BOOST_LEAF_ASSIGN(relayed.mCall, CallFromJson(*call));
   return relayed;
@@ -152,7 +167,7 @@
     return OwnerReply(JobAccepted{});
   }
   if (kind == "refused") {
-    BOOST_LEAF_AUTO(retryAfter, ReadMillis(aJson));
+    BOOST_LEAF_AUTO(retryAfter, ReadMillis(aJson, "ms"));
     return OwnerReply(JobRefused{ retryAfter });
   }
   if (kind == "phase") {
@@ -176,7 +191,7 @@
     return OwnerReply(QueueNotFound{});
   }
   if (kind == "unavailable") {
-    BOOST_LEAF_AUTO(retryAfter, ReadMillis(aJson));
+    BOOST_LEAF_AUTO(retryAfter, ReadMillis(aJson, "ms"));
     return OwnerReply(ServiceUnavailable{ retryAfter });
   }
   if (kind == "unsettled") {
--- a/src/wire/relay_codec.h
+++ b/src/wire/relay_codec.h
@@ -24,6 +24,24 @@
   Duration mPatience{};
 };
 
+/// The envelope of a call between nodes; calls with number 0 get no answer.
+struct LinkCall
+{
+  std::uint64_t mNumber = 0;
+  std::string mKind;
+  /// Time left to the caller, negative if it is over.
+  Duration mTimeLeft{};
+  Json mBody;
+};
+
+/// A message of a link is a call [number, kind, timeout in ms, body] or an
+/// answer [number, body].
+constexpr std::size_t kLinkCallFields = 4;
+constexpr std::size_t kLinkReplyFields = 2;
+
+leaf::result<LinkCall>
+DecodeLinkCall(std::string_view aBytes);
+
 /// Messages between nodes; decoders fail with MessageFailure.
 Json
 RelayedCallToJson(const RelayedCall& aCall);
--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -27,6 +27,8 @@
 constexpr std::uint64_t kMaxUnsigned =
   std::numeric_limits<std::uint64_t>::max();
 
+constexpr double kHuge = 1e300;
+
 template<class Read>
 auto
 Decode(Read aRead)
@@ -60,6 +62,17 @@
            { "d", 110 } };
 }
 
+Json
+ProgressJson()
+{
+  Json task =
+    Json::array({ 0U, 0U, 1U, 1U, Json::array({ 1U, 1001U }), "checkpoint" });
+  return { { "p", 1U },
+           { "q", "q" },
+           { "d", Json::array({ 0U }) },
+           { "t", Json::array({ task }) } };
+}
+
 Json
 WorkerJson()
 {
@@ -77,6 +90,91 @@
            { "seq", 4 } };
 }
 
+Json
+ListingJson()
+{
+  return { { "clock_ms", 482113 },
+           { "born", 1700000000000 },
+           { "running",
+             Json::array({ Json::array(
+               { "5c0e7a21d94b36f8.0.1.17", 2, "c", 41, 12 }) }) },
+           { "ended",
+             Json::array({ Json::array(
+               { 58, "5c0e7a21d94b36f8.0.1.9", 1, "done", "" }) }) } };
+}
+
+Json
+WaveJson()
+{
+  return { { "wave", 3 },
+           { "machines", Json::array({ "m1", "m2" }) },
+           { "deadline_s", 12.5 },
+           { "maximum", 2 } };
+}
+
+Json
+ConfigJson()
+{
+  Json route = {
+    { "name", "r1" },
+    { "host", "a.example" },
+    { "path_prefix", "/x/" },
+    { "service", "p" },
+    { "max_attempts", 4 },
+    { "stretch", 1.6 },
+    { "target_latency_ms", 600 },
+    { "priority", 1 },
+    { "advice", { { "decide_ms", 20 }, { "each_ms", 1 }, { "valid_ms", 900 } } }
+  };
+  return { { "version", 7 },
+           { "routes", Json::array({ route }) },
+           { "services",
+             Json::array({ { { "name", "p" }, { "enforces_capacity", true } },
+                           { { "name", "s" }, { "spare", true } } }) } };
+}
+
+Json
+CallerJobJson()
+{
+  Json first = { { "count", 4 },
+                 { "cpu", 500 },
+                 { "mem_mb", 64 },
+                 { "estimate_ms", 900 },
+                 { "affinity", "r1" } };
+  Json second = { { "count", 2 },
+                  { "after", Json::array({ 0 }) },
+                  { "checkpointing", true },
+                  { "may_miss", 1 } };
+  return { { "spec", "s" },
+           { "steps", Json::array({ first, second }) },
+           { "repeat_count", 2 },
+           { "start_at_ms", 1700000000000 },
+           { "interval_ms", 5000 } };
+}
+
+Expected<WorkerReply>
+DecodeWorker(const WorkerCall& aCall, std::string_view aBody)
+{
+  HttpReply reply = MakeReply(200, kJsonType, std::string(aBody));
+  return Decode([&] { return DecodeWorkerReply(aCall, reply); });
+}
+
+Expected<DecodedCall>
+DecodeSubmission(std::string_view aBody, std::string_view aDeadline = "2500")
+{
+  HttpRequest request{ "POST",
+                       "/x/5c0e7a21d94b36f8",
+                       { { "Host", "a.example" },
+                         { "X-Deadline-Ms", std::string(aDeadline) } },
+                       std::string(aBody) };
+  auto config =
+    Decode([] { return DecodeWorkloadConfig(ConfigJson().dump()); });
+  REQUIRE(Ok(config));
+  return Decode([&] {
+    return platform::DecodeCallerRequest(request, std::get<0>(config));
+  });
+}
+
 } // namespace
 
 TEST_CASE("nested CBOR strings overflow the stack of the reader")
@@ -150,3 +248,170 @@
       Ok(Decode([&] { return DecodeWorkerReport("w", worker.dump()); })));
   }
 }
+
+TEST_CASE("a stored job with billions of tasks exhausts the memory")
+{
+  for (const Json& count : { Json(4'000'000'000U), Json(kMaxUnsigned) }) {
+    Json job = JobJson();
+    job["j"]["s"][0]["n"] = count;
+    CHECK_FALSE(Ok(Decode([&] { return DecodeStoredJob("j", ToCbor(job)); })));
+  }
+}
+
+TEST_CASE("numbers of a stored job overflow")
+{
+  for (const char* field : { "c", "m", "e", "g", "w", "t", "x" }) {
+    for (const Json& number : { Json(kMaxUnsigned),
+                                Json(std::numeric_limits<std::int64_t>::max()),
+                                Json(-1),
+                                Json(kHuge) }) {
+      CAPTURE(field);
+      CAPTURE(number.dump());
+      Json job = JobJson();
+      job["j"]["s"][0][field] = number;
+      CHECK_FALSE(
+        Ok(Decode([&] { return DecodeStoredJob("j", ToCbor(job)); })));
+    }
+  }
+}
+
+TEST_CASE("a progress row that lists a task twice counts it twice")
+{
+  Json progress = ProgressJson();
+  progress["t"].push_back(progress["t"][0]);
+  CHECK_FALSE(Ok(Decode([&] { return DecodeProgress(ToCbor(progress)); })));
+}
+
+TEST_CASE("a worker's capacity overflows the sums of its pool")
+{
+  for (const char* field : { "cpu", "mem_mb", "gpu" }) {
+    for (const Json& number : { Json(kMaxUnsigned),
+                                Json(std::numeric_limits<std::int64_t>::max()),
+                                Json(-1),
+                                Json(kHuge) }) {
+      Json worker = WorkerJson();
+      worker["capacity"][field] = number;
+      CHECK_FALSE(
+        Ok(Decode([&] { return DecodeWorkerReport("w", worker.dump()); })));
+      Json job = CallerJobJson();
+      job["steps"][0][field] = number;
+      CHECK_FALSE(Ok(DecodeSubmission(job.dump())));
+    }
+  }
+  for (const Json& born : { Json(kMaxUnsigned), Json(-5) }) {
+    Json worker = WorkerJson();
+    worker["born"] = born;
+    CHECK_FALSE(
+      Ok(Decode([&] { return DecodeWorkerReport("w", worker.dump()); })));
+  }
+}
+
+TEST_CASE("a worker's id with a line break adds fields to its requests")
+{
+  std::string text = WorkerJson().dump();
+  CHECK(Ok(Decode([&] { return DecodeWorkerReport("w-1", text); })));
+  for (const char* id : { "", "w\r\nX-Fencing-Token: 9", "w\n" }) {
+    CHECK_FALSE(Ok(Decode([&] { return DecodeWorkerReport(id, text); })));
+  }
+}
+
+TEST_CASE("a wave's deadline overflows a duration")
+{
+  for (const Json& deadline : { Json(kHuge), Json(-1), Json("soon") }) {
+    Json wave = WaveJson();
+    wave["deadline_s"] = deadline;
+    CHECK_FALSE(Ok(Decode([&] { return DecodeWaveOrder(wave.dump()); })));
+  }
+}
+
+TEST_CASE("a queue's objective overflows a duration")
+{
+  for (const Json& stretch : { Json(kHuge), Json(-1), Json("long") }) {
+    Json config = ConfigJson();
+    config["routes"][0]["stretch"] = stretch;
+    CHECK_FALSE(
+      Ok(Decode([&] { return DecodeWorkloadConfig(config.dump()); })));
+  }
+}
+
+TEST_CASE("a caller's deadline or start time overflows a duration")
+{
+  for (const char* deadline : { "9223372036854775807", "99999999999999" }) {
+    auto call = DecodeSubmission(CallerJobJson().dump(), deadline);
+    REQUIRE(Ok(call));
+    CHECK(std::get<0>(call).mPatience > 0s);
+    CHECK(std::get<0>(call).mPatience <= 24h);
+  }
+  for (const Json& start : { Json(kMaxUnsigned),
+                             Json(std::numeric_limits<std::int64_t>::max()),
+                             Json(std::numeric_limits<std::int64_t>::min()),
+                             Json(1.5) }) {
+    Json job = CallerJobJson();
+    job["start_at_ms"] = start;
+    CHECK_FALSE(Ok(DecodeSubmission(job.dump())));
+  }
+}
+
+TEST_CASE("the speed of a listed run overflows an integer")
+{
+  for (const Json& percent :
+       { Json(kHuge), Json(-kHuge), Json(kMaxUnsigned), Json(-1), Json("x") }) {
+    Json listing = ListingJson();
+    listing["running"][0][3] = percent;
+    auto read = DecodeWorker(RenewLease{}, listing.dump());
+    REQUIRE(Ok(read));
+    const auto& status = std::get<WorkerStatus>(std::get<0>(read));
+    REQUIRE(status.mActiveRuns.size() == 1);
+    CHECK(status.mActiveRuns[0].mSpeedPercent == 0);
+  }
+}
+
+TEST_CASE("times of a relayed call overflow")
+{
+  Json call =
+    RelayedCallToJson({ "p", CancelJob{ "q", "5c0e7a21d94b36f8" }, 900ms });
+  for (const Json& millis :
+       { Json(kMaxUnsigned),
+         Json(std::numeric_limits<std::int64_t>::max()),
+         Json(std::numeric_limits<std::int64_t>::min()) }) {
+    call["ms"] = millis;
+    CHECK_FALSE(Ok(Decode([&] { return RelayedCallFromJson(call); })));
+    Json reply = { { "k", "refused" }, { "ms", millis } };
+    CHECK_FALSE(Ok(Decode([&] { return OwnerReplyFromJson(reply); })));
+  }
+}
+
+TEST_CASE("a pool's report with an infinite demand reaches the plan")
+{
+  PoolUsage usage;
+  usage.mWorkers["w"].mRuns = 2;
+  for (const char* field : { "busy", "waiting", "asked", "mean", "lasting" }) {
+    for (double number : { std::numeric_limits<double>::infinity(),
+                           std::numeric_limits<double>::quiet_NaN(),
+                           kHuge,
+                           -1.0 }) {
+      Json report = PoolUsageToJson(usage);
+      report[field] = number;
+      CHECK_FALSE(Ok(Decode([&] { return PoolUsageFromJson(report); })));
+    }
+  }
+  Json sync = FleetSyncToJson({ "p", 9, { "w" }, { { "v", 17 } } });
+  sync["incoming"] = std::numeric_limits<double>::quiet_NaN();
+  CHECK_FALSE(Ok(Decode([&] { return FleetSyncFromJson(sync); })));
+  sync["incoming"] = 1;
+  sync["ended"] = 17;
+  CHECK_FALSE(Ok(Decode([&] { return FleetSyncFromJson(sync); })));
+}
+
+TEST_CASE("a call between nodes with a huge timeout overflows the clock")
+{
+  for (const Json& millis : { Json(kMaxUnsigned),
+                              Json(std::numeric_limits<std::int64_t>::max()),
+                              Json(std::numeric_limits<std::int64_t>::min()),
+                              Json("soon") }) {
+    Json call = Json::array({ 1U, "job", millis, Json() });
+    CHECK_FALSE(Ok(Decode([&] { return DecodeLinkCall(ToCbor(call)); })));
+  }
+  Json call = Json::array({ 1U, "job", -20, Json() });
+  CHECK(Ok(Decode([&] { return DecodeLinkCall(ToCbor(call)); })));
+}
