Skip a malformed entry and follow the rest of its list

One entry that can't be read failed the whole list: a page or a feed of the store, the list of VMs, a worker's listing, advice. The directory then asked for the same changes for ever and followed nothing more; a worker with one odd run was treated as unreachable. Of a value that isn't base64 the part before the first wrong character was used.

Evidence, with the decoders before this change: a feed with "ver":-1, a key 17 or 1e999 in one row, a list of VMs with cpu 1e999, a listing with run -1 and advice with a ticket 2 were each rejected as a whole; an ended run of an unknown kind counted as failed.

Each list decides what leaving an entry out means. A worker's entry names no worker to use. A VM that is listed oddly or twice is in an unknown state, which proves nothing about its worker. While a row of a worker's listing can't be read, no run there is taken for ended, and ends are acknowledged only up to the one that can't be read, so that no task starts a second time. A row whose key can be read keeps it, so that a scan goes on behind it and the revision of a feed advances. JSON values that the parser rejects by themselves (nesting, 1e999, broken strings) spoil their entry only. Entries are counted and logged by MalformedEntryLog.

--- a/include/buckthornshunt/failure.h
+++ b/include/buckthornshunt/failure.h
@@ -111,6 +111,14 @@
   std::string mField;
 };
 
+/// An entry of a list that can't be read, while the others hold.
+struct MalformedEntry
+{
+  /// Key, id or position of the entry; empty if it has none that can be read.
+  std::string mKey;
+  std::string mReason;
+};
+
 /// An operator's command isn't allowed in the current state.
 struct StateConflict
 {
--- a/include/buckthornshunt/workload.h
+++ b/include/buckthornshunt/workload.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNSHUNT_WORKLOAD_H
 #define BUCKTHORNSHUNT_WORKLOAD_H
 
+#include "buckthornshunt/failure.h"
 #include "buckthornshunt/types.h"
 
 #include <compare>
@@ -262,6 +263,11 @@
   std::int64_t mIncarnation = 0;
   std::vector<ReportedRun> mActiveRuns;
   std::vector<EndedRun> mEndedRuns;
+  /// Rows of both lists that can't be read; any task may be meant.
+  std::vector<MalformedEntry> mMalformed = {};
+  /// Position from which on ended runs must not be acknowledged, since one of
+  /// them can't be read.
+  std::optional<std::uint64_t> mFirstUnreadableEnd = {};
 };
 
 /// Why a worker refused to start a run.
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -98,7 +98,10 @@
   TimePoint mLeaseExpiry;
   TimePoint mLastAnswerAt;
   int mMissedAnswers = 0;
+  /// All ended runs up to this position have been processed.
   std::uint64_t mLastSeenEnd = 0;
+  /// Later ones that have been, beyond one that can't be read.
+  std::set<std::uint64_t> mEndsSeenAhead;
   std::uint64_t mLastCommittedEnd = 0;
   Resources mReserved;
   std::map<TaskId, ActiveRun> mRuns;
@@ -107,6 +110,11 @@
   std::string mLastFailedJob;
   TimePoint mAvoidUntil;
   TimePoint mRateAdjustedAt;
+
+  bool HasSeenEnd(std::uint64_t aSequence) const
+  {
+    return aSequence <= mLastSeenEnd || mEndsSeenAhead.contains(aSequence);
+  }
 };
 
 struct CellOrder
@@ -305,6 +313,9 @@
                         const ReportedRun& aPresent,
                         TimePoint aSent,
                         TimePoint aNow);
+  void ProcessEndedRuns(CellWorker& aWorker,
+                        const WorkerStatus& aListing,
+                        TimePoint aNow);
   void ResolveAbsentRuns(CellWorker& aWorker,
                          const std::set<TaskId>& aPresent,
                          TimePoint aSent,
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -278,6 +278,29 @@
   }
 }
 
+// Ends are acknowledged up to mLastSeenEnd, and the worker forgets them then,
+// so it stays before an end that can't be read.
+void
+Cell::ProcessEndedRuns(CellWorker& aWorker,
+                       const WorkerStatus& aListing,
+                       TimePoint aNow)
+{
+  const std::optional<std::uint64_t>& gap = aListing.mFirstUnreadableEnd;
+  for (const EndedRun& end : aListing.mEndedRuns) {
+    if (!aWorker.HasSeenEnd(end.mSequence)) {
+      OnRunEnded(aWorker, end, aNow);
+    }
+    if (gap && end.mSequence >= *gap) {
+      aWorker.mEndsSeenAhead.insert(end.mSequence);
+    } else {
+      aWorker.mLastSeenEnd = std::max(aWorker.mLastSeenEnd, end.mSequence);
+    }
+  }
+  if (!gap) {
+    aWorker.mEndsSeenAhead.clear();
+  }
+}
+
 void
 Cell::OnListing(std::string_view aWorker,
                 const WorkerStatus& aListing,
@@ -305,22 +328,24 @@
   worker->mMissedAnswers = 0;
   worker->mNeedsProbe = false;
   worker->mTokenAccepted = true;
-  worker->mInheritedRunsUnknown = false;
+  // A row that can't be read may stand for any task: none of the runs that
+  // aren't listed is taken for ended, so that no task starts a second time.
+  bool complete = aListing.mMalformed.empty();
+  if (complete) {
+    worker->mInheritedRunsUnknown = false;
+  }
   if (!worker->mPersisted) {
     mWorkersDirty = true;
   }
-  for (const EndedRun& end : aListing.mEndedRuns) {
-    if (end.mSequence > worker->mLastSeenEnd) {
-      OnRunEnded(*worker, end, aNow);
-      worker->mLastSeenEnd = std::max(worker->mLastSeenEnd, end.mSequence);
-    }
-  }
+  ProcessEndedRuns(*worker, aListing, aNow);
   std::set<TaskId> present;
   for (const ReportedRun& run : aListing.mActiveRuns) {
     present.insert(run.mTask);
     UpdatePresentRun(*worker, run, aSent, aNow);
   }
-  ResolveAbsentRuns(*worker, present, aSent, aNow);
+  if (complete) {
+    ResolveAbsentRuns(*worker, present, aSent, aNow);
+  }
 }
 
 void
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -130,6 +130,7 @@
   aWorker.mInheritedRunsUnknown = false;
   aWorker.mLastSeenEnd = 0;
   aWorker.mLastCommittedEnd = 0;
+  aWorker.mEndsSeenAhead.clear();
   aWorker.mMissedAnswers = 0;
   aWorker.mConsecutiveFailures = 0;
 }
--- a/src/ports/store_calls.h
+++ b/src/ports/store_calls.h
@@ -30,6 +30,9 @@
   Revision mRevision{};
   /// The row was removed; set only in replies to ReadRowFeed.
   bool mRemoved = false;
+  /// Why the row can't be read; empty for a readable row. An unreadable row has
+  /// no value, and revision 0 if that can't be read either.
+  std::string mFault = {};
 };
 
 /// Revision that a row must have; 0 for a row that must not exist.
@@ -88,6 +91,8 @@
 {
   std::vector<StoredRow> mRows;
   bool mHasMore = false;
+  /// Number of rows that are left out, since their key can't be read.
+  std::size_t mUnnamedRows = 0;
   /// Latest revision of the store at the time of the read.
   Revision mRevision{};
 };
@@ -97,6 +102,8 @@
   std::vector<StoredRow> mRows;
   /// Value of ReadRowFeed::mAfter for the next read.
   Revision mRevision{};
+  /// As in RowScanPage.
+  std::size_t mUnnamedRows = 0;
 };
 
 /// The store no longer has the changes after the requested revision.
--- a/src/ports/worker_calls.h
+++ b/src/ports/worker_calls.h
@@ -104,6 +104,7 @@
 struct Advice
 {
   std::map<std::string, std::string, std::less<>> mTickets;
+  std::vector<MalformedEntry> mMalformed = {};
 };
 
 using WorkerReply = std::
@@ -140,6 +141,9 @@
   std::vector<PoolVm> mVms;
   /// Empty after the last page.
   std::string mNextPageToken;
+  /// Entries that can't be read. One that names its VM is in mVms as well, in
+  /// an unknown state.
+  std::vector<MalformedEntry> mMalformed = {};
 };
 
 /// The operation has begun or is already done.
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -42,6 +42,9 @@
 constexpr int kMaxSendersPerWorker = 4;
 constexpr Duration kAdviceGracePeriod = std::chrono::milliseconds(1500);
 
+/// Name of the workers' listings in the log of malformed entries.
+constexpr std::string_view kRunTable = "runs";
+
 } // namespace
 
 CellRuntime::CellRuntime(Kernel& aKernel,
@@ -70,6 +73,7 @@
   , mCommitDue(aKernel.Context())
   , mCommitted(aKernel.Context())
   , mWorkersChanged(aKernel.Context())
+  , mMalformed(aKernel.GetMetrics(), kPart)
 {
 }
 
@@ -148,6 +152,9 @@
     for (StoredRow& row : page.mRows) {
       aRows.push_back(std::move(row));
     }
+    for (std::size_t i = 0; i < page.mUnnamedRows; ++i) {
+      mMalformed.Record(aTable, mPool, "no key");
+    }
   }
   co_return true;
 }
@@ -563,13 +570,26 @@
 CellRuntime::LogEndedRuns(const CellWorker& aWorker,
                           const WorkerStatus& aListing) const
 {
+  RecordMalformedRuns(aWorker, *listing);
   constexpr std::size_t kMaxLineLength = 1000;
   std::string runs;
   for (std::size_t i = 0; i < aListing.mEndedRuns.size(); ++i) {
     const EndedRun& end = aListing.mEndedRuns[i];
-    if (end.mSequence > aWorker.mLastSeenEnd) {
+    if (!aWorker.HasSeenEnd(end.mSequence)) {
       runs += FormatText(
         " {}:{}={}", ToString(end.mTask), end.mRun, ToString(end.mEnd));
+void
+CellRuntime::RecordMalformedRuns(std::string_view aWorker,
+                                 const WorkerStatus& aListing)
+{
+  if (aListing.mMalformed.empty()) {
+    mMalformed.Clear(kRunTable, aWorker);
+  }
+  for (const MalformedEntry& entry : aListing.mMalformed) {
+    mMalformed.Record(kRunTable, aWorker, entry.mKey + ": " + entry.mReason);
+  }
+}
+
     }
     bool last =
       i + 1 == aListing.mEndedRuns.size() || runs.size() > kMaxLineLength;
@@ -754,6 +774,9 @@
   }
   mCell->OnAdvice(aRequest, std::move(tickets), valid, mClock.Now());
   mPlanDue.Set();
+      for (const MalformedEntry& entry : advice->mMalformed) {
+        mMalformed.Record("advice", aRequest.mJob, entry.mReason);
+      }
 }
 
 // --- Callers
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNSHUNT_SERVICES_CELL_RUNTIME_H
 
 #include "decide/cell.h"
+#include "kernel/entry_log.h"
 #include "kernel/kernel.h"
 #include "kernel/wait.h"
 #include "ports/caller_calls.h"
@@ -105,6 +106,8 @@
   void MonitorWorkers();
   void LogStarts(std::span<const CellOrder> aOrders) const;
   void LogEndedRuns(const CellWorker& aWorker,
+  void RecordMalformedRuns(std::string_view aWorker,
+                           const WorkerStatus& aListing);
                     const WorkerStatus& aListing) const;
   void LogOrder(std::string_view aWorker,
                 const WorkerCall& aCall,
@@ -138,6 +141,9 @@
   Event mWorkersChanged;
   std::map<std::string, WorkerQueue> mWorkerQueues;
 };
+  /// Jobs of which a row can't be read.
+  std::set<std::string, std::less<>> mUnreadableJobs;
+  MalformedEntryLog mMalformed;
 
 } // namespace buckthornshunt
 
--- a/src/services/directory_service.cpp
+++ b/src/services/directory_service.cpp
@@ -25,6 +25,7 @@
   , mStore(aStore)
   , mTasks(aKernel.Context(), &aKernel.Groups())
   , mChanged(aKernel.Context())
+  , mMalformed(aKernel.GetMetrics(), kPart)
 {
   mOperatorTable.mTable = platform::kOperatorTable;
   mWorkerTable.mTable = platform::kWorkerTable;
@@ -129,6 +130,7 @@
     RowScanPage page = std::get<RowScanPage>(std::move(reply));
     revision =
       from.empty() ? page.mRevision : std::min(revision, page.mRevision);
+    RecordUnnamed(aTable, page.mUnnamedRows);
     more = page.mHasMore && !page.mRows.empty();
     if (more) {
       // The next key in byte order after the last one read.
@@ -189,6 +191,7 @@
   if (changes == nullptr) {
     co_return false;
   }
+  RecordUnnamed(aTable, changes->mUnnamedRows);
   for (const StoredRow& row : changes->mRows) {
     Apply(aTable, row);
   }
@@ -202,11 +205,20 @@
 void
 DirectoryService::Apply(FollowedTable& aTable, const StoredRow& aRow)
 {
+  // Without a revision an unreadable row can't be told from an older one; it is
+  // applied, and so is the next readable one.
+  bool hasRevision = aRow.mRevision != Revision{};
   auto known = aTable.mRows.find(aRow.mName.mKey);
-  if (known != aTable.mRows.end() && aRow.mRevision <= known->second) {
+  if (hasRevision && known != aTable.mRows.end() &&
+      aRow.mRevision <= known->second) {
     return;
   }
-  aTable.mRows[aRow.mName.mKey] = aRow.mRevision;
+  if (hasRevision) {
+    aTable.mRows[aRow.mName.mKey] = aRow.mRevision;
+  }
+  if (!aRow.mFault.empty()) {
+    mMalformed.Record(aTable.mTable, aRow.mName.mKey, aRow.mFault);
+  }
   if (&aTable == &mOperatorTable) {
     ApplyOperatorRow(aRow);
   } else {
@@ -214,10 +226,19 @@
   }
 }
 
+void
+DirectoryService::RecordUnnamed(const FollowedTable& aTable, std::size_t aRows)
+{
+  for (std::size_t i = 0; i < aRows; ++i) {
+    mMalformed.Record(aTable.mTable, "", "no key");
+  }
+}
+
 void
 DirectoryService::ApplyOperatorRow(const StoredRow& aRow)
 {
-  if (aRow.mRemoved) {
+  // An order that was given stays in force while its row can't be read.
+  if (aRow.mRemoved || !aRow.mFault.empty()) {
     return;
   }
   if (aRow.mName.mKey == platform::kConfigKey) {
@@ -231,12 +252,12 @@
   auto order = ToExpected<WaveOrder>(
     [&] { return platform::DecodeWaveOrder(aRow.mValue); });
   if (!Ok(order)) {
-    LogWarn(kPart,
-            "malformed wave {} ignored: {}",
-            *wave,
-            Describe(std::get<Failure>(order)));
+    mMalformed.Record(platform::kOperatorTable,
+                      aRow.mName.mKey,
+                      Describe(std::get<Failure>(order)));
     return;
   }
+  mMalformed.Clear(platform::kOperatorTable, aRow.mName.mKey);
   WaveOrder& waveOrder = std::get<WaveOrder>(order);
   LogInfo(kPart,
           "wave {} seen vms={} at_once={} deadline_s={}",
@@ -255,12 +276,12 @@
   auto config = ToExpected<WorkloadConfig>(
     [&] { return platform::DecodeWorkloadConfig(aRow.mValue); });
   if (!Ok(config)) {
-    LogError(kPart,
-             "malformed configuration at revision {} ignored: {}",
-             ToNumber(aRow.mRevision),
-             Describe(std::get<Failure>(config)));
+    mMalformed.Record(platform::kOperatorTable,
+                      aRow.mName.mKey,
+                      Describe(std::get<Failure>(config)));
     return;
   }
+  mMalformed.Clear(platform::kOperatorTable, aRow.mName.mKey);
   WorkloadConfig& newConfig = std::get<WorkloadConfig>(config);
   if (mConfig && newConfig.mVersion <= mConfig->mVersion) {
     return;
@@ -289,19 +310,23 @@
       mWorkers.erase(before);
       mIncarnationSeenAt.erase(id);
     }
+    mMalformed.Clear(platform::kWorkerTable, id);
     return;
   }
   auto report = ToExpected<WorkerReport>(
     [&] { return platform::DecodeWorkerReport(id, aRow.mValue); });
+  // A malformed entry names no worker to use; runs on an earlier one are known
+  // to the cell, which waits for their leases.
   if (!Ok(report)) {
-    LogWarn(kPart,
-            "malformed entry of worker {}, worker dropped: {}",
-            id,
-            Describe(std::get<Failure>(report)));
+    if (aRow.mFault.empty()) {
+      mMalformed.Record(
+        platform::kWorkerTable, id, Describe(std::get<Failure>(report)));
+    }
     mWorkers.erase(id);
     mIncarnationSeenAt.erase(id);
     return;
   }
+  mMalformed.Clear(platform::kWorkerTable, id);
   WorkerReport& workerReport = std::get<WorkerReport>(report);
   bool changed = before == mWorkers.end() ||
                  before->second.mDraining != workerReport.mDraining ||
--- a/src/services/directory_service.h
+++ b/src/services/directory_service.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNSHUNT_SERVICES_DIRECTORY_SERVICE_H
 
 #include "buckthornshunt/workload.h"
+#include "kernel/entry_log.h"
 #include "kernel/kernel.h"
 #include "ports/store.h"
 
@@ -62,6 +63,7 @@
   void ApplyOperatorRow(const StoredRow& aRow);
   void ApplyWorkerRow(const StoredRow& aRow);
   void ApplyConfigRow(const StoredRow& aRow);
+  void RecordUnnamed(const FollowedTable& aTable, std::size_t aRows);
 
   Kernel& mKernel;
   Store& mStore;
@@ -75,6 +77,7 @@
   std::map<std::string, WorkerReport, std::less<>> mWorkers;
   /// When each listed worker's current incarnation was first seen.
   std::map<std::string, TimePoint, std::less<>> mIncarnationSeenAt;
+  MalformedEntryLog mMalformed;
 };
 
 } // namespace buckthornshunt
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -20,6 +20,8 @@
 constexpr std::string_view kFleetTable = "fleet";
 constexpr std::string_view kIntentsKey = "intents";
 constexpr std::string_view kWavePrefix = "wave/";
+/// Name of the list of VMs in the log of malformed entries.
+constexpr std::string_view kVmTable = "vms";
 
 constexpr Duration kCheckInterval = std::chrono::milliseconds(500);
 constexpr Duration kRenewInterval = std::chrono::milliseconds(500);
@@ -58,6 +60,7 @@
   , mSyncDue(aKernel.Context())
   , mPersistDue(aKernel.Context())
   , mPersisted(aKernel.Context())
+  , mMalformed(aKernel.GetMetrics(), kPart)
 {
 }
 
@@ -188,8 +191,10 @@
     if (key == kIntentsKey) {
       auto intents =
         ToExpected<IntentMap>([&] { return DecodeIntents(row.mValue); });
+      // What was ordered shows in the list of VMs.
       if (!Ok(intents)) {
-        LogError(kPart, "stored orders can't be read, ignored");
+        mMalformed.Record(
+          kFleetTable, key, Describe(std::get<Failure>(intents)));
         continue;
       }
       for (auto& [vm, intent] : std::get<IntentMap>(intents)) {
@@ -203,7 +208,7 @@
       auto wave =
         ToExpected<StoredWave>([&] { return DecodeStoredWave(row.mValue); });
       if (!Ok(wave)) {
-        LogError(kPart, "progress of {} can't be read, ignored", key);
+        mMalformed.Record(kFleetTable, key, Describe(std::get<Failure>(wave)));
         continue;
       }
       const StoredWave& storedWave = std::get<StoredWave>(wave);
@@ -307,6 +312,7 @@
                            : nullptr;
       ok = list != nullptr;
       if (ok) {
+        RecordMalformedVms(*list);
         vms.insert(vms.end(), list->mVms.begin(), list->mVms.end());
         page = list->mNextPageToken;
         more = !page.empty();
@@ -326,6 +332,19 @@
   }
 }
 
+void
+FleetService::RecordMalformedVms(const PoolVmPage& aPage)
+{
+  for (const PoolVm& vm : aPage.mVms) {
+    if (vm.mState != PoolVmState::Unknown) {
+      mMalformed.Clear(kVmTable, vm.mVm);
+    }
+  }
+  for (const MalformedEntry& entry : aPage.mMalformed) {
+    mMalformed.Record(kVmTable, entry.mKey, entry.mReason);
+  }
+}
+
 // The first list is the baseline, so it isn't logged.
 void
 FleetService::LogVmChanges(std::span<const PoolVm> aVms) const
--- a/src/services/fleet_service.h
+++ b/src/services/fleet_service.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNSHUNT_SERVICES_FLEET_SERVICE_H
 
 #include "decide/fleet_plan.h"
+#include "kernel/entry_log.h"
 #include "kernel/kernel.h"
 #include "kernel/wait.h"
 #include "ports/store.h"
@@ -58,6 +59,7 @@
   Task<void> ExecuteOrder(std::string aVm);
   Task<bool> Persist();
   Task<Json> OnSync(Json aBody, TimePoint aDeadline);
+  void RecordMalformedVms(const PoolVmPage& aPage);
   void LogVmChanges(std::span<const PoolVm> aVms) const;
   void RemoveSettledIntents();
   void ApplyPlan(const FleetPlan& aChange);
@@ -95,6 +97,7 @@
   Event mPersisted;
   /// Highest fencing token of a sync that this node's cells have accepted.
   std::uint64_t mHighestFleetToken = 0;
+  MalformedEntryLog mMalformed;
 };
 
 } // namespace buckthornshunt
--- a/src/services/owner_service.cpp
+++ b/src/services/owner_service.cpp
@@ -30,6 +30,7 @@
   , mTasks(aKernel.Context(), &aKernel.Groups())
   , mRefreshDue(aKernel.Context())
   , mChanged(aKernel.Context())
+  , mMalformed(aKernel.GetMetrics(), kPart)
 {
 }
 
@@ -179,12 +180,15 @@
   }
   auto row = ToExpected<OwnerRow>([&] { return DecodeOwnerRow(aRow.mValue); });
   if (!Ok(row)) {
-    LogError(kPart,
-             "owner row of cell {} can't be read, ignored: {}",
-             aRow.mName.mPartition,
-             Describe(std::get<Failure>(row)));
+    // A part of the row, such as a term without an address, says nothing: the
+    // last readable row stays, and no claim succeeds under its revision.
+    mMalformed.Record(kCellTable,
+                      aRow.mName.mPartition + "/owner",
+                      aRow.mFault.empty() ? Describe(std::get<Failure>(row))
+                                          : aRow.mFault);
     return;
   }
+  mMalformed.Clear(kCellTable, aRow.mName.mPartition + "/owner");
   ObserveRow(aRow.mName.mPartition, std::get<OwnerRow>(row), aRow.mRevision);
 }
 
--- a/src/services/owner_service.h
+++ b/src/services/owner_service.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNSHUNT_SERVICES_OWNER_SERVICE_H
 
 #include "decide/cell_owner.h"
+#include "kernel/entry_log.h"
 #include "kernel/kernel.h"
 #include "kernel/wait.h"
 #include "ports/store.h"
@@ -70,6 +71,7 @@
   Revision mRevision{};
   bool mFollowing = false;
   TimePoint mReadAt;
+  MalformedEntryLog mMalformed;
 };
 
 } // namespace buckthornshunt
--- a/src/wire/json_fields.cpp
+++ b/src/wire/json_fields.cpp
@@ -112,6 +112,84 @@
   return root;
 }
 
+// A value of a type that no field of a list's entries has.
+constexpr std::string_view kUnreadableValue = "[{}]";
+
+// End of the string that begins at aAt; the end of the text if it isn't closed.
+std::size_t
+EndOfString(std::string_view aText, std::size_t aAt)
+{
+  ++aAt;
+  while (aAt < aText.size() && aText[aAt] != '"') {
+    aAt += aText[aAt] == '\\' ? 2 : 1;
+  }
+  return std::min(aAt + 1, aText.size());
+}
+
+// End of the object or array that begins at aAt.
+std::size_t
+EndOfContainer(std::string_view aText, std::size_t aAt)
+{
+  std::size_t depth = 0;
+  while (aAt < aText.size()) {
+    char c = aText[aAt];
+    if (c == '"') {
+      aAt = EndOfString(aText, aAt);
+      continue;
+    }
+    ++aAt;
+    if (c == '[' || c == '{') {
+      ++depth;
+    } else if ((c == ']' || c == '}') && --depth == 0) {
+      break;
+    }
+  }
+  return aAt;
+}
+
+// Replaces each value that the parser rejects by itself.
+std::string
+ReplaceUnreadableValues(std::string_view aText)
+{
+  constexpr std::string_view kSpace = " \t\r\n";
+  constexpr std::string_view kDelimiters = " \t\r\n[]{},:\"";
+  std::string out;
+  out.reserve(aText.size());
+  std::size_t depth = 0;
+  std::size_t at = 0;
+  while (at < aText.size()) {
+    char c = aText[at];
+    bool opens = c == '[' || c == '{';
+    if (opens && depth == kMaxJsonDepth - 2) {
+      // Leaves room for the nesting of the replacement.
+      at = EndOfContainer(aText, at);
+      out += kUnreadableValue;
+      continue;
+    }
+    bool isString = c == '"';
+    if (!isString && kDelimiters.find(c) != std::string_view::npos) {
+      depth += opens ? 1 : 0;
+      depth -= (c == ']' || c == '}') && depth > 0 ? 1 : 0;
+      out += c;
+      ++at;
+      continue;
+    }
+    std::size_t end =
+      isString ? EndOfString(aText, at)
+               : std::min(aText.find_first_of(kDelimiters, at), aText.size());
+    std::string_view value = aText.substr(at, end - at);
+    std::size_t next = aText.find_first_not_of(kSpace, end);
+    bool isKey = next != std::string_view::npos && aText[next] == ':';
+    if (Json::accept(value)) {
+      out += value;
+    } else {
+      out += isKey ? std::string_view("\"\"") : kUnreadableValue;
+    }
+    at = end;
+  }
+  return out;
+}
+
 template<class Value, class TypeCheck>
 leaf::result<Value>
 ReadAs(const Json& aObject, const char* aName, TypeCheck aHasType)
@@ -131,6 +209,14 @@
   return Parse(aText, Json::input_format_t::json);
 }
 
+leaf::result<Json>
+ParseJsonList(std::string_view aText)
+{
+  return leaf::try_handle_some(
+    [&] { return ParseJson(aText); },
+    [&](const Failure&) { return ParseJson(ReplaceUnreadableValues(aText)); });
+}
+
 bool
 IsUtf8(std::string_view aText)
 {
--- a/src/wire/json_fields.h
+++ b/src/wire/json_fields.h
@@ -57,6 +57,12 @@
 leaf::result<Json>
 ParseJson(std::string_view aText);
 
+/// Parses JSON text that holds a list of entries, like ParseJson. A value that
+/// can't be read, such as one nested too deeply or a number that is too large,
+/// becomes one that no field accepts, so that only its entry is malformed.
+leaf::result<Json>
+ParseJsonList(std::string_view aText);
+
 /// True if the text is well-formed UTF-8.
 bool
 IsUtf8(std::string_view aText);
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -76,15 +76,17 @@
   }
 
   void List(std::vector<ReportedRun> aPresent, std::vector<EndedRun> aEnded)
+  {
+    ListStatus({ 0, 5, std::move(aPresent), std::move(aEnded) });
+  }
+
+  void ListStatus(WorkerStatus aListing)
   {
     mNow += 10ms;
     TimePoint sent = mNow;
     mNow += 10ms;
-    WorkerStatus listing{ ToMillis(mNow.time_since_epoch()),
-                          5,
-                          std::move(aPresent),
-                          std::move(aEnded) };
-    mCell.OnListing("w", listing, sent, mNow);
+    aListing.mClockMs = ToMillis(mNow.time_since_epoch());
+    mCell.OnListing("w", aListing, sent, mNow);
   }
 
   void Commit()
@@ -571,3 +573,48 @@
   REQUIRE(orders.size() == 1);
   CHECK(std::get<StartRun>(orders[0].mCall).mTask.mJob == "small");
 }
+
+TEST_CASE("a task starts twice while a run of its worker can't be read")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 1 }));
+  REQUIRE(cell.PlanAndAnswer().size() == 1);
+  cell.List({ { { "a", 0, 0, 0 }, 1, "", 100, {} } }, {});
+  WorkerStatus odd;
+  odd.mIncarnation = 5;
+  odd.mMalformed = { { "running", "no task" } };
+  for (int i = 0; i < 5; ++i) {
+    cell.ListStatus(odd);
+    CHECK(cell.PlanAndAnswer().empty());
+  }
+  CHECK(cell.mCell.PhaseOf("a") == JobPhase::Running);
+  // The run has ended unseen, so it is stopped before the task starts again.
+  cell.List({}, {});
+  std::vector<CellOrder> orders = cell.PlanAndAnswer();
+  REQUIRE(orders.size() == 1);
+  CHECK(std::holds_alternative<StopRun>(orders[0].mCall));
+}
+
+TEST_CASE("an end that can't be read is acknowledged and forgotten")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 3 }));
+  cell.PlanAndAnswer();
+  WorkerStatus odd;
+  odd.mIncarnation = 5;
+  odd.mEndedRuns = { DoneEnd(1, 0), DoneEnd(3, 2) };
+  odd.mMalformed = { { "ended", "no task" } };
+  odd.mFirstUnreadableEnd = 2;
+  for (int i = 0; i < 3; ++i) {
+    cell.ListStatus(odd);
+    cell.Commit();
+    cell.Commit();
+    CHECK(cell.Acknowledged() == 1);
+  }
+  CHECK(cell.mCell.PhaseOf("a") == JobPhase::Running);
+  cell.List({}, { DoneEnd(2, 1), DoneEnd(3, 2) });
+  cell.Commit();
+  cell.Commit();
+  CHECK(cell.Acknowledged() == 3);
+  CHECK(cell.mCell.PhaseOf("a") == JobPhase::Completed);
+}
--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -90,6 +90,18 @@
            { "seq", 4 } };
 }
 
+Json
+VmJson(std::string_view aVm)
+{
+  return { { "machine", aVm },
+           { "pool", "p" },
+           { "state", "up" },
+           { "zone", "a" },
+           { "labels", Json::array({ "k", "r1" }) },
+           { "capacity", { { "cpu", 1000 }, { "mem_mb", 64 } } },
+           { "id", "w" } };
+}
+
 Json
 ListingJson()
 {
@@ -159,6 +171,13 @@
   return Decode([&] { return DecodeWorkerReply(aCall, reply); });
 }
 
+Expected<MachineReply>
+DecodeMachines(std::string_view aBody)
+{
+  HttpReply reply = MakeReply(200, kJsonType, std::string(aBody));
+  return Decode([&] { return DecodeMachineReply(ListPoolVms{}, reply); });
+}
+
 Expected<DecodedCall>
 DecodeSubmission(std::string_view aBody, std::string_view aDeadline = "2500")
 {
@@ -403,6 +422,224 @@
   CHECK_FALSE(Ok(Decode([&] { return FleetSyncFromJson(sync); })));
 }
 
+namespace {
+
+// Raw JSON of values that no decoder may trust.
+std::vector<std::string>
+OddJsonValues()
+{
+  std::string deep(kDeepNesting, '[');
+  return { "1e999",
+           "-1e999",
+           "18446744073709551615",
+           "18446744073709551616",
+           "9223372036854775807",
+           "9223372036854775808",
+           "-9223372036854775808",
+           "-9223372036854775809",
+           "1e300",
+           "1.5",
+           "-1",
+           "0",
+           "65536",
+           "null",
+           "true",
+           "\"\"",
+           "\"\\ud800\"",
+           "\"\xff\"",
+           "\"\\u0000\\r\\n\"",
+           "\"" + std::string(kDeepNesting, 'x') + "\"",
+           "[]",
+           "{}",
+           "[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[]]]]]]]]]]]]]]]]]]]]]]]]]]]]]]",
+           deep + std::string(kDeepNesting, ']') };
+}
+
+// A page of the store with a good row on either side of an odd one.
+std::string
+StorePage(std::string_view aOddRow)
+{
+  constexpr std::string_view kGood =
+    R"({"table":"servers","part":"","key":"KEY","value":"e30=","ver":5})";
+  std::string first(kGood);
+  first.replace(first.find("KEY"), 3, "a");
+  std::string last(kGood);
+  last.replace(last.find("KEY"), 3, "z");
+  return "{\"rows\":[" + first + "," + std::string(aOddRow) + "," + last +
+         "],\"ver\":9,\"truncated\":false}";
+}
+
+Expected<StoreReply>
+DecodeStore(const StoreCall& aCall, std::string_view aBody)
+{
+  return Decode([&] { return DecodeStoreReply(aCall, 200, aBody); });
+}
+
+std::string
+ReplaceText(std::string aText, std::string_view aFrom, std::string_view aTo)
+{
+  std::size_t at = aText.find(aFrom);
+  REQUIRE(at != std::string::npos);
+  return aText.replace(at, aFrom.size(), aTo);
+}
+
+} // namespace
+
+TEST_CASE("one unreadable row fails a whole page of the store")
+{
+  std::string row =
+    R"({"table":"servers","part":"","key":"m","value":"e30=","ver":5})";
+  std::vector<std::string> odd = { ReplaceText(row, "\"e30=\"", "\"e3*0=\""),
+                                   ReplaceText(row, "\"e30=\"", "\"e30=e30=\""),
+                                   ReplaceText(row, "\"e30=\"", "\"e\""),
+                                   ReplaceText(row, "\"e30=\"", "17"),
+                                   ReplaceText(row, ":5", ":10"),
+                                   ReplaceText(row, ":5", ":-5"),
+                                   ReplaceText(row, "\"part\":\"\",", "") };
+  for (const std::string& value : OddJsonValues()) {
+    if (value != "0") {
+      odd.push_back(ReplaceText(row, ":5", ":" + value));
+    }
+    odd.push_back(ReplaceText(row, "\"m\"", value));
+    odd.push_back(value);
+  }
+  for (const std::string& text : odd) {
+    CAPTURE(text.substr(0, 100));
+    auto scan = DecodeStore(ScanRows{ "servers", "", "" }, StorePage(text));
+    REQUIRE(Ok(scan));
+    const auto& page = std::get<RowScanPage>(std::get<0>(scan));
+    CHECK(page.mRows.front().mName.mKey == "a");
+    CHECK(page.mRows.back().mName.mKey == "z");
+    auto feed = DecodeStore(ReadRowFeed{ "servers", {}, 0s }, StorePage(text));
+    REQUIRE(Ok(feed));
+    const auto& changes = std::get<RowFeedPage>(std::get<0>(feed));
+    CHECK(changes.mRevision == Revision(9));
+    CHECK(changes.mRows.back().mValue == "{}");
+  }
+}
+
+TEST_CASE("an unreadable row keeps its key and loses its value")
+{
+  auto scan = DecodeStore(
+    ScanRows{ "servers", "", "" },
+    StorePage(
+      R"({"table":"servers","part":"","key":"m","value":"e30*","ver":5})"));
+  REQUIRE(Ok(scan));
+  const auto& page = std::get<RowScanPage>(std::get<0>(scan));
+  REQUIRE(page.mRows.size() == 3);
+  CHECK(page.mUnnamedRows == 0);
+  CHECK(page.mRows[1].mName.mKey == "m");
+  CHECK(page.mRows[1].mRevision == Revision(5));
+  CHECK(page.mRows[1].mValue.empty());
+  CHECK_FALSE(page.mRows[1].mFault.empty());
+  scan = DecodeStore(ScanRows{ "servers", "", "" }, StorePage("[1e999]"));
+  REQUIRE(Ok(scan));
+  CHECK(std::get<RowScanPage>(std::get<0>(scan)).mUnnamedRows == 1);
+}
+
+TEST_CASE("a truncated page without a readable key is taken for the last one")
+{
+  CHECK_FALSE(Ok(DecodeStore(ScanRows{ "servers", "", "" },
+                             R"({"rows":[1],"ver":9,"truncated":true})")));
+}
+
+TEST_CASE("one unreadable VM fails the whole list of VMs")
+{
+  for (const char* field :
+       { "machine", "pool", "state", "capacity", "labels" }) {
+    for (const std::string& value : OddJsonValues()) {
+      CAPTURE(field);
+      CAPTURE(value.substr(0, 100));
+      Json odd = VmJson("m2");
+      odd[field] = "@@";
+      Json body = { { "machines",
+                      Json::array({ VmJson("m1"), odd, VmJson("m3") }) } };
+      auto read = DecodeMachines(ReplaceText(body.dump(), "\"@@\"", value));
+      REQUIRE(Ok(read));
+      const auto& page = std::get<PoolVmPage>(std::get<0>(read));
+      REQUIRE(page.mVms.size() >= 2);
+      CHECK(page.mVms.front().mVm == "m1");
+      CHECK(page.mVms.back().mVm == "m3");
+    }
+  }
+}
+
+TEST_CASE("an unreadable or repeated entry of the list proves a worker ended")
+{
+  Json moved = VmJson("m1");
+  moved["pool"] = "other";
+  Json odd = VmJson("m2");
+  odd["capacity"] = 17;
+  odd["state"] = "down";
+  Json body = { { "machines", Json::array({ VmJson("m1"), moved, odd }) } };
+  auto read = DecodeMachines(body.dump());
+  REQUIRE(Ok(read));
+  const auto& page = std::get<PoolVmPage>(std::get<0>(read));
+  REQUIRE(page.mVms.size() == 2);
+  CHECK(page.mVms[0].mState == PoolVmState::Unknown);
+  CHECK(page.mVms[1].mState == PoolVmState::Unknown);
+  CHECK(page.mMalformed.size() == 2);
+}
+
+TEST_CASE("one unreadable run fails a worker's whole listing")
+{
+  for (const char* list : { "running", "ended" }) {
+    for (const std::string& value : OddJsonValues()) {
+      CAPTURE(list);
+      CAPTURE(value.substr(0, 100));
+      Json listing = ListingJson();
+      listing[list].push_back("@@");
+      listing[list].push_back(listing[list][0]);
+      auto read = DecodeWorker(RenewLease{},
+                               ReplaceText(listing.dump(), "\"@@\"", value));
+      REQUIRE(Ok(read));
+      const auto& status = std::get<WorkerStatus>(std::get<0>(read));
+      bool ended = list == std::string_view("ended");
+      CHECK(status.mActiveRuns.size() == (ended ? 1 : 2));
+      CHECK(status.mEndedRuns.size() == (ended ? 2 : 1));
+      CHECK(status.mMalformed.size() == 1);
+      CHECK(status.mFirstUnreadableEnd ==
+            (ended ? std::optional<std::uint64_t>(59) : std::nullopt));
+    }
+  }
+}
+
+TEST_CASE("an end of an unknown kind counts as a failure")
+{
+  Json listing = ListingJson();
+  listing["ended"][0][3] = "finished";
+  auto read = DecodeWorker(RenewLease{}, listing.dump());
+  REQUIRE(Ok(read));
+  const auto& status = std::get<WorkerStatus>(std::get<0>(read));
+  CHECK(status.mEndedRuns.empty());
+  CHECK(status.mFirstUnreadableEnd == 58);
+}
+
+TEST_CASE("one unreadable row fails the whole advice")
+{
+  for (const std::string& value : OddJsonValues()) {
+    CAPTURE(value.substr(0, 100));
+    std::string body =
+      R"({"good":[["a","1"],["b",)" + value + R"(],["c","3"]]})";
+    auto read = DecodeWorker(RequestAdvice{}, body);
+    REQUIRE(Ok(read));
+    const auto& advice = std::get<Advice>(std::get<0>(read));
+    CHECK(advice.mTickets.at("a") == "1");
+    CHECK(advice.mTickets.at("c") == "3");
+  }
+}
+
+TEST_CASE("an unreadable entry of the worker set is forgotten")
+{
+  Json workers = Json::array(
+    { 17, Json::array({ 5, "10.0.0.1", 7 }), Json::array({ "w" }) });
+  auto read = Decode([&] { return DecodeWorkerSet(ToCbor(workers)); });
+  REQUIRE(Ok(read));
+  // Each may hold runs of an earlier owner.
+  REQUIRE(std::get<0>(read).size() == 3);
+  CHECK(std::get<0>(read)[2].mId == "w");
+}
+
 TEST_CASE("a call between nodes with a huge timeout overflows the clock")
 {
   for (const Json& millis : { Json(kMaxUnsigned),
