Hold back a job of which a row can't be read

The new owner of a cell ignored a row that it couldn't read. Without its progress a job ran again what was done; without its specification an accepted job was answered as unknown, and a repeated submission replaced the row. An unreadable worker set let tasks start that may still have been running at an earlier owner's workers.

Such a job now neither runs nor is denied: calls for it are answered as unavailable, which says nothing about it, and its rows stay as they are. An unreadable worker set counts as a worker that isn't known, whose leases are waited for.

--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -219,22 +219,17 @@
     if (Ok(read)) {
       progress.emplace(row.mName.mKey, std::get<0>(std::move(read)));
     } else {
-      LogError(kPart,
-               "pool={} progress of job {} can't be read, ignored: {}",
-               mPool,
-               row.mName.mKey,
-               Describe(std::get<Failure>(read)));
+      HoldUnreadableJob(row, std::get<Failure>(read));
     }
   }
   for (const StoredRow& row : aJobs) {
     auto read = ToExpected<StoredJob>(
       [&] { return DecodeStoredJob(row.mName.mKey, row.mValue); });
     if (!Ok(read)) {
-      LogError(kPart,
-               "pool={} job {} can't be read, ignored: {}",
-               mPool,
-               row.mName.mKey,
-               Describe(std::get<Failure>(read)));
+      HoldUnreadableJob(row, std::get<Failure>(read));
+      progress.erase(row.mName.mKey);
+    }
+    if (mUnreadableJobs.contains(row.mName.mKey)) {
       continue;
     }
     StoredProgress stored;
@@ -256,11 +251,28 @@
     if (Ok(workers)) {
       mCell->RestoreWorkers(std::get<0>(workers), now);
     } else {
-      LogError(kPart, "pool={} stored workers can't be read, ignored", mPool);
+      // Some worker may hold runs of an earlier owner; as for an entry that
+      // can't be read, its leases are waited for.
+      std::vector<WorkerAddress> unknown(1);
+      mCell->RestoreWorkers(unknown, now);
+      mMalformed.Record(
+        kCellTable, mPool + "/workers", Describe(std::get<Failure>(workers)));
     }
   }
 }
 
+// Without its progress a job would run again what is done, and without its
+// specification an accepted job would be denied. Neither runs, and calls for it
+// are answered as unavailable, until the row can be read.
+void
+CellRuntime::HoldUnreadableJob(const StoredRow& aRow, const Failure& aFailure)
+{
+  mUnreadableJobs.insert(aRow.mName.mKey);
+  mMalformed.Record(aRow.mName.mTable,
+                    mPool + "/" + aRow.mName.mKey,
+                    aRow.mFault.empty() ? Describe(aFailure) : aRow.mFault);
+}
+
 void
 CellRuntime::OnDirectoryChange()
 {
@@ -558,6 +570,7 @@
             listing->mActiveRuns.size(),
             listing->mEndedRuns.size());
   }
+  RecordMalformedRuns(aWorker, *listing);
   LogEndedRuns(worker, *listing);
   mCell->OnListing(aWorker, *listing, sent, now);
   mPlanDue.Set();
@@ -565,19 +578,6 @@
   co_return true;
 }
 
-// Logs the newly ended runs of a listing, split into lines of limited length.
-void
-CellRuntime::LogEndedRuns(const CellWorker& aWorker,
-                          const WorkerStatus& aListing) const
-{
-  RecordMalformedRuns(aWorker, *listing);
-  constexpr std::size_t kMaxLineLength = 1000;
-  std::string runs;
-  for (std::size_t i = 0; i < aListing.mEndedRuns.size(); ++i) {
-    const EndedRun& end = aListing.mEndedRuns[i];
-    if (!aWorker.HasSeenEnd(end.mSequence)) {
-      runs += FormatText(
-        " {}:{}={}", ToString(end.mTask), end.mRun, ToString(end.mEnd));
 void
 CellRuntime::RecordMalformedRuns(std::string_view aWorker,
                                  const WorkerStatus& aListing)
@@ -590,6 +590,18 @@
   }
 }
 
+// Logs the newly ended runs of a listing, split into lines of limited length.
+void
+CellRuntime::LogEndedRuns(const CellWorker& aWorker,
+                          const WorkerStatus& aListing) const
+{
+  constexpr std::size_t kMaxLineLength = 1000;
+  std::string runs;
+  for (std::size_t i = 0; i < aListing.mEndedRuns.size(); ++i) {
+    const EndedRun& end = aListing.mEndedRuns[i];
+    if (!aWorker.HasSeenEnd(end.mSequence)) {
+      runs += FormatText(
+        " {}:{}={}", ToString(end.mTask), end.mRun, ToString(end.mEnd));
     }
     bool last =
       i + 1 == aListing.mEndedRuns.size() || runs.size() > kMaxLineLength;
@@ -762,6 +774,9 @@
       workerReply ? std::get_if<Advice>(workerReply) : nullptr;
     if (advice != nullptr) {
       tickets = advice->mTickets;
+      for (const MalformedEntry& entry : advice->mMalformed) {
+        mMalformed.Record("advice", aRequest.mJob, entry.mReason);
+      }
       // Counted from the time of sending, so that no ticket is used too late.
       valid = sent + terms.mTicketLifetime - mClock.Now();
     } else {
@@ -774,13 +789,24 @@
   }
   mCell->OnAdvice(aRequest, std::move(tickets), valid, mClock.Now());
   mPlanDue.Set();
-      for (const MalformedEntry& entry : advice->mMalformed) {
-        mMalformed.Record("advice", aRequest.mJob, entry.mReason);
-      }
 }
 
 // --- Callers
 
+namespace {
+
+struct JobIdVisitor
+{
+  std::string_view operator()(const CountQueuedJobs&) const { return {}; }
+  template<class Call>
+  std::string_view operator()(const Call& aCall) const
+  {
+    return aCall.mId;
+  }
+};
+
+} // namespace
+
 Task<CallerReply>
 CellRuntime::Handle(CallerCall aCall, TimePoint aDeadline)
 {
@@ -790,6 +816,9 @@
   if (!mLoaded || Lost() || mReleasing) {
     co_return ServiceUnavailable{ std::chrono::seconds(1) };
   }
+  if (mUnreadableJobs.contains(std::visit(JobIdVisitor{}, aCall))) {
+    co_return ServiceUnavailable{ std::chrono::seconds(1) };
+  }
   if (auto* submit = std::get_if<SubmitJob>(&aCall)) {
     CallerReply reply = co_await Submit(std::move(*submit), aDeadline);
     co_return reply;
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -94,6 +94,7 @@
   void Restore(const std::vector<StoredRow>& aJobs,
                const std::vector<StoredRow>& aProgress,
                const std::vector<StoredRow>& aCells);
+  void HoldUnreadableJob(const StoredRow& aRow, const Failure& aFailure);
   Task<void> PlanLoop();
   Task<void> CommitLoop();
   ConditionalCommit MakeCommit(const CellChanges& aChanges) const;
@@ -105,9 +106,9 @@
   void Dispatch(std::vector<CellOrder> aOrders);
   void MonitorWorkers();
   void LogStarts(std::span<const CellOrder> aOrders) const;
-  void LogEndedRuns(const CellWorker& aWorker,
   void RecordMalformedRuns(std::string_view aWorker,
                            const WorkerStatus& aListing);
+  void LogEndedRuns(const CellWorker& aWorker,
                     const WorkerStatus& aListing) const;
   void LogOrder(std::string_view aWorker,
                 const WorkerCall& aCall,
@@ -140,10 +141,10 @@
   Event mCommitted;
   Event mWorkersChanged;
   std::map<std::string, WorkerQueue> mWorkerQueues;
-};
   /// Jobs of which a row can't be read.
   std::set<std::string, std::less<>> mUnreadableJobs;
   MalformedEntryLog mMalformed;
+};
 
 } // namespace buckthornshunt
 
--- a/tests/malformed_entry_test.cpp
+++ b/tests/malformed_entry_test.cpp
@@ -313,6 +313,15 @@
   return row;
 }
 
+std::string
+JobBytes()
+{
+  StoredJob job;
+  job.mQueue = "q";
+  job.mSpec.mSteps.push_back({});
+  return EncodeStoredJob(job);
+}
+
 } // namespace
 
 TEST_CASE("an odd owner row hides the owners of other cells")
@@ -336,3 +345,47 @@
           .Value() >= 1);
   fixture.Finish(owners.Stop());
 }
+
+TEST_CASE("a job whose rows can't be read is denied or run again")
+{
+  RowFixture fixture;
+  fixture.Put("jobs", "c", "good", JobBytes());
+  fixture.Put("jobs", "c", "odd", "\x7f\x7f");
+  fixture.Put("jobs", "c", "unsure", JobBytes());
+  fixture.Put("progress", "c", "unsure", "\x9f");
+  fixture.Put("cells", "c", "workers", "");
+  DirectoryService directory(fixture.mKernel, fixture.mStore);
+  LocalNode self{ "n", { "10.0.0.1", 1 }, Incarnation(1) };
+  std::optional<OwnerObservation> seen;
+  auto claim = fixture.Run(
+    ClaimCell(fixture.mKernel, fixture.mStore, "c", self, std::nullopt, seen));
+  REQUIRE(claim);
+  REQUIRE(*claim);
+  CellPorts ports;
+  ports.mStore = &fixture.mStore;
+  CellRuntime runtime(
+    fixture.mKernel, ports, directory, "c", CellDurations{}, **claim);
+  runtime.Start();
+  fixture.mManual.Advance(500ms);
+  REQUIRE(runtime.Loaded());
+  auto answer = [&](CallerCall aCall) {
+    TimePoint deadline = fixture.mManual.Now() + 500ms;
+    auto reply = fixture.Run(runtime.Handle(std::move(aCall), deadline), 600ms);
+    REQUIRE(reply);
+    return *reply;
+  };
+  CHECK(std::holds_alternative<JobPhaseReply>(answer(ReadJob{ "q", "good" })));
+  CHECK(std::holds_alternative<JobNotFound>(answer(ReadJob{ "q", "none" })));
+  for (const char* id : { "odd", "unsure" }) {
+    CHECK(
+      std::holds_alternative<ServiceUnavailable>(answer(ReadJob{ "q", id })));
+    CHECK(std::holds_alternative<ServiceUnavailable>(
+      answer(SubmitJob{ "q", id, {} })));
+    CHECK(
+      std::holds_alternative<ServiceUnavailable>(answer(CancelJob{ "q", id })));
+  }
+  // Some worker of an earlier owner may still run something.
+  CHECK(runtime.State().Workers().contains(""));
+  fixture.Finish(runtime.Stop(true));
+  CHECK(fixture.mFake.mRows.contains({ "jobs", "c", "odd" }));
+}
