Fuzz every decoder of the platform and of the cells' rows

A seeded generator takes a valid document and removes, repeats, swaps or replaces one value, in JSON and CBOR; the replacements are the values that broke decoders before, and 100,000 levels of nesting. Whatever a decoder accepts is handed to a cell, planned, stored and encoded, so that arithmetic and encoding are checked as well. 17 seeds with 250 mutations each.

--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -23,10 +23,8 @@
 namespace {
 
 constexpr std::size_t kDeepNesting = 100'000;
-
 constexpr std::uint64_t kMaxUnsigned =
   std::numeric_limits<std::uint64_t>::max();
-
 constexpr double kHuge = 1e300;
 
 template<class Read>
@@ -652,3 +650,400 @@
   Json call = Json::array({ 1U, "job", -20, Json() });
   CHECK(Ok(Decode([&] { return DecodeLinkCall(ToCbor(call)); })));
 }
+
+// --- Fuzzing with fixed seeds
+
+namespace {
+
+constexpr int kMutations = 250;
+
+// Raw CBOR of values that no decoder may trust.
+std::vector<std::string>
+OddCborValues()
+{
+  auto bytes = [](std::initializer_list<int> aBytes) {
+    return std::string(aBytes.begin(), aBytes.end());
+  };
+  std::string max(8, '\xff');
+  return { "\x1b" + max,                // 2^64 - 1
+           "\x1b\x7f" + max.substr(1),  // 2^63 - 1
+           "\x3b" + max,                // -2^64
+           "\x3b\x7f" + max.substr(1),  // -2^63
+           bytes({ 0x1a, 0, 1, 0, 0 }), // 65,536
+           bytes({ 0x00 }),             // 0
+           bytes({ 0x20 }),             // -1
+           bytes({ 0xf9, 0x7c, 0 }),    // infinity
+           bytes({ 0xf9, 0x7e, 0 }),    // NaN
+           bytes({ 0xfb, 0x7e, 0x37, 0xe4, 0x3c, 0x88, 0, 0x75, 0x9c }),
+           bytes({ 0xf9, 0x3e, 0 }),         // 1.5
+           bytes({ 0xf4 }),                  // false
+           bytes({ 0xf6 }),                  // null
+           bytes({ 0xf7 }),                  // undefined
+           bytes({ 0xff }),                  // break
+           bytes({ 0x60 }),                  // empty string
+           bytes({ 0x62, 0xc0, 0x80 }),      // overlong UTF-8
+           bytes({ 0x7f, 0x61, 'a', 0xff }), // string in chunks
+           bytes({ 0x40 }),                  // empty bytes
+           bytes({ 0xc2, 0x41, 1 }),         // tagged number
+           bytes({ 0x80 }),                  // empty array
+           bytes({ 0xa0 }),                  // empty map
+           bytes({ 0x9f, 0xff }),            // indefinite array
+           "\x9b" + max,
+           "\xbb" + max.substr(1) + "\xfe",
+           "\x7b" + max,
+           "\x5b" + max.substr(1) + "\xfe",
+           std::string(kDeepNesting, '\x81'),
+           std::string(kDeepNesting, '\x7f'),
+           std::string(30, '\x81') + bytes({ 0x00 }) };
+}
+
+// Pointers to all values within a document, except the document itself.
+void
+CollectPointers(const Json& aJson,
+                const Json::json_pointer& aPointer,
+                std::vector<Json::json_pointer>& aPointers)
+{
+  auto add = [&](const Json& aValue, const Json::json_pointer& aAt) {
+    aPointers.push_back(aAt);
+    CollectPointers(aValue, aAt, aPointers);
+  };
+  if (aJson.is_object()) {
+    for (const auto& [key, value] : aJson.items()) {
+      add(value, aPointer / key);
+    }
+  } else if (aJson.is_array()) {
+    for (std::size_t i = 0; i < aJson.size(); ++i) {
+      add(aJson[i], aPointer / i);
+    }
+  }
+}
+
+/// Spoils one value of a valid document for each mutation.
+class Mutator
+{
+public:
+  Mutator(Json aValid, std::uint64_t aSeed)
+    : mValid(std::move(aValid))
+    , mRandom(aSeed)
+  {
+    CollectPointers(mValid, Json::json_pointer(), mPointers);
+  }
+
+  std::string NextJson()
+  {
+    static const std::vector<std::string> kOdd = OddJsonValues();
+    auto [json, marked] = Mutate();
+    std::string text = json.dump();
+    if (!marked) {
+      return text;
+    }
+    const std::string& odd = kOdd[mRandom() % kOdd.size()];
+    // A repeated key of an object replaces the earlier value.
+    std::string key = mPointer.back();
+    bool repeat =
+      mRandom() % 4 == 0 && mValid.at(mPointer.parent_pointer()).is_object();
+    return ReplaceText(
+      std::move(text), "\"@@@@\"", repeat ? "0,\"" + key + "\":" + odd : odd);
+  }
+
+  std::string NextCbor()
+  {
+    static const std::vector<std::string> kOdd = OddCborValues();
+    auto [json, marked] = Mutate();
+    std::string bytes = ToCbor(json);
+    return marked ? ReplaceText(std::move(bytes),
+                                "\x64@@@@",
+                                kOdd[mRandom() % kOdd.size()])
+                  : bytes;
+  }
+
+private:
+  // Removes, repeats, swaps or marks one value; a marked value is replaced in
+  // the encoded document.
+  std::pair<Json, bool> Mutate()
+  {
+    Json json = mValid;
+    mPointer = mPointers[mRandom() % mPointers.size()];
+    Json& parent = json[mPointer.parent_pointer()];
+    Json value = json[mPointer];
+    switch (mRandom() % 8) {
+      case 0:
+        if (parent.is_object()) {
+          parent.erase(mPointer.back());
+        } else {
+          parent.erase(std::stoul(mPointer.back()));
+        }
+        return { json, false };
+      case 1:
+        if (parent.is_array()) {
+          parent.push_back(value);
+          return { json, false };
+        }
+        json[mPointer] = Json::array({ value, value });
+        return { json, false };
+      case 2:
+        json[mPointer] = mValid[mPointers[mRandom() % mPointers.size()]];
+        return { json, false };
+      default:
+        json[mPointer] = "@@@@";
+        return { json, true };
+    }
+  }
+
+  Json mValid;
+  std::mt19937_64 mRandom;
+  std::vector<Json::json_pointer> mPointers;
+  Json::json_pointer mPointer;
+};
+
+template<class Read>
+void
+ForEachJson(const Json& aValid, std::uint64_t aSeed, Read aRead)
+{
+  Mutator mutator(aValid, aSeed);
+  for (int i = 0; i < kMutations; ++i) {
+    CAPTURE(aSeed);
+    CAPTURE(i);
+    aRead(mutator.NextJson());
+  }
+}
+
+template<class Read>
+void
+ForEachCbor(const Json& aValid, std::uint64_t aSeed, Read aRead)
+{
+  Mutator mutator(aValid, aSeed);
+  for (int i = 0; i < kMutations; ++i) {
+    CAPTURE(aSeed);
+    CAPTURE(i);
+    aRead(mutator.NextCbor());
+  }
+}
+
+/// A cell that takes in whatever a decoder has accepted, so that arithmetic on
+/// it is checked as well.
+struct FuzzedCell
+{
+  FuzzedCell()
+    : mCell(CellDurations{}, FencingToken(7), 1, mNow)
+  {
+    auto config =
+      Decode([] { return DecodeWorkloadConfig(ConfigJson().dump()); });
+    mCell.SetConfig(std::get<0>(config), "p");
+    auto report =
+      Decode([] { return DecodeWorkerReport("w", WorkerJson().dump()); });
+    mReports.push_back(std::get<0>(report));
+    mReports[0].mIncarnation = 0;
+    mCell.SetWorkers(mReports, mNow);
+    WorkerStatus empty{ 1000, 0, {}, {} };
+    mCell.OnListing("w", empty, mNow, mNow);
+  }
+
+  // Every order can be encoded.
+  void Plan()
+  {
+    mNow += 10ms;
+    CellChanges changes = mCell.TakeChanges(mNow);
+    mCell.OnCommitted(changes, mNow);
+    for (const CellOrder& order : mCell.Plan(mNow, mWallNow)) {
+      WorkerAddress worker{ order.mWorker, { "10.0.0.1", 1 } };
+      CHECK_FALSE(EncodeWorkerCall(worker, order.mCall).mBody.empty());
+    }
+    PoolUsage usage = mCell.Use(mNow);
+    CHECK(
+      Ok(Decode([&] { return PoolUsageFromJson(PoolUsageToJson(usage)); })));
+  }
+
+  TimePoint mNow{ 100s };
+  WallTime mWallNow{ 1'800'000'000'000 };
+  std::vector<WorkerReport> mReports;
+  Cell mCell;
+};
+
+} // namespace
+
+TEST_CASE("fuzzed entries of workers and of VMs are skipped or usable")
+{
+  ForEachJson(WorkerJson(), 101, [](const std::string& aText) {
+    auto report = Decode([&] { return DecodeWorkerReport("w", aText); });
+    if (Ok(report)) {
+      FuzzedCell cell;
+      cell.mReports.push_back(std::get<0>(report));
+      cell.mReports.back().mId = "x";
+      cell.mCell.SetWorkers(cell.mReports, cell.mNow);
+      cell.Plan();
+    }
+  });
+  Json vms = Json::array({ VmJson("m1"), VmJson("m2"), VmJson("m3") });
+  ForEachJson({ { "machines", vms }, { "next_token", "t" } },
+              102,
+              [](const std::string& aText) { (void)DecodeMachines(aText); });
+}
+
+TEST_CASE("fuzzed rows of the operator are rejected or usable")
+{
+  ForEachJson(ConfigJson(), 103, [](const std::string& aText) {
+    auto config = Decode([&] { return DecodeWorkloadConfig(aText); });
+    if (Ok(config)) {
+      FuzzedCell cell;
+      cell.mCell.SetConfig(std::get<0>(config), "p");
+      cell.mCell.Submit({ "j", "r1", {}, {} }, cell.mNow);
+      cell.Plan();
+    }
+  });
+  ForEachJson(WaveJson(), 104, [](const std::string& aText) {
+    auto wave = Decode([&] { return DecodeWaveOrder(aText); });
+    if (Ok(wave)) {
+      CHECK(TimePoint(1000h) + std::get<0>(wave).mDeadline >= TimePoint(1000h));
+    }
+  });
+}
+
+TEST_CASE("fuzzed listings and advice of workers are skipped or usable")
+{
+  ForEachJson(ListingJson(), 105, [](const std::string& aText) {
+    auto reply = DecodeWorker(RenewLease{}, aText);
+    if (Ok(reply)) {
+      FuzzedCell cell;
+      cell.mCell.OnListing(
+        "w", std::get<WorkerStatus>(std::get<0>(reply)), cell.mNow, cell.mNow);
+      (void)cell.mCell.NextRenewal("w", 1s, cell.mNow);
+      cell.Plan();
+    }
+  });
+  ForEachJson({ { "good", Json::array({ Json::array({ "a", "1" }) }) } },
+              106,
+              [](const std::string& aText) {
+                (void)DecodeWorker(RequestAdvice{}, aText);
+              });
+  for (const WorkerCall& call :
+       { WorkerCall(StartRun{}), WorkerCall(StopRun{}) }) {
+    ForEachJson(
+      { { "clock_ms", 5 }, { "reason", "room" } },
+      107,
+      [&](const std::string& aText) { (void)DecodeWorker(call, aText); });
+  }
+}
+
+TEST_CASE("fuzzed pages of the store are read past their odd rows")
+{
+  Json row = { { "table", "servers" },
+               { "part", "" },
+               { "key", "k" },
+               { "value", "e30=" },
+               { "ver", 5 } };
+  Json page = { { "rows", Json::array({ row, row }) },
+                { "ver", 9 },
+                { "truncated", false } };
+  ForEachJson(page, 108, [](const std::string& aText) {
+    (void)DecodeStore(ScanRows{ "servers", "", "" }, aText);
+    (void)DecodeStore(ReadRowFeed{ "servers", {}, 0s }, aText);
+    (void)DecodeStore(ConditionalCommit{}, aText);
+    (void)Decode(
+      [&] { return DecodeStoreReply(ConditionalCommit{}, 412, aText); });
+  });
+}
+
+TEST_CASE("fuzzed submissions are rejected or can be run and stored")
+{
+  ForEachJson(CallerJobJson(), 109, [](const std::string& aText) {
+    auto call = DecodeSubmission(aText);
+    if (!Ok(call)) {
+      return;
+    }
+    SubmitJob submit = std::get<SubmitJob>(std::get<0>(call).mCall);
+    StoredJob job{ submit.mId, submit.mQueue, submit.mSpec, 1, { 5 } };
+    std::string stored = EncodeStoredJob(job);
+    auto back = Decode([&] { return DecodeStoredJob(job.mId, stored); });
+    REQUIRE(Ok(back));
+    CHECK(EncodeStoredJob(std::get<0>(back)) == stored);
+    FuzzedCell cell;
+    cell.mCell.Submit({ submit.mId, "r1", submit.mSpec, { 5 } }, cell.mNow);
+    cell.Plan();
+  });
+}
+
+TEST_CASE("fuzzed rows of a cell are held back or can be run")
+{
+  ForEachCbor(JobJson(), 110, [](const std::string& aBytes) {
+    auto job = Decode([&] { return DecodeStoredJob("j", aBytes); });
+    if (Ok(job)) {
+      FuzzedCell cell;
+      cell.mCell.Restore(
+        RestoreJob(std::get<0>(job), {}), cell.mNow, cell.mWallNow);
+      cell.Plan();
+    }
+  });
+  auto valid = Decode([] { return DecodeStoredJob("j", ToCbor(JobJson())); });
+  ForEachCbor(ProgressJson(), 111, [&](const std::string& aBytes) {
+    auto progress = Decode([&] { return DecodeProgress(aBytes); });
+    if (Ok(progress)) {
+      FuzzedCell cell;
+      CellJob job = RestoreJob(std::get<0>(valid), std::get<0>(progress));
+      cell.mCell.Restore(std::move(job), cell.mNow, cell.mWallNow);
+      cell.Plan();
+    }
+  });
+  ForEachCbor(OwnerJson(), 112, [](const std::string& aBytes) {
+    auto owner = Decode([&] { return DecodeOwnerRow(aBytes); });
+    if (Ok(owner)) {
+      CHECK(std::get<0>(owner).mPeerEndpoint.mPort != 0);
+      CHECK_FALSE(EncodeOwnerRow(std::get<0>(owner)).empty());
+    }
+  });
+  ForEachCbor(Json::array({ Json::array({ "w", "10.0.0.1", 7, "vm" }),
+                            Json::array({ "x", "10.0.0.2", 8, "vm" }) }),
+              113,
+              [](const std::string& aBytes) {
+                auto workers = Decode([&] { return DecodeWorkerSet(aBytes); });
+                if (Ok(workers)) {
+                  FuzzedCell cell;
+                  cell.mCell.RestoreWorkers(std::get<0>(workers), cell.mNow);
+                  cell.Plan();
+                }
+              });
+}
+
+TEST_CASE("fuzzed rows of the fleet and messages of nodes do no harm")
+{
+  Json intent = { { "v", "vm" }, { "p", "p" }, { "w", 0U }, { "i", "w" } };
+  ForEachCbor({ { "orders", Json::array({ intent }) } },
+              114,
+              [](const std::string& aBytes) {
+                (void)Decode([&] { return DecodeIntents(aBytes); });
+              });
+  ForEachCbor(
+    { { "n", 3U }, { "d", Json::array({ "vm" }) }, { "c", false }, { "s", 5 } },
+    115,
+    [](const std::string& aBytes) {
+      (void)Decode([&] { return DecodeStoredWave(aBytes); });
+    });
+  RelayedCall submit{ "p", SubmitJob{ "q", "5c0e7a21d94b36f8", {} }, 900ms };
+  auto job = Decode([] { return DecodeStoredJob("j", ToCbor(JobJson())); });
+  std::get<SubmitJob>(submit.mCall).mSpec = std::get<0>(job).mSpec;
+  Json call = Json::array({ 1U, "job", 900, RelayedCallToJson(submit) });
+  ForEachCbor(call, 116, [](const std::string& aBytes) {
+    auto envelope = Decode([&] { return DecodeLinkCall(aBytes); });
+    if (Ok(envelope)) {
+      const LinkCall& linkCall = std::get<0>(envelope);
+      CHECK(TimePoint(1000h) + linkCall.mTimeLeft != TimePoint::max());
+      (void)Decode([&] { return RelayedCallFromJson(linkCall.mBody); });
+    }
+  });
+  PoolUsage usage;
+  usage.mWorkers["w"].mRuns = 2;
+  usage.mWorkers["x"].mUnlisted = UnlistedWorker{ "vm", 17 };
+  FleetSync sync{ "p", 9, { "w" }, { { "v", 17 } } };
+  for (const Json& body : { PoolUsageToJson(usage),
+                            FleetSyncToJson(sync),
+                            OwnerReplyToJson(JobRefused{ 2s }) }) {
+    ForEachCbor(body, 117, [](const std::string& aBytes) {
+      auto json = Decode([&] { return ParseCbor(aBytes); });
+      if (Ok(json)) {
+        (void)Decode([&] { return PoolUsageFromJson(std::get<0>(json)); });
+        (void)Decode([&] { return FleetSyncFromJson(std::get<0>(json)); });
+        (void)Decode([&] { return OwnerReplyFromJson(std::get<0>(json)); });
+      }
+    });
+  }
+}
