--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -42,6 +42,9 @@
 constexpr int kMaxSendersPerWorker = 4;
 constexpr Duration kAdviceGracePeriod = std::chrono::milliseconds(1500);
 
+/// Name of the workers' listings in the log of malformed entries.
+constexpr std::string_view kRunTable = "runs";
+
 } // namespace
 
 CellRuntime::CellRuntime(Kernel& aKernel,
@@ -70,6 +73,7 @@
   , mCommitDue(aKernel.Context())
   , mCommitted(aKernel.Context())
   , mWorkersChanged(aKernel.Context())
+  , mMalformed(aKernel.GetMetrics(), kPart)
 {
 }
 
@@ -168,6 +172,9 @@
     for (StoredRow& row : page.mRows) {
       aRows.push_back(std::move(row));
     }
+    for (std::size_t i = 0; i < page.mUnnamedRows; ++i) {
+      mMalformed.Record(aTable, mPool, "no key");
+    }
   }
   co_return true;
 }
@@ -235,22 +242,17 @@
     if (Ok(read)) {
       progress.emplace(row.mName.mKey, std::get<0>(std::move(read)));
     } else {
-      LogError(kPart,
-               "pool={} progress of job {} can't be read, ignored: {}",
-               mPool,
-               row.mName.mKey,
-               Describe(std::get<Failure>(read)));
+      HoldUnreadableJob(row, std::get<Failure>(read));
     }
   }
   for (const StoredRow& row : aJobs) {
     auto read = ToExpected<StoredJob>(
       [&] { return DecodeStoredJob(row.mName.mKey, row.mValue); });
     if (!Ok(read)) {
-      LogError(kPart,
-               "pool={} job {} can't be read, ignored: {}",
-               mPool,
-               row.mName.mKey,
-               Describe(std::get<Failure>(read)));
+      HoldUnreadableJob(row, std::get<Failure>(read));
+      progress.erase(row.mName.mKey);
+    }
+    if (mUnreadableJobs.contains(row.mName.mKey)) {
       continue;
     }
     StoredProgress stored;
@@ -272,11 +274,28 @@
     if (Ok(workers)) {
       mCell->RestoreWorkers(std::get<0>(workers), now);
     } else {
-      LogError(kPart, "pool={} stored workers can't be read, ignored", mPool);
+      // Some worker may hold runs of an earlier owner; as for an entry that
+      // can't be read, its leases are waited for.
+      std::vector<WorkerAddress> unknown(1);
+      mCell->RestoreWorkers(unknown, now);
+      mMalformed.Record(
+        kCellTable, mPool + "/workers", Describe(std::get<Failure>(workers)));
     }
   }
 }
 
+// Without its progress a job would run again what is done, and without its
+// specification an accepted job would be denied. Neither runs, and calls for it
+// are answered as unavailable, until the row can be read.
+void
+CellRuntime::HoldUnreadableJob(const StoredRow& aRow, const Failure& aFailure)
+{
+  mUnreadableJobs.insert(aRow.mName.mKey);
+  mMalformed.Record(aRow.mName.mTable,
+                    mPool + "/" + aRow.mName.mKey,
+                    aRow.mFault.empty() ? Describe(aFailure) : aRow.mFault);
+}
+
 void
 CellRuntime::OnDirectoryChange()
 {
@@ -574,6 +593,7 @@
             listing->mActiveRuns.size(),
             listing->mEndedRuns.size());
   }
+  RecordMalformedRuns(aWorker, *listing);
   LogEndedRuns(worker, *listing);
   mCell->OnListing(aWorker, *listing, sent, now);
   mPlanDue.Set();
@@ -581,6 +601,18 @@
   co_return true;
 }
 
+void
+CellRuntime::RecordMalformedRuns(std::string_view aWorker,
+                                 const WorkerStatus& aListing)
+{
+  if (aListing.mMalformed.empty()) {
+    mMalformed.Clear(kRunTable, aWorker);
+  }
+  for (const MalformedEntry& entry : aListing.mMalformed) {
+    mMalformed.Record(kRunTable, aWorker, entry.mKey + ": " + entry.mReason);
+  }
+}
+
 // Logs the newly ended runs of a listing, split into lines of limited length.
 void
 CellRuntime::LogEndedRuns(const CellWorker& aWorker,
@@ -590,7 +622,7 @@
   std::string runs;
   for (std::size_t i = 0; i < aListing.mEndedRuns.size(); ++i) {
     const EndedRun& end = aListing.mEndedRuns[i];
-    if (end.mSequence > aWorker.mLastSeenEnd) {
+    if (!aWorker.HasSeenEnd(end.mSequence)) {
       runs += FormatText(
         " {}:{}={}", ToString(end.mTask), end.mRun, ToString(end.mEnd));
     }
@@ -781,6 +813,9 @@
       workerReply ? std::get_if<Advice>(workerReply) : nullptr;
     if (advice != nullptr) {
       tickets = advice->mTickets;
+      for (const MalformedEntry& entry : advice->mMalformed) {
+        mMalformed.Record("advice", aRequest.mJob, entry.mReason);
+      }
       // Counted from the time of sending, so that no ticket is used too late.
       valid = sent + terms.mTicketLifetime - mClock.Now();
     } else {
@@ -797,6 +832,20 @@
 
 // --- Callers
 
+namespace {
+
+struct JobIdVisitor
+{
+  std::string_view operator()(const CountQueuedJobs&) const { return {}; }
+  template<class Call>
+  std::string_view operator()(const Call& aCall) const
+  {
+    return aCall.mId;
+  }
+};
+
+} // namespace
+
 Task<CallerReply>
 CellRuntime::Handle(CallerCall aCall, TimePoint aDeadline)
 {
@@ -806,6 +855,9 @@
   if (!mLoaded || Lost() || mReleasing) {
     co_return ServiceUnavailable{ std::chrono::seconds(1) };
   }
+  if (mUnreadableJobs.contains(std::visit(JobIdVisitor{}, aCall))) {
+    co_return ServiceUnavailable{ std::chrono::seconds(1) };
+  }
   if (auto* submit = std::get_if<SubmitJob>(&aCall)) {
     CallerReply reply = co_await Submit(std::move(*submit), aDeadline);
     co_return reply;
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNSHUNT_SERVICES_CELL_RUNTIME_H
 
 #include "decide/cell.h"
+#include "kernel/entry_log.h"
 #include "kernel/kernel.h"
 #include "kernel/wait.h"
 #include "ports/caller_calls.h"
@@ -107,6 +108,7 @@
   void Restore(const std::vector<StoredRow>& aJobs,
                const std::vector<StoredRow>& aProgress,
                const std::vector<StoredRow>& aCells);
+  void HoldUnreadableJob(const StoredRow& aRow, const Failure& aFailure);
   Task<void> PlanLoop();
   Task<void> CommitLoop();
   Task<bool> Release(TimePoint aDeadline);
@@ -122,6 +124,8 @@
   void Dispatch(std::vector<CellOrder> aOrders);
   void MonitorWorkers();
   void LogStarts(std::span<const CellOrder> aOrders) const;
+  void RecordMalformedRuns(std::string_view aWorker,
+                           const WorkerStatus& aListing);
   void LogEndedRuns(const CellWorker& aWorker,
                     const WorkerStatus& aListing) const;
   void LogOrder(std::string_view aWorker,
@@ -157,6 +161,9 @@
   Event mCommitted;
   Event mWorkersChanged;
   std::map<std::string, WorkerQueue> mWorkerQueues;
+  /// Jobs of which a row can't be read.
+  std::set<std::string, std::less<>> mUnreadableJobs;
+  MalformedEntryLog mMalformed;
 };
 
 } // namespace buckthornshunt
