--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -304,7 +304,7 @@
       aNode.mCells.Handle(std::move(call)),
       [this, pending](const std::exception_ptr& aError, OwnerReply aReply) {
         CHECK_FALSE(aError);
-        pending->mReply = std::move(aReply);
+        pending->mReply = aReply;
         pending->mAt = mManual.Now();
       });
     mManual.Advance(0ms);
@@ -510,7 +510,7 @@
   REQUIRE(fleet.mFakeWorkers.mRuns.size() == kJobs);
   fleet.mFakeWorkers.EndAllRuns();
   // Until the ends are listed.
-  while (node.mCells.Find(kPool)->State().Workers().at("w").mRuns.size() > 0) {
+  while (!node.mCells.Find(kPool)->State().Workers().at("w").mRuns.empty()) {
     fleet.mManual.Advance(1ms);
   }
   std::vector<PendingReplyPtr> late;
