Ask the owners of all pools for a job that its queue's pool doesn't know

A job of a queue that was moved to another pool stays in the cell that accepted it. The entry asked only pools that some queue uses, so that a GET for an accepted job was answered 410 once its pool had no queue left. It now asks every pool that has had an owner, as those cells are taken over.

--- a/src/services/entry_service.cpp
+++ b/src/services/entry_service.cpp
@@ -365,6 +365,12 @@
     for (const QueueConfig& queue : config->mQueues) {
       pools.insert(queue.mPool);
     }
+    // A pool without a queue still has the jobs that it accepted.
+    for (const WorkerPoolConfig& pool : config->mPools) {
+      if (mOwners->LastSeen(pool.mName) != nullptr) {
+        pools.insert(pool.mName);
+      }
+    }
   }
   pools.erase(aPool);
   for (const std::string& pool : pools) {
--- a/tests/malformed_entry_test.cpp
+++ b/tests/malformed_entry_test.cpp
@@ -386,6 +386,6 @@
   }
   // Some worker of an earlier owner may still run something.
   CHECK(runtime.State().Workers().contains(""));
-  fixture.Finish(runtime.Stop(true));
+  fixture.Finish(runtime.Stop(TimePoint::max()));
   CHECK(fixture.mFake.mRows.contains({ "jobs", "c", "odd" }));
 }
--- a/tests/node_stop_test.cpp
+++ b/tests/node_stop_test.cpp
@@ -6,6 +6,7 @@
 #include "fake_store.h"
 #include "kernel/log.h"
 #include "kernel/trace.h"
+#include "services/directory_service.h"
 #include "services/fleet_service.h"
 #include "wire/cell_codec.h"
 
@@ -202,6 +203,46 @@
     mTasks.Spawn("balancer", ProbeReadiness());
   }
 
+  /// Sends a request on a connection of its own and returns the status of its
+  /// reply.
+  int Call(http::verb aMethod, std::string aTarget, std::string aBody = {})
+  {
+    http::request<http::string_body> request{ aMethod, aTarget, 11 };
+    request.set(http::field::host, "a.example");
+    request.body() = std::move(aBody);
+    request.prepare_payload();
+    std::size_t n = mRequests.size();
+    mTasks.Spawn("call",
+                 [](StoppingNode& aNode,
+                    http::request<http::string_body> aRequest) -> Task<void> {
+                   tcp::socket socket(aNode.mContext);
+                   auto [ec] = co_await socket.async_connect(
+                     ToTcp(aNode.mCallers), kToken);
+                   if (!ec) {
+                     co_await aNode.Send(socket, std::move(aRequest));
+                   }
+                 }(*this, std::move(request)));
+    RunUntil([&] { return mRequests.size() > n && mRequests[n].mStatus; });
+    return *mRequests[n].mStatus;
+  }
+
+  /// Sends the jobs of the first queue to another pool from now on.
+  void MoveFirstQueue(std::string_view aPool)
+  {
+    StoredRow& row = mFake.mRows[{ "op", "", "config" }];
+    Json config = Json::parse(row.mValue);
+    config["version"] = 2;
+    config["routes"][0]["service"] = aPool;
+    row.mValue = config.dump();
+    row.mRevision = Revision(1'000'000);
+    RunUntil([this] {
+      return ToNumber(mKernel.Find<DirectoryService>(DirectoryService::kName)
+                        .value()
+                        ->Config()
+                        ->mVersion) == 2;
+    });
+  }
+
   void RequestStop()
   {
     mStopRequestedAt = mClock.Now();
@@ -547,3 +588,21 @@
   CHECK(fixture.mLong.mDrained);
   CHECK(fixture.mLong.mStoppedAt == begin + 2s);
 }
+
+TEST_CASE("a job of a pool that has no queue any more is reported as unknown")
+{
+  constexpr int kGone = 410;
+  const std::string target = "/queue0/00000000000000aa";
+  StoppingNode node;
+  node.TakeOverAll();
+  node.RunUntil([&] {
+    return node.Call(http::verb::post,
+                     target,
+                     R"({"spec":"x","steps":[{"count":1,"cpu":10}]})") == kOk;
+  });
+  CHECK(node.Call(http::verb::get, target) == kOk);
+  node.MoveFirstQueue("pool1");
+  CHECK(node.Call(http::verb::get, target) != kGone);
+  node.Run(2s);
+  CHECK(node.Call(http::verb::get, target) == kOk);
+}
