Cancel tasks that are spawned while their group stops

Callers see nothing of this directly: a service's stop doesn't end, the process is killed at the end of the grace period, and whatever stops after that service isn't stopped at all.

Cause: TaskGroup::CancelAll cancelled the tasks that were running at that moment. A task whose operation has completed, but which hasn't resumed yet, goes on to its next co_await and may spawn others first: FleetService:: RunAsOwner after the load of its rows, CellRuntime::Load, RelayService::Connect after the handshake. Nobody cancelled those, and Join waited for them.

Evidence: the new test, before the change: ERROR: CHECK( joined ) is NOT correct! values: CHECK( false ) ERROR: CHECK( group.Size() == 1 ) is NOT correct! values: CHECK( 2 == 1 ) That this happens in these services is read from the code; no run shows it.

A group now stays cancelled from CancelAll until Join returns, and cancels what is spawned in between at once. After the join it can be used again, which the fleet's owner tasks need.

--- a/src/kernel/task.cpp
+++ b/src/kernel/task.cpp
@@ -69,6 +69,9 @@
   asio::co_spawn(mContext,
                  std::move(aTask),
                  asio::bind_cancellation_slot(signal->slot(), std::move(done)));
+  if (mCancelled) {
+    Cancel(signal);
+  }
 }
 
 // A cancelled coroutine normally ends with operation_aborted. Any other
@@ -102,12 +105,21 @@
 // its entry no longer exist; the posted handler keeps the signal alive until
 // then.
 void
+TaskGroup::Cancel(const SignalPtr& aSignal)
+{
+  aSignal->emit(asio::cancellation_type::terminal);
+  asio::post(mContext, [held = aSignal] {});
+}
+
+// A task whose operation has already completed runs on to its next co_await and
+// may spawn others until then.
+void
 TaskGroup::CancelAll()
 {
+  mCancelled = true;
   auto running = mRunning;
-  for (auto& [id, signal] : running) {
-    signal->emit(asio::cancellation_type::terminal);
-    asio::post(mContext, [held = signal] {});
+  for (const auto& [id, signal] : running) {
+    Cancel(signal);
   }
 }
 
@@ -121,6 +133,7 @@
   while (!mRunning.empty()) {
     co_await mChanged.Wait();
   }
+  mCancelled = false;
   co_await asio::this_coro::throw_if_cancelled(throws);
 }
 
--- a/src/kernel/task.h
+++ b/src/kernel/task.h
@@ -55,7 +55,8 @@
   /// Starts a coroutine. aName must be a string literal, since it isn't copied.
   void Spawn(std::string_view aName, Task<void> aTask);
 
-  /// Requests cancellation of all running coroutines.
+  /// Requests cancellation of all running coroutines, and of those spawned
+  /// before Join returns.
   void CancelAll();
 
   /// Returns once no coroutine is running, also if the caller is cancelled.
@@ -65,15 +66,19 @@
   asio::io_context& Context() { return mContext; }
 
 private:
+  using SignalPtr = std::shared_ptr<asio::cancellation_signal>;
+
   void Finish(std::uint64_t aId,
               std::string_view aName,
               const std::exception_ptr& aError);
+  void Cancel(const SignalPtr& aSignal);
 
   asio::io_context& mContext;
   Registry* mRegistry;
   Event mChanged;
   std::uint64_t mNextId = 0;
-  std::map<std::uint64_t, std::shared_ptr<asio::cancellation_signal>> mRunning;
+  std::map<std::uint64_t, SignalPtr> mRunning;
+  bool mCancelled = false;
 };
 
 } // namespace buckthornshunt
--- a/tests/task_test.cpp
+++ b/tests/task_test.cpp
@@ -70,3 +70,40 @@
   CHECK(taskEnded);
   CHECK(group.Size() == 0);
 }
+
+TEST_CASE("a task that is spawned while its group stops ends with the group")
+{
+  asio::io_context context(1);
+  ManualClock manual(context);
+  Clock clock(context, manual);
+  TaskGroup group(context);
+  auto sleepForever = [&]() -> Task<void> {
+    while (true) {
+      co_await clock.Sleep(1s);
+    }
+  };
+  // An operation that had completed when the group was cancelled.
+  auto spawnLate = [&]() -> Task<void> {
+    co_await asio::this_coro::throw_if_cancelled(false);
+    co_await clock.Sleep(1s);
+    group.Spawn("late", sleepForever());
+  };
+  bool joined = false;
+  auto stop = [&]() -> Task<void> {
+    group.CancelAll();
+    co_await group.Join();
+    joined = true;
+  };
+  TaskGroup stops(context);
+  group.Spawn("spawn late", spawnLate());
+  manual.Advance(100ms);
+  stops.Spawn("stop", stop());
+  manual.Advance(5s);
+  CHECK(joined);
+  group.Spawn("later", sleepForever());
+  manual.Advance(5s);
+  CHECK(group.Size() == 1);
+  group.CancelAll();
+  manual.Advance(1s);
+  CHECK(group.Size() == 0);
+}
