Stop the nodes of tests as the daemon does

The tests of cells and of stops at any moment were written when a stop had no drain period; without one, the joined kernel gives the drains no time. They now pass the period that the daemon passes. No check has changed.

--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -1,6 +1,7 @@
 // Calls at an owner that releases its cells, on a manual clock. The store and
 // the workers are simulated.
 
+#include "daemon/assembly.h"
 #include "fake_store.h"
 #include "kernel/kernel.h"
 #include "services/cell_service.h"
@@ -23,6 +24,8 @@
 
 namespace {
 
+constexpr Duration kGracePeriod = 6s;
+
 constexpr std::string_view kPool = "p0";
 
 std::string
@@ -369,7 +372,7 @@
   /// True once the node's cells have stopped.
   std::shared_ptr<bool> Stop(CellNode& aNode)
   {
-    return Run(aNode.mKernel.Stop());
+    return Run(aNode.mKernel.Stop(DrainPeriod(kGracePeriod)));
   }
 
   std::shared_ptr<bool> Run(Task<void> aTask)
--- a/tests/stop_test.cpp
+++ b/tests/stop_test.cpp
@@ -50,7 +50,7 @@
     Endpoint freePort{ "127.0.0.1", 0 };
     WorkloadOptions options;
     options.mSelf = { "node-1", freePort, Incarnation(1) };
-    options.mEndpoints = { freePort, freePort, freePort, kGracePeriod };
+    options.mEndpoints = { freePort, freePort, freePort };
     options.mCells = { &mStore, &mWorkers, {} };
     options.mFleet = { &mStore, &mMachines };
     AddWorkloadServices(mKernel, std::move(options));
@@ -96,11 +96,12 @@
       asio::post(mContext, [this, aRounds] { StopAfter(aRounds - 1); });
       return;
     }
-    asio::co_spawn(
-      mContext, mKernel.Stop(), [this](const std::exception_ptr& aError) {
-        CHECK_FALSE(aError);
-        mStopped = true;
-      });
+    asio::co_spawn(mContext,
+                   mKernel.Stop(DrainPeriod(kGracePeriod)),
+                   [this](const std::exception_ptr& aError) {
+                     CHECK_FALSE(aError);
+                     mStopped = true;
+                   });
   }
 
   asio::io_context mContext{ 1 };
