--- a/tests/node_stop_test.cpp
+++ b/tests/node_stop_test.cpp
@@ -205,7 +205,7 @@
 
   /// Sends a request on a connection of its own and returns the status of its
   /// reply.
-  int Call(http::verb aMethod, std::string aTarget, std::string aBody = {})
+  int Call(http::verb aMethod, std::string_view aTarget, std::string aBody = {})
   {
     http::request<http::string_body> request{ aMethod, aTarget, 11 };
     request.set(http::field::host, "a.example");
