--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -142,3 +142,17 @@
   REQUIRE(call.has_value());
   CHECK(std::holds_alternative<ConnectionLost>(std::get<Failure>(*call)));
 }
+
+TEST_CASE("a reply that is ready when its node stops is lost")
+{
+  TwoNodes nodes;
+  TwoNodes::Answer call;
+  nodes.Call("slow", 9s, call);
+  nodes.RunUntil([&] { return nodes.mCallsReceived == 1; });
+  nodes.mMayAnswer.NotifyAll();
+  asio::co_spawn(nodes.mContext, nodes.mSecond.Stop(), asio::detached);
+  nodes.mManual.Advance(10ms);
+  nodes.mManual.Advance(10ms);
+  REQUIRE(call.has_value());
+  CHECK(Ok(*call));
+}
