--- a/src/kernel/task.h
+++ b/src/kernel/task.h
@@ -59,7 +59,8 @@
   /// before Join returns.
   void CancelAll();
 
-  /// Returns once no coroutine is running, also if the caller is cancelled.
+  /// Returns once no coroutine is running, also if the caller is cancelled
+  /// meanwhile. A caller that was cancelled before doesn't get here.
   Task<void> Join();
 
   std::size_t Size() const { return mRunning.size(); }
