--- a/src/kernel/task.h
+++ b/src/kernel/task.h
@@ -59,8 +59,7 @@
   /// before Join returns.
   void CancelAll();
 
-  /// Returns once no coroutine is running, also if the caller is cancelled
-  /// meanwhile. A caller that was cancelled before doesn't get here.
+  /// Returns once no coroutine is running, also if the caller is cancelled.
   Task<void> Join();
 
   std::size_t Size() const { return mRunning.size(); }
--- a/src/net/http_server.h
+++ b/src/net/http_server.h
@@ -71,8 +71,8 @@
   /// their client repeats them elsewhere. Connections are accepted until
   /// aStopAccepting, and longer while new ones arrive. A request without a
   /// reply at aDeadline gets aDeadlineReply if its handler is running, which is
-  /// cancelled when the drain ends, and 503 if it hasn't started. Completes
-  /// once no connection is open, or shortly after aDeadline.
+  /// then cancelled, and 503 if its handler hasn't started. Completes once no
+  /// connection is open, or shortly after aDeadline.
   Task<void> Drain(TimePoint aStopAccepting,
                    TimePoint aDeadline,
                    HttpReply aDeadlineReply);
