Say why a read of the store failed and how old the configuration is

A 404 for a route that exists and the line 'store lost' couldn't tell a slow link, a silent store and a backlog of the process apart. A timeout now says what had been received and read of the reply and how late it was handled, each failed read of the operator's and the workers' tables is logged with its duration, a 404 names the version and the age of its last confirmation, and /metrics has the version, its age and the worst delay of a timer.

No decision changes.

--- a/include/buckthornshunt/failure.h
+++ b/include/buckthornshunt/failure.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNSHUNT_FAILURE_H
 #define BUCKTHORNSHUNT_FAILURE_H
 
+#include "buckthornshunt/time.h"
 #include "buckthornshunt/types.h"
 
 #include <cstdint>
@@ -30,7 +31,14 @@
 
 /// The call's deadline passed.
 struct TimeoutFailure
-{};
+{
+  /// Bytes of the reply that had been read by then.
+  std::uint64_t mReceivedBytes = 0;
+  /// Bytes that had arrived and not been read.
+  std::uint64_t mUnreadBytes = 0;
+  /// Time from the deadline to its handling; shows the process's own backlog.
+  Duration mLateness{};
+};
 
 /// The platform's store is down or unreachable.
 struct StoreUnavailable
--- a/src/core/failure.cpp
+++ b/src/core/failure.cpp
@@ -41,7 +41,12 @@
   {
     return "malformed reply from " + ToString(aFailure.mEndpoint);
   }
-  std::string operator()(const TimeoutFailure&) const { return "timed out"; }
+  std::string operator()(const TimeoutFailure& aFailure) const
+  {
+    return "timed out received=" + std::to_string(aFailure.mReceivedBytes) +
+           " unread=" + std::to_string(aFailure.mUnreadBytes) +
+           " late_ms=" + std::to_string(ToMillis(aFailure.mLateness));
+  }
   std::string operator()(const StoreUnavailable&) const
   {
     return "platform store unavailable";
--- a/src/kernel/clock.cpp
+++ b/src/kernel/clock.cpp
@@ -28,10 +28,17 @@
 {
   while (!mCallbacks.empty() && mCallbacks.begin()->first.first <= aNow) {
     auto node = mCallbacks.extract(mCallbacks.begin());
+    mWorstDelay = std::max(mWorstDelay, aNow - node.key().first);
     node.mapped()();
   }
 }
 
+Duration
+TimerQueue::TakeWorstDelay()
+{
+  return std::exchange(mWorstDelay, Duration{});
+}
+
 TimePoint
 TimerQueue::NextDue() const
 {
@@ -190,6 +197,13 @@
   WithClock(mClock, [&](auto& aConcrete) { aConcrete.Remove(aId); });
 }
 
+Duration
+Clock::TakeWorstDelay()
+{
+  return WithClock(mClock,
+                   [](auto& aConcrete) { return aConcrete.TakeWorstDelay(); });
+}
+
 // Waits on a timer that never expires; a callback of this clock cancels it.
 Task<void>
 Clock::SleepUntil(TimePoint aDue)
--- a/src/kernel/clock.h
+++ b/src/kernel/clock.h
@@ -27,7 +27,11 @@
   /// Due time of the first pending callback; TimePoint::max() if there is none.
   TimePoint NextDue() const;
 
+  /// Longest delay from a callback's due time to its run since the last call.
+  Duration TakeWorstDelay();
+
 private:
+  Duration mWorstDelay{};
   std::uint64_t mNextSequence = 0;
   std::map<TimerId, std::function<void()>> mCallbacks;
 };
@@ -42,6 +46,7 @@
   WallTime WallNow() const;
   TimerId CallAt(TimePoint aDue, std::function<void()> aCallback);
   void Remove(const TimerId& aId);
+  Duration TakeWorstDelay() { return mTimers.TakeWorstDelay(); }
 
 private:
   void Arm();
@@ -61,6 +66,7 @@
   WallTime WallNow() const;
   TimerId CallAt(TimePoint aDue, std::function<void()> aCallback);
   void Remove(const TimerId& aId);
+  Duration TakeWorstDelay() { return mTimers.TakeWorstDelay(); }
 
   /// Advances the time from one due callback to the next and runs all ready
   /// handlers after each step.
@@ -87,6 +93,10 @@
   TimerId CallAt(TimePoint aDue, std::function<void()> aCallback);
   void Remove(const TimerId& aId);
 
+  /// Longest delay of a callback since the last call; shows how far the
+  /// executor is behind.
+  Duration TakeWorstDelay();
+
   /// Suspends the calling coroutine until aDue.
   Task<void> SleepUntil(TimePoint aDue);
   Task<void> Sleep(Duration aDuration);
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -108,6 +108,14 @@
     mSocket.close(ec);
   }
 
+  // Bytes that have arrived and not been read; 0 if that can't be told.
+  std::uint64_t Unread() const
+  {
+    boost::system::error_code ec;
+    std::size_t n = mSocket.available(ec);
+    return ec ? 0 : n;
+  }
+
   // An idle connection is readable once the server has closed it.
   bool IsAlive()
   {
@@ -219,13 +227,18 @@
     }
   }
   auto message = ToMessage(aServer, std::move(aRequest));
-  Watchdog watchdog(mClock, aDeadline, [&] { connection->Abort(); });
+  TimeoutFailure timeout;
+  Watchdog watchdog(mClock, aDeadline, [&] {
+    timeout.mUnreadBytes = connection->Unread();
+    timeout.mLateness = mClock.Now() - aDeadline;
+    connection->Abort();
+  });
   AbortRegistration abortRegistration(
     aControl, [target = connection.get()] { target->Abort(); });
   auto [writeError, written] =
     co_await http::async_write(connection->mSocket, message, kToken);
   if (writeError) {
-    co_return watchdog.Fired() ? Failure(TimeoutFailure{})
+    co_return watchdog.Fired() ? Failure(timeout)
                                : Failure(ConnectionLost{ aServer });
   }
   http::response_parser<http::string_body> parser;
@@ -233,7 +246,8 @@
   auto [readError, read] = co_await http::async_read(
     connection->mSocket, connection->mBuffer, parser, kToken);
   if (watchdog.Fired()) {
-    co_return Failure(TimeoutFailure{});
+    timeout.mReceivedBytes = read + connection->mBuffer.size();
+    co_return Failure(timeout);
   }
   if (readError) {
     bool connectionLost =
--- a/src/services/directory_service.cpp
+++ b/src/services/directory_service.cpp
@@ -81,38 +81,62 @@
 DirectoryService::Follow(FollowedTable& aTable)
 {
   while (true) {
-    bool ok = false;
+    TimePoint began = mKernel.GetClock().Now();
+    Expected<std::monostate> outcome;
     if (aTable.mScanned) {
-      ok = co_await FollowChanges(aTable);
+      outcome = co_await FollowChanges(aTable);
     } else {
-      ok = co_await ScanAll(aTable);
-    }
-    if (ok == aTable.mUnreachable) {
-      aTable.mUnreachable = !ok;
-      if (ok) {
-        LogInfo(kPart,
-                "store regained table={} revision={}",
-                aTable.mTable,
-                ToNumber(aTable.mRevision));
-      } else {
-        LogWarn(kPart,
-                "store lost table={} revision={}",
-                aTable.mTable,
-                ToNumber(aTable.mRevision));
-      }
+      outcome = co_await ScanAll(aTable);
     }
+    RecordRead(aTable, outcome, began);
     // Each worker writes its entry every second or two, so the table changes
     // constantly; with a delay, one call returns many changes.
     bool busy = &aTable == &mWorkerTable;
-    if (!ok || busy) {
+    if (!Ok(outcome) || busy) {
       co_await mKernel.GetClock().Sleep(kRetryInterval);
     }
   }
 }
 
+// Failed reads are at least kRetryInterval apart, which bounds the log.
+void
+DirectoryService::RecordRead(FollowedTable& aTable,
+                             const Expected<std::monostate>& aOutcome,
+                             TimePoint aBegan)
+{
+  TimePoint now = mKernel.GetClock().Now();
+  if (!Ok(aOutcome)) {
+    if (aTable.mFailedReads == 0) {
+      aTable.mFailingSince = aBegan;
+    }
+    ++aTable.mFailedReads;
+    LogWarn(kPart,
+            "store lost table={} revision={} scan={} ms={} failed={} why={}",
+            aTable.mTable,
+            ToNumber(aTable.mRevision),
+            aTable.mScanned ? 0 : 1,
+            ToMillis(now - aBegan),
+            aTable.mFailedReads,
+            Describe(std::get<Failure>(aOutcome)));
+    mKernel.GetMetrics().GetCounter("directory_failed_reads_total").Add();
+    return;
+  }
+  if (aTable.mFailedReads > 0) {
+    LogInfo(kPart,
+            "store regained table={} revision={} ms={} failed={} away_ms={}",
+            aTable.mTable,
+            ToNumber(aTable.mRevision),
+            ToMillis(now - aBegan),
+            aTable.mFailedReads,
+            ToMillis(now - aTable.mFailingSince));
+  }
+  aTable.mFailedReads = 0;
+  aTable.mReadAt = now;
+}
+
 // Reads the whole table. Missing rows are dropped only if the read is newer
 // than their known revision.
-Task<bool>
+Task<Expected<std::monostate>>
 DirectoryService::ScanAll(FollowedTable& aTable)
 {
   std::map<std::string, Revision> found;
@@ -125,7 +149,7 @@
     TimePoint deadline = mKernel.GetClock().Now() + kScanTimeout;
     auto reply = co_await CallStoreFor<RowScanPage>(mStore, scan, deadline);
     if (!Ok(reply)) {
-      co_return false;
+      co_return std::get<Failure>(std::move(reply));
     }
     RowScanPage page = std::get<RowScanPage>(std::move(reply));
     revision =
@@ -147,7 +171,7 @@
             aTable.mTable,
             ToNumber(revision),
             ToNumber(aTable.mRevision));
-    co_return false;
+    co_return Failure(StateConflict{ "stale scan" });
   }
   for (const StoredRow& row : rows) {
     Apply(aTable, row);
@@ -165,10 +189,10 @@
   aTable.mRevision = revision;
   aTable.mScanned = true;
   mChanged.NotifyAll();
-  co_return true;
+  co_return std::monostate{};
 }
 
-Task<bool>
+Task<Expected<std::monostate>>
 DirectoryService::FollowChanges(FollowedTable& aTable)
 {
   ReadRowFeed follow{ aTable.mTable, aTable.mRevision, kFeedPollDuration };
@@ -176,7 +200,7 @@
     mKernel.GetClock().Now() + kFeedPollDuration + kFeedGracePeriod;
   auto reply = co_await CallStore(mStore, follow, deadline);
   if (!Ok(reply)) {
-    co_return false;
+    co_return std::get<Failure>(std::move(reply));
   }
   const StoreReply& storeReply = std::get<StoreReply>(reply);
   if (std::holds_alternative<HistoryCompacted>(storeReply)) {
@@ -185,11 +209,11 @@
             aTable.mTable,
             ToNumber(aTable.mRevision));
     aTable.mScanned = false;
-    co_return true;
+    co_return std::monostate{};
   }
   const auto* changes = std::get_if<RowFeedPage>(&storeReply);
   if (changes == nullptr) {
-    co_return false;
+    co_return Failure(ProtocolFailure{});
   }
   RecordUnnamed(aTable, changes->mUnnamedRows);
   for (const StoredRow& row : changes->mRows) {
@@ -199,7 +223,7 @@
   if (!changes->mRows.empty()) {
     mChanged.NotifyAll();
   }
-  co_return true;
+  co_return std::monostate{};
 }
 
 void
--- a/src/services/directory_service.h
+++ b/src/services/directory_service.h
@@ -30,6 +30,10 @@
   /// Newest configuration; null until there is one.
   std::shared_ptr<const WorkloadConfig> Config() const { return mConfig; }
 
+  /// When the store last said which configuration is the newest; the epoch if
+  /// it hasn't.
+  TimePoint ConfigReadAt() const { return mOperatorTable.mReadAt; }
+
   /// Workers currently listed.
   std::vector<WorkerReport> Workers() const;
 
@@ -53,12 +57,19 @@
     /// Revisions of the known rows, so that a stale read reverts nothing.
     std::map<std::string, Revision> mRows;
     bool mScanned = false;
-    bool mUnreachable = false;
+    /// When the last successful read ended.
+    TimePoint mReadAt{};
+    /// Reads that failed since then, and when the first of them began.
+    int mFailedReads = 0;
+    TimePoint mFailingSince{};
   };
 
   Task<void> Follow(FollowedTable& aTable);
-  Task<bool> ScanAll(FollowedTable& aTable);
-  Task<bool> FollowChanges(FollowedTable& aTable);
+  Task<Expected<std::monostate>> ScanAll(FollowedTable& aTable);
+  Task<Expected<std::monostate>> FollowChanges(FollowedTable& aTable);
+  void RecordRead(FollowedTable& aTable,
+                  const Expected<std::monostate>& aOutcome,
+                  TimePoint aBegan);
   void Apply(FollowedTable& aTable, const StoredRow& aRow);
   void ApplyOperatorRow(const StoredRow& aRow);
   void ApplyWorkerRow(const StoredRow& aRow);
--- a/src/services/entry_service.cpp
+++ b/src/services/entry_service.cpp
@@ -165,7 +165,18 @@
 Task<HttpReply>
 EntryService::ServeMetrics(const HttpRequest&, CallerState&)
 {
-  co_return MakeReply(kOk, "text/plain", mKernel.GetMetrics().Render());
+  Metrics& metrics = mKernel.GetMetrics();
+  Clock& clock = mKernel.GetClock();
+  auto config = mDirectory->Config();
+  if (config) {
+    metrics.GetCounter("config_version")
+      .Set(static_cast<std::int64_t>(ToNumber(config->mVersion)));
+    metrics.GetCounter("config_age_ms")
+      .Set(ToMillis(clock.Now() - mDirectory->ConfigReadAt()));
+  }
+  metrics.GetCounter("timer_delay_worst_ms")
+    .Set(ToMillis(clock.TakeWorstDelay()));
+  co_return MakeReply(kOk, "text/plain", metrics.Render());
 }
 
 Task<HttpReply>
@@ -186,10 +197,11 @@
   if (!Ok(decoded)) {
     const Failure& failure = std::get<Failure>(decoded);
     LogInfo(kPart,
-            "{} {} refused version={} why={}",
+            "{} {} refused version={} age_ms={} why={}",
             aRequest.mMethod,
             aRequest.mTarget,
             ToNumber(config->mVersion),
+            ToMillis(began - mDirectory->ConfigReadAt()),
             Describe(failure));
     co_return platform::EncodeCallerFailure(failure);
   }
