Read the table instead of the history after a failed read

Callers got 404 for routes that had been acknowledged more than 3 s before (CONFIG): a node that had been cut off for 11 s answered with the version from before the cut for 8 s after its network was back.

Cause: the directory continued the store's feed at its last revision, which holds every change since then, up to 1 MB a page. Over 10 Mbit/s, beside the workers' feed, a page takes longer than the deadline of a read; what had arrived was discarded and the same page was requested again, with the link full of discarded bytes.

The time to catch up depended on how much had changed. It now depends on the size of the table: after a failed read, after a gap between two reads and when a page holds most rows more than once, the table is read, which has one version of each row.

--- a/src/services/directory_service.cpp
+++ b/src/services/directory_service.cpp
@@ -4,6 +4,8 @@
 #include "platform/directory_codec.h"
 #include "wire/json_fields.h"
 
+#include <set>
+
 namespace buckthornshunt {
 
 namespace {
@@ -17,6 +19,9 @@
 constexpr Duration kScanTimeout = std::chrono::milliseconds(1500);
 /// Avoids a storm of retries during an outage.
 constexpr Duration kRetryInterval = std::chrono::milliseconds(250);
+/// Longest time between two reads that succeed one after the other.
+constexpr Duration kMaxFeedGap =
+  kFeedPollDuration + kFeedGracePeriod + 2 * kRetryInterval;
 
 } // namespace
 
@@ -83,6 +88,12 @@
   while (true) {
     TimePoint began = mKernel.GetClock().Now();
     Expected<std::monostate> outcome;
+    // The feed holds every change since the last read, the table only the
+    // latest of each row. Over a slow link the changes of an outage take longer
+    // than a read may, however often it is retried.
+    if (began - aTable.mReadAt > kMaxFeedGap) {
+      aTable.mScanned = false;
+    }
     if (aTable.mScanned) {
       outcome = co_await FollowChanges(aTable);
     } else {
@@ -119,6 +130,7 @@
             aTable.mFailedReads,
             Describe(std::get<Failure>(aOutcome)));
     mKernel.GetMetrics().GetCounter("directory_failed_reads_total").Add();
+    aTable.mScanned = false;
     return;
   }
   if (aTable.mFailedReads > 0) {
@@ -131,7 +143,6 @@
             ToMillis(now - aTable.mFailingSince));
   }
   aTable.mFailedReads = 0;
-  aTable.mReadAt = now;
 }
 
 // Reads the whole table. Missing rows are dropped only if the read is newer
@@ -188,6 +199,7 @@
   }
   aTable.mRevision = revision;
   aTable.mScanned = true;
+  aTable.mReadAt = mKernel.GetClock().Now();
   mChanged.NotifyAll();
   co_return std::monostate{};
 }
@@ -216,10 +228,17 @@
     co_return Failure(ProtocolFailure{});
   }
   RecordUnnamed(aTable, changes->mUnnamedRows);
+  std::set<std::string_view> keys;
   for (const StoredRow& row : changes->mRows) {
+    keys.insert(row.mName.mKey);
     Apply(aTable, row);
   }
   aTable.mRevision = std::max(aTable.mRevision, changes->mRevision);
+  aTable.mReadAt = mKernel.GetClock().Now();
+  // Rows change faster than the feed is read, so the table is shorter.
+  if (!keys.empty() && keys.size() * 2 <= changes->mRows.size()) {
+    aTable.mScanned = false;
+  }
   if (!changes->mRows.empty()) {
     mChanged.NotifyAll();
   }
--- a/tests/slow_link_store.cpp
+++ b/tests/slow_link_store.cpp
@@ -41,11 +41,14 @@
 
 void
 SlowLinkStore::Put(std::string_view aTable,
+                   std::string_view aPartition,
                    std::string_view aKey,
                    std::string aValue)
 {
   ++mRevision;
-  RowName name{ std::string(aTable), "", std::string(aKey) };
+  RowName name{ std::string(aTable),
+                std::string(aPartition),
+                std::string(aKey) };
   mHistory.push_back(
     { std::move(name), std::move(aValue), Revision(mRevision), false });
 }
@@ -55,7 +58,8 @@
 {
   std::map<RowName, StoredRow> rows;
   for (const StoredRow& row : mHistory) {
-    if (row.mName.mTable == aScan.mTable) {
+    if (row.mName.mTable == aScan.mTable &&
+        row.mName.mPartition == aScan.mPartition) {
       rows.insert_or_assign(row.mName, row);
     }
   }
--- a/tests/slow_link_store.h
+++ b/tests/slow_link_store.h
@@ -23,7 +23,10 @@
 
   Store Port();
 
-  void Put(std::string_view aTable, std::string_view aKey, std::string aValue);
+  void Put(std::string_view aTable,
+           std::string_view aPartition,
+           std::string_view aKey,
+           std::string aValue);
 
   /// While set, no byte passes.
   bool mCut = false;
--- a/tests/stale_configuration_test.cpp
+++ b/tests/stale_configuration_test.cpp
@@ -97,12 +97,13 @@
   void PutConfig()
   {
     ++mVersion;
-    mSlow.Put("op", platform::kConfigKey, ConfigText(mVersion, mRoutes));
+    mSlow.Put("op", "", platform::kConfigKey, ConfigText(mVersion, mRoutes));
   }
 
   void PutWorker(int aIndex)
   {
-    mSlow.Put("servers", "i-" + std::to_string(aIndex), WorkerText(++mBeats));
+    mSlow.Put(
+      "servers", "", "i-" + std::to_string(aIndex), WorkerText(++mBeats));
   }
 
   /// Lets time pass with a new configuration each aGap and every worker's
