Read the owners' rows instead of their history after a failed read

After a failed read, or a gap between reads in which owners may have been unable to renew, the rows are read instead of their changes. A new test failed before: 2 s after a cut of 11 s all six cells were seen with the former owner, 1,700 commits old; now less than 125 commits, one second.

--- a/src/services/owner_service.cpp
+++ b/src/services/owner_service.cpp
@@ -77,6 +77,9 @@
   Clock& clock = mKernel.GetClock();
   while (true) {
     bool ok = false;
+    if (clock.Now() - mReadAt > kMaxOwnerReadInterval) {
+      mFollowing = false;
+    }
     if (mFollowing) {
       ok = co_await ReadChanges();
     } else {
@@ -155,6 +158,9 @@
   TimePoint deadline = mKernel.GetClock().Now() + kReadTimeout;
   auto reply = co_await CallStore(mStore, follow, deadline);
   if (!Ok(reply)) {
+    // The feed holds every change since the last read, which may take longer
+    // than a read may; the rows themselves are few.
+    mFollowing = false;
     co_return false;
   }
   const StoreReply& storeReply = std::get<StoreReply>(reply);
--- a/tests/stale_configuration_test.cpp
+++ b/tests/stale_configuration_test.cpp
@@ -4,7 +4,9 @@
 #include "kernel/kernel.h"
 #include "platform/directory_codec.h"
 #include "services/directory_service.h"
+#include "services/owner_service.h"
 #include "slow_link_store.h"
+#include "wire/cell_codec.h"
 #include "wire/json_fields.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -172,3 +174,53 @@
   fixture.RunChanges(kApplyDeadline, 10s);
   CHECK(fixture.VersionInForce() >= changed);
 }
+
+TEST_CASE("a node back from a cut takes former owners for the current ones")
+{
+  constexpr int kCells = 6;
+  constexpr Duration kCommitGap = 8ms;
+  asio::io_context context;
+  ManualClock manual(context);
+  Kernel kernel(context, Clock(context, manual), 1);
+  SlowLinkStore slow(kernel.GetClock(), kBytesPerSecond);
+  Store store = slow.Port();
+  OwnerService owners(kernel, store, { "self", { "10.0.0.2", 1 }, {} });
+  OwnerRow row;
+  row.mNode = "n";
+  row.mPeerEndpoint = { "10.0.0.1", 7 };
+  row.mTerm = 3;
+  for (int i = 0; i < 60; ++i) {
+    row.mDrainingWorkers.push_back("i-0a1b2c3d" + std::to_string(i));
+  }
+  // Each commit of an owner writes its row.
+  auto commit = [&](Duration aFor) {
+    for (Duration past{}; past < aFor; past += kCommitGap) {
+      ++row.mSequence;
+      std::string cell = "c" + std::to_string(row.mSequence % kCells);
+      slow.Put(kCellTable, cell, kOwnerKey, EncodeOwnerRow(row));
+      manual.Advance(kCommitGap);
+    }
+  };
+  for (int i = 0; i < kCells; ++i) {
+    owners.Watch("c" + std::to_string(i));
+  }
+  REQUIRE(owners.Start());
+  commit(2s);
+  REQUIRE(owners.LastSeen("c0") != nullptr);
+  slow.mCut = true;
+  row.mTerm = 4;
+  commit(11s);
+  slow.mCut = false;
+  commit(2s);
+  for (int i = 0; i < kCells; ++i) {
+    const OwnerObservation* seen = owners.LastSeen("c" + std::to_string(i));
+    REQUIRE(seen != nullptr);
+    CHECK(seen->mRow.mTerm == 4);
+    CHECK(row.mSequence - seen->mRow.mSequence < 1s / kCommitGap);
+  }
+  bool stopped = false;
+  asio::co_spawn(
+    context, owners.Stop(), [&](const std::exception_ptr&) { stopped = true; });
+  manual.Advance(1s);
+  CHECK(stopped);
+}
