--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -123,6 +123,13 @@
   }
 }
 
+JobPhase
+CellSimulation::StoredPhase(std::string_view aId) const
+{
+  auto it = mProgressRows.find(std::string(aId));
+  return it == mProgressRows.end() ? JobPhase::Pending : it->second.mPhase;
+}
+
 void
 CellSimulation::Step()
 {
@@ -194,11 +201,16 @@
     }
     worker.mClock += kStep;
     std::vector<std::pair<TaskId, RunEnd>> ended;
+    bool crashes = false;
     bool leaseExpired = ToMillis(worker.mClock) >= worker.mLeaseEnd;
     for (auto& [task, run] : worker.mRuns) {
       run.mRemaining -= kStep;
       if (leaseExpired) {
         ended.emplace_back(task, RunEnd::LeaseExpired);
+      } else if (run.mRemaining <= Duration::zero() &&
+                 mDeadlyTasks.contains(task)) {
+        ++mCrashesByTask[task];
+        crashes = true;
       } else if (run.mRemaining <= Duration::zero()) {
         ended.emplace_back(task, run.mFails ? RunEnd::Failed : RunEnd::Done);
       }
@@ -206,7 +218,7 @@
     for (const auto& [task, end] : ended) {
       End(worker, task, end);
     }
-    if (WithProbability(mFaults.mWorkerCrash)) {
+    if (crashes || WithProbability(mFaults.mWorkerCrash)) {
       Crash(worker);
     } else if (worker.mReachable && WithProbability(mFaults.mWorkerPartition)) {
       worker.mReachable = false;
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -80,7 +80,14 @@
   std::uint64_t Starts() const { return mStarts; }
   std::uint64_t Checks() const { return mChecks; }
 
+  /// Crashes of workers by deadly tasks, by task.
+  const std::map<TaskId, int>& CrashesByTask() const { return mCrashesByTask; }
+  /// Phase in the job's last committed progress.
+  JobPhase StoredPhase(std::string_view aId) const;
+
   WorkloadConfig mConfig;
+  /// Tasks that crash every worker on which they run.
+  std::set<TaskId> mDeadlyTasks;
 
 private:
   using OwnerPtr = std::shared_ptr<Cell>;
@@ -121,6 +128,7 @@
   std::set<TaskId> mDoneTasks;
   std::set<TaskId> mDoneAcknowledged;
   std::map<TaskId, std::set<std::uint64_t>> mFailedAcknowledged;
+  std::map<TaskId, int> mCrashesByTask;
   std::vector<std::string> mViolations;
   std::uint64_t mStarts = 0;
   std::uint64_t mChecks = 0;
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -618,3 +618,69 @@
   CHECK(cell.Acknowledged() == 3);
   CHECK(cell.mCell.PhaseOf("a") == JobPhase::Completed);
 }
+
+namespace {
+
+constexpr int kDeadlyJobs = 3;
+constexpr int kHarmlessJobs = 30;
+
+// Submits harmless jobs and some whose first task crashes every worker that
+// runs it.
+void
+RunDeadlyTasks(CellSimulation& aSimulation)
+{
+  aSimulation.Run(500ms);
+  for (int i = 0; i < kHarmlessJobs; ++i) {
+    aSimulation.Submit("harmless" + std::to_string(i), ChainOf({ 3, 2 }));
+    if (i % 10 == 3) {
+      std::string id = "deadly" + std::to_string(i / 10);
+      aSimulation.mDeadlyTasks.insert({ id, 0, 0, 0 });
+      aSimulation.Submit(id, ChainOf({ 2 }));
+    }
+    aSimulation.Run(300ms);
+  }
+}
+
+} // namespace
+
+TEST_CASE("a task that crashes its workers is started again and again")
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed);
+    CellSimulation simulation(seed, { .mTaskFailure = 0 }, 8);
+    RunDeadlyTasks(simulation);
+    simulation.Settle(40s);
+    CheckNoViolations(simulation);
+    for (const auto& [task, crashes] : simulation.CrashesByTask()) {
+      CHECK(crashes <= 3);
+    }
+    for (int i = 0; i < kDeadlyJobs; ++i) {
+      std::string id = "deadly" + std::to_string(i);
+      CHECK(simulation.StoredPhase(id) == JobPhase::Failed);
+    }
+    // A job whose tasks only shared a worker with a deadly one isn't given up.
+    for (int i = 0; i < kHarmlessJobs; ++i) {
+      std::string id = "harmless" + std::to_string(i);
+      CHECK(simulation.StoredPhase(id) == JobPhase::Completed);
+    }
+  }
+}
+
+TEST_CASE("a new owner forgets which tasks crashed their workers")
+{
+  for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+    CAPTURE(seed);
+    FaultProbabilities faults;
+    faults.mTaskFailure = 0;
+    faults.mOwnerChange = 0.002;
+    CellSimulation simulation(seed, faults, 8);
+    RunDeadlyTasks(simulation);
+    simulation.Settle(60s);
+    CheckNoViolations(simulation);
+    // Three crashes and two more starts are allowed; a crash that is seen by no
+    // owner isn't counted.
+    for (const auto& [task, crashes] : simulation.CrashesByTask()) {
+      CHECK(crashes <= 5);
+    }
+  }
+}
