Count the workers that crash under a task and give it up

Cause: only ends that a worker lists as failed counted as attempts. A worker that crashes lists nothing, its runs were set back to idle and started elsewhere, without limit and without memory.

Each run that was confirmed on a worker when it crashed now adds a crash to its task, which is stored with the job's progress, so that it outlives the owner. Which run did it isn't known, so all their tasks are suspects: they start on the emptiest workers, one suspect on each, and after a second crash without other short tasks. A task is given up after three crashes, or after two if the last worker ran no other short task; its job is shown as failed. Workers that drain, and those that are only cut off, don't count as crashed; long-running tasks are never given up. The log leads from the job's id to the crashes.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -63,6 +63,8 @@
   Resources mReserved;
   bool mBestEffort = false;
   bool mLongRunning = false;
+  /// Crashes of workers during earlier runs of the task.
+  std::uint32_t mEarlierCrashes = 0;
   int mRatePercent = 0;
   int mTargetRatePercent = 100;
   /// Tail latency in milliseconds, for runs with a target.
@@ -165,6 +167,24 @@
   std::vector<std::string> mWorkers;
 };
 
+/// A worker crashed with runs on it.
+struct WorkerCrash
+{
+  struct Run
+  {
+    TaskId mTask;
+    std::uint64_t mRun = 0;
+    /// Crashes during runs of the task, with this one.
+    std::uint32_t mCrashes = 0;
+    /// The task is given up, and its job fails.
+    bool mGivenUp = false;
+  };
+
+  std::string mWorker;
+  std::int64_t mIncarnation = 0;
+  std::vector<Run> mRuns;
+};
+
 /// Load of a pool.
 struct PoolSummary
 {
@@ -242,6 +262,9 @@
                 Duration aValid,
                 TimePoint aNow);
 
+  /// Crashes of workers since the last call.
+  std::vector<WorkerCrash> TakeCrashes();
+
   /// Orders to send now.
   std::vector<CellOrder> Plan(TimePoint aNow, WallTime aWallNow);
 
@@ -305,6 +328,8 @@
   void ReleaseRun(CellWorker& aWorker, const TaskId& aTask);
   void RemoveRun(CellWorker& aWorker, const TaskId& aTask);
   void ResetToIdle(const TaskId& aTask, std::string_view aWorker);
+  void RecordCrash(CellWorker& aWorker, TimePoint aNow);
+  void FailJob(CellJob& aJob, TimePoint aNow);
   void RequestStop(ActiveRun& aRun, TimePoint aNow);
   void StopRunsOf(const CellJob& aJob, TimePoint aNow);
   void OnRunEnded(CellWorker& aWorker, const EndedRun& aEnd, TimePoint aNow);
@@ -349,6 +374,8 @@
     TimePoint aNow,
     std::vector<CellWorker*>& aWorkers);
   bool Usable(const CellWorker& aWorker, TimePoint aNow) const;
+  static bool MayHostSuspect(const CellWorker& aWorker, std::uint32_t aCrashes);
+  static bool HasIsolatedRun(const CellWorker& aWorker);
   void StartTask(CellWorker& aWorker,
                  CellJob& aJob,
                  const TaskId& aTask,
@@ -380,6 +407,7 @@
   /// First submission of each rejected job.
   std::map<std::string, TimePoint, std::less<>> mRejectedFirstSeen;
   DemandEstimator mDemand;
+  std::vector<WorkerCrash> mCrashes;
   double mIncomingCores = 0;
 };
 
--- a/src/decide/cell_job.cpp
+++ b/src/decide/cell_job.cpp
@@ -143,13 +143,16 @@
       for (std::uint32_t i = 0; i < tasks.size(); ++i) {
         const TaskRecord& task = tasks[i];
         bool done = task.mStage == TaskStage::Done;
-        if (done || !task.mFailedRuns.empty() || !task.mCheckpoint.empty()) {
+        bool changed = done || !task.mFailedRuns.empty() ||
+                       !task.mCheckpoint.empty() || task.mCrashes > 0;
+        if (changed) {
           progress.mTasks.push_back({ number,
                                       s,
                                       i,
                                       done,
                                       task.mFailedRuns,
-                                      done ? "" : task.mCheckpoint });
+                                      done ? "" : task.mCheckpoint,
+                                      done ? 0 : task.mCrashes });
         }
       }
     }
@@ -185,6 +188,7 @@
     TaskRecord& record = step.mTasks[task.mIndex];
     record.mFailedRuns = task.mFailedRuns;
     record.mCheckpoint = task.mCheckpoint;
+    record.mCrashes = task.mCrashes;
     job.mStarted = true;
     if (task.mDone) {
       record.mStage = TaskStage::Done;
--- a/src/decide/cell_job.h
+++ b/src/decide/cell_job.h
@@ -21,7 +21,8 @@
   WallTime mSubmitted;
 };
 
-/// Stored state of a task that is done, has failed or has a checkpoint.
+/// Stored state of a task that is done, has failed, has a checkpoint or may
+/// have crashed a worker.
 struct StoredTask
 {
   std::uint32_t mOccurrence = 0;
@@ -30,6 +31,8 @@
   bool mDone = false;
   std::vector<std::uint64_t> mFailedRuns;
   std::string mCheckpoint;
+  /// Runs during which the worker crashed.
+  std::uint32_t mCrashes = 0;
 
   friend bool operator==(const StoredTask&, const StoredTask&) = default;
 };
@@ -57,6 +60,8 @@
   TaskStage mStage = TaskStage::Idle;
   /// Failed runs, each once, however often workers list it.
   std::vector<std::uint64_t> mFailedRuns;
+  /// Runs during which the worker crashed, by this task or by another one.
+  std::uint32_t mCrashes = 0;
   /// Starts in this term.
   std::uint32_t mStarts = 0;
   std::string mCheckpoint;
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -31,6 +31,8 @@
 constexpr Duration kCheckpointedEvacuationDelay =
   std::chrono::milliseconds(600);
 constexpr Duration kEvacuationDelay = std::chrono::seconds(4);
+/// Crashes during runs of a task from which it runs without short neighbours.
+constexpr std::uint32_t kCrashesUntilIsolated = 2;
 
 /// Classes of tasks in the order in which they are placed.
 enum class Urgency : std::uint8_t
@@ -138,6 +140,10 @@
       continue;
     }
     worker.mInheritedRunsUnknown = false;
+    // A worker that is cut off stays listed; one that has crashed isn't.
+    if (!worker.mListed) {
+      RecordCrash(worker, aNow);
+    }
     while (!worker.mRuns.empty()) {
       RemoveRun(worker, worker.mRuns.begin()->first);
     }
@@ -183,6 +189,29 @@
          aNow >= aWorker.mAvoidUntil;
 }
 
+// A suspect of a crash shares its worker with no other one; after a second
+// crash it shares it with no other short task, so that a third one proves the
+// cause.
+bool
+Cell::MayHostSuspect(const CellWorker& aWorker, std::uint32_t aCrashes)
+{
+  return std::none_of(
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const auto& aEntry) {
+      const ActiveRun& run = aEntry.second;
+      return !run.mLongRunning &&
+             (run.mEarlierCrashes > 0 || aCrashes >= kCrashesUntilIsolated);
+    });
+}
+
+bool
+Cell::HasIsolatedRun(const CellWorker& aWorker)
+{
+  return std::any_of(
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const auto& aEntry) {
+      return aEntry.second.mEarlierCrashes >= kCrashesUntilIsolated;
+    });
+}
+
 std::vector<PlacementTarget>
 Cell::PlacementTargets(TimePoint aNow, std::vector<CellWorker*>& aWorkers)
 {
@@ -196,7 +225,7 @@
                         worker.mReport.mLabels,
                         worker.mReport.mCapacity,
                         worker.mReserved,
-                        !Usable(worker, aNow),
+                        !Usable(worker, aNow) || HasIsolatedRun(worker),
                         0 });
   }
   return targets;
@@ -306,6 +335,7 @@
   run.mReserved = ReservedResources(spec);
   run.mBestEffort = spec.mBestEffort;
   run.mLongRunning = spec.mLongRunning;
+  run.mEarlierCrashes = task.mCrashes;
   run.mTailLatencyTarget = spec.mTailLatencyTarget;
   aWorker.mReserved += run.mReserved;
   aWorker.mRuns.insert_or_assign(aTask, run);
@@ -420,9 +450,23 @@
     requirements.mAvoidedWorker = task.mLastFailedWorker;
     requirements.mPreferredRack = rack;
     TaskId id{ job.mId, aCandidate.mOccurrence, aCandidate.mStep, i };
+    // The members of a gang can't be kept apart.
+    bool suspect = task.mCrashes > 0 && !spec.mGang;
+    requirements.mSpread = suspect;
+    std::vector<std::size_t> occupied;
+    for (std::size_t w = 0; suspect && w < aTargets.size(); ++w) {
+      bool taken =
+        !MayHostSuspect(*aWorkers[w], task.mCrashes) ||
+        std::any_of(placed.begin(), placed.end(), [&](const auto& aPlaced) {
+          return aPlaced.second == w;
+        });
+      if (taken && !aTargets[w].mUnschedulable) {
+        occupied.push_back(w);
+        aTargets[w].mUnschedulable = true;
+      }
+    }
     std::optional<std::size_t> chosen = PickWorker(aTargets, requirements);
     // An earlier run of the task may be on the worker, still being stopped.
-    std::vector<std::size_t> occupied;
     while (chosen && aWorkers[*chosen]->mRuns.contains(id)) {
       occupied.push_back(*chosen);
       aTargets[*chosen].mUnschedulable = true;
@@ -431,6 +475,9 @@
     for (std::size_t w : occupied) {
       aTargets[w].mUnschedulable = false;
     }
+    if (!chosen && suspect) {
+      continue;
+    }
     if (!chosen) {
       allPlaced = false;
       break;
@@ -460,6 +507,8 @@
     std::uint64_t run =
       firstRun + (spec.mGang ? starts : step.mTasks[index].mStarts + 1);
     StartTask(*aWorkers[target], job, task, run, aNow, aOrders);
+    aTargets[target].mUnschedulable =
+      aTargets[target].mUnschedulable || HasIsolatedRun(*aWorkers[target]);
   }
   return allPlaced;
 }
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -109,12 +109,22 @@
   task.mNotBefore = aNow + kRetryBackoff * static_cast<int>(failures);
   const QueueConfig* queue = QueueOf(aJob);
   std::uint32_t maxAttempts = queue == nullptr ? 1 : queue->mMaxAttempts;
-  if (failures >= maxAttempts && aJob.IsLive()) {
-    aJob.mFailed = true;
-    aJob.mEndedAt = aNow;
-    mLiveJobs.erase(aJob.mId);
-    StopRunsOf(aJob, aNow);
+  if (failures >= maxAttempts) {
+    FailJob(aJob, aNow);
+  }
+}
+
+void
+Cell::FailJob(CellJob& aJob, TimePoint aNow)
+{
+  if (!aJob.IsLive()) {
+    return;
   }
+  aJob.mFailed = true;
+  aJob.mEndedAt = aNow;
+  mLiveJobs.erase(aJob.mId);
+  MarkDirty(aJob);
+  StopRunsOf(aJob, aNow);
 }
 
 void
@@ -224,6 +234,7 @@
           task.mWorker = aWorker.mReport.mId;
           ++step.mActiveTasks;
           run.mStage = ActiveRun::Stage::Running;
+          run.mEarlierCrashes = task.mCrashes;
         }
       }
     }
@@ -369,6 +380,7 @@
 void
 Cell::EndIncarnation(CellWorker& aWorker, TimePoint aNow)
 {
+  RecordCrash(aWorker, aNow);
   aWorker.mEnded = true;
   aWorker.mListed = false;
   aWorker.mInheritedRunsUnknown = false;
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -1,9 +1,20 @@
 #include "decide/cell.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace buckthornshunt {
 
+namespace {
+
+/// Workers that may crash during runs of a task before its job fails. With the
+/// first limit the cause may be any of the worker's runs; the second holds if
+/// the last one ran no other short task.
+constexpr std::uint32_t kMaxCrashes = 3;
+constexpr std::uint32_t kMaxCrashesAlone = 2;
+
+} // namespace
+
 void
 Cell::SetWorkers(std::span<const WorkerReport> aReports, TimePoint aNow)
 {
@@ -107,11 +118,69 @@
   return renewal;
 }
 
+// Which of its runs crashed a worker isn't known, so each of their tasks is a
+// suspect. Suspects are started apart from each other, the second time without
+// short neighbours, and the next crash tells. Runs that may not have begun
+// aren't counted. A long-running task meets unrelated crashes in the course of
+// time, so it is never given up.
+void
+Cell::RecordCrash(CellWorker& aWorker, TimePoint aNow)
+{
+  if (aWorker.mDraining || aWorker.mReport.mDraining) {
+    return;
+  }
+  WorkerCrash crash{ aWorker.mReport.mId, aWorker.mIncarnation, {} };
+  std::vector<CellJob*> failed;
+  auto shortRuns = std::count_if(
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const auto& aEntry) {
+      return !aEntry.second.mLongRunning;
+    });
+  for (const auto& [id, run] : aWorker.mRuns) {
+    CellJob* job = FindJob(id.mJob);
+    bool counts = run.mStage == ActiveRun::Stage::Running &&
+                  !run.mLongRunning && job != nullptr && job->IsLive();
+    if (!counts) {
+      continue;
+    }
+    auto occurrence = job->mOccurrences.find(id.mOccurrence);
+    if (occurrence == job->mOccurrences.end()) {
+      continue;
+    }
+    TaskRecord& task = occurrence->second.mSteps[id.mStep].mTasks[id.mIndex];
+    if (task.mStage != TaskStage::Active ||
+        task.mWorker != aWorker.mReport.mId) {
+      continue;
+    }
+    ++task.mCrashes;
+    task.mLastFailedWorker = aWorker.mReport.mId;
+    MarkDirty(*job);
+    bool givenUp = task.mCrashes >= kMaxCrashes ||
+                   (task.mCrashes >= kMaxCrashesAlone && shortRuns == 1);
+    if (givenUp) {
+      failed.push_back(job);
+    }
+    crash.mRuns.push_back({ id, run.mRun, task.mCrashes, givenUp });
+  }
+  for (CellJob* job : failed) {
+    FailJob(*job, aNow);
+  }
+  if (!crash.mRuns.empty()) {
+    mCrashes.push_back(std::move(crash));
+  }
+}
+
+std::vector<WorkerCrash>
+Cell::TakeCrashes()
+{
+  return std::exchange(mCrashes, {});
+}
+
 // Runs of the earlier incarnation are gone. An order in flight may still start
 // its run in the new incarnation, so that run is stopped first.
 void
 Cell::BeginIncarnation(CellWorker& aWorker, TimePoint aNow)
 {
+  RecordCrash(aWorker, aNow);
   std::vector<TaskId> ended;
   for (auto& [task, run] : aWorker.mRuns) {
     bool wasRunning = run.mStage == ActiveRun::Stage::Running;
--- a/src/decide/task_placement.cpp
+++ b/src/decide/task_placement.cpp
@@ -27,8 +27,9 @@
   return reserved;
 }
 
-// Best fit: the fullest worker with enough room. This keeps whole workers free
-// for large tasks, and workers that stay empty can leave the pool.
+// Best fit unless tasks are spread: the fullest worker with enough room. This
+// keeps whole workers free for large tasks, and workers that stay empty can
+// leave the pool.
 std::optional<std::size_t>
 PickWorker(std::span<const PlacementTarget> aWorkers,
            const TaskRequirements& aRequirements)
@@ -47,9 +48,11 @@
     }
     bool otherRack = !aRequirements.mPreferredRack.empty() &&
                      worker.mRack != aRequirements.mPreferredRack;
+    std::int64_t free =
+      worker.mCapacity.mCpuMillis - worker.mReserved.mCpuMillis;
     Score score{ worker.mId == aRequirements.mAvoidedWorker,
                  otherRack,
-                 worker.mCapacity.mCpuMillis - worker.mReserved.mCpuMillis };
+                 aRequirements.mSpread ? -free : free };
     if (!best || score < bestScore) {
       best = i;
       bestScore = score;
--- a/src/decide/task_placement.h
+++ b/src/decide/task_placement.h
@@ -34,6 +34,8 @@
   std::uint32_t mMaxPerWorker = 0;
   /// Worker of the task's last failed run; used only if no other fits.
   std::string_view mAvoidedWorker;
+  /// Prefer the emptiest worker with room to the fullest.
+  bool mSpread = false;
 };
 
 /// Resources reserved for each task; best-effort tasks reserve no processor
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -325,6 +325,7 @@
     if (HoldsLease()) {
       std::vector<CellOrder> orders =
         mCell->Plan(mClock.Now(), mClock.WallNow());
+      RecordCrashes();
       if (mCell->Fenced()) {
         MarkLost("a worker has seen a higher fencing token");
         co_return;
@@ -613,6 +614,38 @@
   }
 }
 
+// Logs each crash with the runs that the worker had, and the jobs that fail.
+void
+CellRuntime::RecordCrashes()
+{
+  for (const WorkerCrash& crash : mCell->TakeCrashes()) {
+    mCommitDue.Set();
+    mKernel.GetMetrics().GetCounter("worker_crashes_total").Add();
+    std::string runs;
+    for (const WorkerCrash::Run& run : crash.mRuns) {
+      runs +=
+        FormatText(" {}:{}={}", ToString(run.mTask), run.mRun, run.mCrashes);
+      if (run.mGivenUp) {
+        LogWarn(kPart,
+                "job={} pool={} failed task={} crashes={} worker={}, its "
+                "workers crash",
+                run.mTask.mJob,
+                mPool,
+                ToString(run.mTask),
+                run.mCrashes,
+                crash.mWorker);
+      }
+    }
+    LogWarn(kPart,
+            "crash worker={} pool={} born={} n={} crashes={}",
+            crash.mWorker,
+            mPool,
+            crash.mIncarnation,
+            crash.mRuns.size(),
+            runs);
+  }
+}
+
 // Logs the newly ended runs of a listing, split into lines of limited length.
 void
 CellRuntime::LogEndedRuns(const CellWorker& aWorker,
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -126,6 +126,7 @@
   void LogStarts(std::span<const CellOrder> aOrders) const;
   void RecordMalformedRuns(std::string_view aWorker,
                            const WorkerStatus& aListing);
+  void RecordCrashes();
   void LogEndedRuns(const CellWorker& aWorker,
                     const WorkerStatus& aListing) const;
   void LogOrder(std::string_view aWorker,
--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <limits>
 #include <set>
+#include <span>
 #include <tuple>
 
 namespace buckthornshunt {
@@ -147,6 +148,23 @@
   return task;
 }
 
+// Crashes of the listed tasks, in the same order.
+leaf::result<void>
+ReadCrashes(const Json& aJson, std::span<StoredTask> aTasks)
+{
+  BOOST_LEAF_AUTO(crashes, ReadArray(aJson, "c"));
+  bool ok = crashes->size() == aTasks.size();
+  for (std::size_t i = 0; ok && i < aTasks.size(); ++i) {
+    const Json& n = (*crashes)[i];
+    ok = n.is_number_unsigned() && n.get<std::uint64_t>() <= kMaxUnsigned32;
+    aTasks[i].mCrashes = ok ? n.get<std::uint32_t>() : 0;
+  }
+  if (!ok) {
+    return Fail(MessageFailure{ MessageFault::WrongType, "c" });
+  }
+  return {};
+}
+
 } // namespace
 
 leaf::result<void>
@@ -239,13 +257,22 @@
 EncodeProgress(const StoredProgress& aProgress)
 {
   Json tasks = Json::array();
+  // One number a task; a list of its own, which earlier versions ignore.
+  Json crashes = Json::array();
+  bool crashed = false;
   for (const StoredTask& task : aProgress.mTasks) {
     tasks.push_back(TaskToJson(task));
+    crashes.push_back(task.mCrashes);
+    crashed = crashed || task.mCrashes > 0;
   }
-  return ToCbor({ { "p", static_cast<std::uint32_t>(aProgress.mPhase) },
-                  { "q", aProgress.mQueue },
-                  { "d", aProgress.mDoneOccurrences },
-                  { "t", std::move(tasks) } });
+  Json progress = { { "p", static_cast<std::uint32_t>(aProgress.mPhase) },
+                    { "q", aProgress.mQueue },
+                    { "d", aProgress.mDoneOccurrences },
+                    { "t", std::move(tasks) } };
+  if (crashed) {
+    progress["c"] = std::move(crashes);
+  }
+  return ToCbor(progress);
 }
 
 leaf::result<StoredProgress>
@@ -277,6 +304,9 @@
     }
     progress.mTasks.push_back(std::move(task));
   }
+  if (json.contains("c")) {
+    BOOST_LEAF_CHECK(ReadCrashes(json, progress.mTasks));
+  }
   return progress;
 }
 
