Don't count a crash for a worker that drained and restarted

A worker that drains, ends and comes back under the same id was taken for a crashed one: its new report had replaced the one that said that it drained before the incarnation was looked at. Its tasks got a crash each. The new test has both cases; progress rows with crashes are read back in another.

--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -28,10 +28,11 @@
     CellWorker& worker = mWorkers[report.mId];
     bool newIncarnation =
       report.mIncarnation > worker.mIncarnation && worker.mIncarnation != 0;
-    worker.mReport = report;
+    // The earlier report says whether the earlier incarnation was draining.
     if (newIncarnation) {
       BeginIncarnation(worker, aNow);
     }
+    worker.mReport = report;
     worker.mListed = !worker.mEnded;
     worker.mIncarnation = std::max(worker.mIncarnation, report.mIncarnation);
   }
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -684,3 +684,20 @@
     }
   }
 }
+
+TEST_CASE("a worker that drains and restarts counts as crashed")
+{
+  for (bool draining : { false, true }) {
+    CAPTURE(draining);
+    SingleWorkerCell harness;
+    harness.Submit("a", ChainOf({ 1 }));
+    harness.PlanAndAnswer();
+    harness.mReports[0].mDraining = draining;
+    harness.mCell.SetWorkers(harness.mReports, harness.mNow);
+    harness.mReports[0].mDraining = false;
+    harness.mReports[0].mIncarnation += 1;
+    harness.mCell.SetWorkers(harness.mReports, harness.mNow);
+    CHECK(harness.mCell.TakeCrashes().empty() == draining);
+    CHECK(harness.mCell.Workers().find("w")->second.mRuns.empty());
+  }
+}
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -260,7 +260,8 @@
   StoredProgress progress;
   progress.mPhase = JobPhase::Running;
   progress.mQueue = "q";
-  progress.mTasks = { { 0, 1, 2, true, { 4, 1004 }, "c" } };
+  progress.mTasks = { { 0, 1, 2, true, { 4, 1004 }, "c", 0 },
+                      { 0, 1, 3, false, {}, "", 2 } };
   std::string progressBytes = EncodeProgress(progress);
   auto back =
     ToExpected<StoredProgress>([&] { return DecodeProgress(progressBytes); });
