Read a page of rows in a few turns of the executor

Trace: on front-tallinn-b-1, the busy owner of a pool, the poll of the operator's table timed out after 3.56 s with 11,776 bytes read and 2,268 waiting, that of the workers' after 3.61 s with 16,384 read and 78,848 waiting: all had arrived and the node couldn't read it.

Cause: the library reads 512 bytes at a time into a buffer without room, and each read waits for its turn behind the other tasks of the process. A page of 96 kB that has arrived took 194 turns. Reads of the store now have room for 64 kB. The new test counts the turns: 194 before, at most 12 now.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -24,6 +24,8 @@
 /// Longest pause within a reply that is read beyond its deadline; more than a
 /// lost segment takes to be sent again.
 constexpr Duration kMaxReplySilence = std::chrono::milliseconds(400);
+/// Read at a time of replies that may be pages of rows; the library's limit.
+constexpr std::size_t kPageReadBytes = 64 * 1024;
 constexpr std::uint64_t kMaxReplyBodyBytes = 64ULL * 1024 * 1024;
 constexpr std::size_t kMaxIdlePerServer = 32;
 
@@ -252,6 +254,11 @@
       co_return Failure(ConnectionLost{ aServer });
     }
   }
+  // Each read waits for its turn behind the other tasks of the process, and
+  // takes 512 bytes without room for more.
+  if (aReplyExtension > Duration::zero()) {
+    connection->mBuffer.reserve(kPageReadBytes);
+  }
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxReplyBodyBytes);
   boost::system::error_code readError;
--- a/tests/http_client_test.cpp
+++ b/tests/http_client_test.cpp
@@ -12,6 +12,7 @@
 
 #include <array>
 #include <optional>
+#include <string>
 #include <string_view>
 
 using namespace buckthornshunt;
@@ -204,3 +205,19 @@
   RunUntil(fixture.mContext, [&] { return fixture.mReply.has_value(); });
   CHECK_FALSE(Ok(*fixture.mReply));
 }
+
+TEST_CASE("a busy process reads a page in hundreds of turns")
+{
+  constexpr std::size_t kPageBytes = 96 * 1024;
+  PartwiseFixture fixture;
+  fixture.mServer.Send(
+    "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kPageBytes) +
+    "\r\n\r\n" + std::string(kPageBytes, 'a'));
+  int turns = 0;
+  while (!fixture.mReply) {
+    fixture.mContext.run_one();
+    ++turns;
+  }
+  CHECK(Ok(*fixture.mReply));
+  CHECK(turns <= 12);
+}
