--- a/src/services/directory_service.cpp
+++ b/src/services/directory_service.cpp
@@ -19,7 +19,8 @@
 constexpr Duration kScanTimeout = std::chrono::milliseconds(1500);
 /// Avoids a storm of retries during an outage.
 constexpr Duration kRetryInterval = std::chrono::milliseconds(250);
-/// Longest time between two reads that succeed one after the other.
+/// Pause since the last read, as of a suspended process, from which the table
+/// is read.
 constexpr Duration kMaxFeedGap =
   kFeedPollDuration + kFeedGracePeriod + 2 * kRetryInterval;
 
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -701,3 +701,18 @@
     CHECK(harness.mCell.Workers().find("w")->second.mRuns.empty());
   }
 }
+
+TEST_CASE("the crashes of a task are lost when its job is restored")
+{
+  SingleWorkerCell harness;
+  harness.Submit("a", ChainOf({ 1 }));
+  harness.PlanAndAnswer();
+  harness.mReports[0].mIncarnation += 1;
+  harness.mCell.SetWorkers(harness.mReports, harness.mNow);
+  CellChanges changes = harness.mCell.TakeChanges(harness.mNow);
+  REQUIRE(changes.mProgress.size() == 1);
+  StoredJob stored{ "a", "q", ChainOf({ 1 }), 1, {} };
+  CellJob job = RestoreJob(stored, changes.mProgress[0].second);
+  REQUIRE(job.mOccurrences.contains(0));
+  CHECK(job.mOccurrences[0].mSteps[0].mTasks[0].mCrashes == 1);
+}
