Reproduce new jobs that aren't stored while older ones change, failing

A commit takes at most 30 changed jobs, in the order of their names. While more than 30 jobs change between two commits, those with late names wait until the others rest.

Both tests fail: a job named "z" isn't in the first commit although it was submitted first, or although all others only end.

--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -217,6 +217,54 @@
   CHECK(harness.Plan().empty());
 }
 
+TEST_CASE("a new job is stored before the changes of many older ones")
+{
+  SingleWorkerCell harness;
+  // Jobs with occurrences are always admitted.
+  JobSpec spec = ChainOf({ 1 });
+  spec.mOccurrences = 1;
+  auto submit = [&](std::string aId) {
+    harness.mCell.Submit({ std::move(aId), "q", spec, {} }, harness.mNow);
+  };
+  constexpr int kOlderJobs = 200;
+  for (int i = 0; i < kOlderJobs; ++i) {
+    submit("a" + std::to_string(i));
+  }
+  while (!harness.mCell.FitsOneCommit()) {
+    harness.Commit();
+  }
+  harness.Commit();
+  for (int i = 0; i < kOlderJobs; ++i) {
+    harness.mCell.Cancel("a" + std::to_string(i), harness.mNow);
+  }
+  submit("z");
+  harness.Commit();
+  CHECK(harness.mCell.IsStored("z"));
+  // The others follow.
+  for (int i = 0; i < 8; ++i) {
+    harness.Commit();
+  }
+  for (int i = 0; i < kOlderJobs; ++i) {
+    CHECK(harness.mCell.PhaseOf("a" + std::to_string(i)) ==
+          JobPhase::Cancelled);
+  }
+}
+
+TEST_CASE("jobs are stored in the order of their submission")
+{
+  SingleWorkerCell harness;
+  JobSpec spec = ChainOf({ 1 });
+  spec.mOccurrences = 1;
+  harness.mCell.Submit({ "z", "q", spec, {} }, harness.mNow);
+  for (int i = 0; i < 200; ++i) {
+    harness.mCell.Submit({ "a" + std::to_string(i), "q", spec, {} },
+                         harness.mNow);
+  }
+  harness.Commit();
+  CHECK(harness.mCell.IsStored("z"));
+  CHECK_FALSE(harness.mCell.IsStored("a199"));
+}
+
 TEST_CASE("an end that is listed twice counts once")
 {
   SingleWorkerCell harness;
