Reproduce an owner that refuses jobs while its workers idle, failing

It counts the jobs of the earlier owner as backlog, although they start nothing until the leases of workers that can't be reached are over, up to 7 s later.

The test fails: with 30 such jobs and an idle worker a new job is rejected.

--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -415,6 +415,31 @@
   CHECK(harness.mCell.Load(harness.mNow + 1s).mIncomingCores == 96);
 }
 
+TEST_CASE("a new owner admits jobs while those of the earlier one can't start")
+{
+  SingleWorkerCell harness;
+  std::vector<WorkerAddress> unreachable(1);
+  unreachable[0].mId = "cut off";
+  harness.mCell.RestoreWorkers(unreachable, harness.mNow);
+  for (int i = 0; i < 30; ++i) {
+    StoredJob job{ "a" + std::to_string(i), "q", ChainOf({ 8 }), 1, {} };
+    harness.mCell.Restore(RestoreJob(job, {}), harness.mNow, {});
+  }
+  CHECK(harness.PlanAndAnswer().empty());
+  // The worker that answers is idle.
+  CHECK(harness.mCell.Submit({ "new", "q", ChainOf({ 8 }), {} },
+                             harness.mNow) == SubmitResult::Accepted);
+  harness.Commit();
+  CHECK(harness.PlanAndAnswer().size() == 8);
+  // Once the leases are over, the earlier jobs are ahead of a new one.
+  harness.mCell.OnNoAnswer("cut off");
+  harness.mCell.OnNoAnswer("cut off");
+  harness.mNow += 8s;
+  harness.PlanAndAnswer();
+  CHECK(harness.mCell.Submit({ "later", "q", ChainOf({ 8 }), {} },
+                             harness.mNow) == SubmitResult::Rejected);
+}
+
 TEST_CASE("draining keeps to the limit of unavailable long-running tasks")
 {
   SingleWorkerCell harness;
