Don't count jobs that can't start yet against new ones

Change: until the runs of earlier owners are known, their jobs count neither as backlog nor as waiting for free cores in the pool's load. Summary, which no longer adds up jobs, has only cores.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -268,26 +268,40 @@
   Duration interval =
     kLoadRefreshInterval + kLoadRefreshIntervalPerItem * items;
   if (!mLoadMeasuredAt || aNow >= *mLoadMeasuredAt + interval) {
-    mLoad = MeasureLoad();
+    mLoad = MeasureLoad(aNow);
     mLoadMeasuredAt = aNow;
   }
   return mLoad;
 }
 
+// After a takeover the jobs of the earlier owner may have to wait for leases of
+// workers that can't be reached, while the others are idle. Until they can
+// start they don't keep new jobs from starting.
 PoolLoad
-Cell::MeasureLoad() const
+Cell::MeasureLoad(TimePoint aNow) const
 {
   PoolSummary summary = Summary();
   PoolLoad load;
-  load.mBacklogCoreSeconds = summary.mBacklogCoreSeconds;
   load.mCores = summary.mCapacityCores;
   load.mIncomingCores = mIncomingCores;
   load.mFreeCores = summary.mCapacityCores - summary.mBusyCores;
+  bool inheritedRunsKnown = InheritedRunsKnown(aNow);
   for (const std::string& id : mLiveJobs) {
     const CellJob& job = mJobs.find(id)->second;
-    if (!job.mStarted && !job.IsLongRunning()) {
+    bool mayStart = inheritedRunsKnown || !job.mInherited;
+    if (job.IsLongRunning() || !mayStart) {
+      continue;
+    }
+    if (!job.mStarted) {
       load.mFreeCores -= InitialCores(job.mSpec);
     }
+    if (job.mSpec.mOccurrences == 0) {
+      auto occurrence = job.mOccurrences.find(0);
+      load.mBacklogCoreSeconds += RemainingCoreSeconds(
+        job.mSpec,
+        occurrence == job.mOccurrences.end() ? nullptr : &occurrence->second,
+        ModelOf(job.mQueue));
+    }
   }
   return load;
 }
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -192,11 +192,9 @@
   std::vector<Run> mRuns;
 };
 
-/// Load of a pool.
+/// Cores of a pool.
 struct PoolSummary
 {
-  std::string mPool;
-  double mBacklogCoreSeconds = 0;
   /// Busy and total cores, without those that long-running tasks hold.
   double mBusyCores = 0;
   double mCapacityCores = 0;
@@ -325,7 +323,7 @@
   const QueueConfig* QueueOf(const CellJob& aJob) const;
   RunTimeModel ModelOf(std::string_view aQueue) const;
   Duration ObjectiveOf(std::string_view aQueue, const JobSpec& aSpec) const;
-  PoolLoad MeasureLoad() const;
+  PoolLoad MeasureLoad(TimePoint aNow) const;
   JobDemand DemandOf(std::string_view aQueue,
                      const JobSpec& aSpec,
                      TimePoint aFirstSeen,
--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -244,7 +244,6 @@
 Cell::Summary() const
 {
   PoolSummary summary;
-  summary.mPool = mPool;
   double longRunningCores = 0;
   double used = 0;
   for (const auto& [id, worker] : mWorkers) {
@@ -266,17 +265,6 @@
   summary.mCapacityCores =
     std::max(summary.mCapacityCores - longRunningCores, 0.0);
   summary.mBusyCores = std::max(used - longRunningCores, 0.0);
-  for (const std::string& id : mLiveJobs) {
-    const CellJob& job = mJobs.find(id)->second;
-    if (job.IsLongRunning() || job.mSpec.mOccurrences > 0) {
-      continue;
-    }
-    auto occurrence = job.mOccurrences.find(0);
-    summary.mBacklogCoreSeconds += RemainingCoreSeconds(
-      job.mSpec,
-      occurrence == job.mOccurrences.end() ? nullptr : &occurrence->second,
-      ModelOf(job.mQueue));
-  }
   return summary;
 }
 
