--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -8,10 +8,10 @@
 #include "services/directory_service.h"
 #include "services/owner_service.h"
 #include "services/relay_service.h"
+#include "tests/loopback_ports.h"
 #include "wire/cell_codec.h"
 
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <doctest/doctest.h>
 
@@ -34,14 +34,6 @@
   return "job" + std::to_string(1000 + aNumber);
 }
 
-Endpoint
-FreeEndpoint(asio::io_context& aContext)
-{
-  using asio::ip::tcp;
-  tcp::acceptor acceptor(aContext, { asio::ip::make_address("127.0.0.1"), 0 });
-  return { "127.0.0.1", acceptor.local_endpoint().port() };
-}
-
 /// A worker that runs what it is told to and ends runs at the test's request.
 class FakeWorkers
 {
@@ -209,6 +201,7 @@
     , mClock(mContext, mManual)
     , mFake(mClock)
     , mFakePort(mFake.Port())
+    , mPorts(mContext)
     , mStore(InProcessStore{ [this](StoreCall aCall, TimePoint aDeadline) {
       return CallSlowly(std::move(aCall), aDeadline);
     } })
@@ -277,7 +270,7 @@
   {
     ++mLastNode;
     LocalNode self{ "n" + std::to_string(mLastNode),
-                    FreeEndpoint(mContext),
+                    mPorts.Reserve(),
                     Incarnation(mLastNode) };
     CellPorts ports;
     ports.mStore = &mStore;
@@ -338,7 +331,7 @@
   void RequestHandoff(CellNode& aNode)
   {
     Kernel kernel(mContext, mClock, 1);
-    RelayService relay(kernel, FreeEndpoint(mContext));
+    RelayService relay(kernel, mPorts.Reserve());
     REQUIRE(relay.Start());
     bool answered = false;
     Json body = { { "pool", kPool } };
@@ -422,6 +415,7 @@
   Clock mClock;
   FakeStore mFake;
   Store mFakePort;
+  LoopbackPorts mPorts;
   Store mStore;
   FakeWorkers mFakeWorkers;
   Workers mWorkers;
--- a/tests/node_stop_test.cpp
+++ b/tests/node_stop_test.cpp
@@ -8,6 +8,7 @@
 #include "kernel/trace.h"
 #include "services/directory_service.h"
 #include "services/fleet_service.h"
+#include "tests/loopback_ports.h"
 #include "wire/cell_codec.h"
 
 #include <boost/asio/as_tuple.hpp>
@@ -43,14 +44,6 @@
 constexpr Duration kExitMargin = 500ms;
 constexpr int kOk = 200;
 constexpr int kUnavailable = 503;
-const std::string kLoopback = "127.0.0.1";
-
-Endpoint
-FreeEndpoint(asio::io_context& aContext)
-{
-  tcp::acceptor acceptor(aContext, { asio::ip::make_address(kLoopback), 0 });
-  return { kLoopback, acceptor.local_endpoint().port() };
-}
 
 // A row as the operator or a worker writes it.
 void
@@ -153,6 +146,7 @@
   explicit StoppingNode(std::uint64_t aSeed = 1)
     : mManual(mContext)
     , mClock(mContext, mManual)
+    , mPorts(mContext)
     , mFake(mClock)
     , mStore(mFake.Port())
     , mEndlessWorkers(mClock)
@@ -167,10 +161,10 @@
     SetUpLogs(LogFormat::Text, LogLevel::Error);
     PutConfigAndWorkers(mFake);
     WorkloadOptions options;
-    options.mSelf = { "node", FreeEndpoint(mContext), Incarnation(aSeed) };
-    options.mEndpoints.mCallers = mCallers = FreeEndpoint(mContext);
-    options.mEndpoints.mReady = mReady = FreeEndpoint(mContext);
-    options.mEndpoints.mMetrics = FreeEndpoint(mContext);
+    options.mSelf = { "node", mPorts.Reserve(), Incarnation(aSeed) };
+    options.mEndpoints.mCallers = mCallers = mPorts.Reserve();
+    options.mEndpoints.mReady = mReady = mPorts.Reserve();
+    options.mEndpoints.mMetrics = mPorts.Reserve();
     options.mCells = { &mStore, &mWorkers, {} };
     options.mFleet = { &mStore, &mMachines };
     AddWorkloadServices(mKernel, std::move(options));
@@ -305,6 +299,7 @@
   asio::io_context mContext;
   ManualClock mManual;
   Clock mClock;
+  LoopbackPorts mPorts;
   FakeStore mFake;
   Store mStore;
   EndlessWorkers mEndlessWorkers;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -2,27 +2,20 @@
 
 #include "kernel/kernel.h"
 #include "services/relay_service.h"
+#include "tests/loopback_ports.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <doctest/doctest.h>
 
 #include <optional>
 
 using namespace buckthornshunt;
+using namespace buckthornshunt::tests;
 using namespace std::chrono_literals;
 
 namespace {
 
-Endpoint
-FreeEndpoint(asio::io_context& aContext)
-{
-  using asio::ip::tcp;
-  tcp::acceptor acceptor(aContext, { asio::ip::make_address("127.0.0.1"), 0 });
-  return { "127.0.0.1", acceptor.local_endpoint().port() };
-}
-
 /// Two nodes; the second answers "slow" calls once mMayAnswer is notified.
 class TwoNodes
 {
@@ -32,8 +25,9 @@
   TwoNodes()
     : mManual(mContext)
     , mKernel(mContext, Clock(mContext, mManual), 1)
-    , mCallee(FreeEndpoint(mContext))
-    , mFirst(mKernel, FreeEndpoint(mContext))
+    , mPorts(mContext)
+    , mCallee(mPorts.Reserve())
+    , mFirst(mKernel, mPorts.Reserve())
     , mSecond(mKernel, mCallee)
     , mMayAnswer(mContext)
   {
@@ -79,6 +73,7 @@
   asio::io_context mContext;
   ManualClock mManual;
   Kernel mKernel;
+  LoopbackPorts mPorts;
   Endpoint mCallee;
   RelayService mFirst;
   RelayService mSecond;
