Keep the tests' ports bound until their servers listen

A socket that is bound and doesn't listen keeps its port from every draw and every outgoing connection; with SO_REUSEADDR on both the server still gets it.

--- a/tests/loopback_ports.cpp
+++ b/tests/loopback_ports.cpp
@@ -17,7 +17,10 @@
 LoopbackPorts::Reserve()
 {
   std::string host(kLoopbackHost);
-  tcp::acceptor acceptor(mContext, { boost::asio::ip::make_address(host), 0 });
+  tcp::endpoint anyPort(boost::asio::ip::make_address(host), 0);
+  tcp::acceptor& acceptor = mBound.emplace_back(mContext, anyPort.protocol());
+  acceptor.set_option(tcp::acceptor::reuse_address(true));
+  acceptor.bind(anyPort);
   return { host, acceptor.local_endpoint().port() };
 }
 
