Send the replies that are ready before a stop closes a node's links

Change: calls in hand get 10 ms, then the queues of the links are written, then everything is cancelled. The services that answer have stopped by then, so no call waits for anything.

Their fixture lets time pass while it stops, since a stop may wait now.

--- a/src/services/relay_service.cpp
+++ b/src/services/relay_service.cpp
@@ -5,8 +5,11 @@
 #include "wire/relay_codec.h"
 
 #include <boost/asio/as_tuple.hpp>
+#include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
+
 namespace buckthornshunt {
 
 using asio::ip::tcp;
@@ -24,12 +27,18 @@
 /// dead: a busy node answers some call within a few hundred milliseconds.
 constexpr Duration kSilenceTimeout = std::chrono::milliseconds(700);
 
+/// Time for calls in hand to be answered after the services that answer them
+/// have stopped: none of them waits for anything any more.
+constexpr Duration kStopGracePeriod = std::chrono::milliseconds(10);
+
 } // namespace
 
 RelayService::RelayService(Kernel& aKernel, Endpoint aListen)
   : mKernel(aKernel)
   , mListen(std::move(aListen))
   , mTasks(aKernel.Context(), &aKernel.Groups())
+  , mAnswers(aKernel.Context(), &aKernel.Groups())
+  , mSent(aKernel.Context())
   , mAcceptor(aKernel.Context())
   , mConnector(TcpConnector{})
   , mMalformed(aKernel.GetMetrics(), kPart)
@@ -55,13 +64,34 @@
   return {};
 }
 
+// A caller without a reply must assume that its call was executed.
 Task<void>
 RelayService::Stop()
 {
+  Clock& clock = mKernel.GetClock();
   boost::system::error_code ec;
   mAcceptor.close(ec);
+  TimePoint deadline = clock.Now() + kStopGracePeriod;
+  {
+    Watchdog watchdog(clock, deadline, [this] { mAnswers.CancelAll(); });
+    co_await mAnswers.Join();
+  }
+  while (HasUnsentReplies() && clock.Now() < deadline) {
+    co_await WaitUntil(mSent, clock, deadline);
+  }
   mTasks.CancelAll();
   co_await mTasks.Join();
+  mAnswers.CancelAll();
+  co_await mAnswers.Join();
+}
+
+bool
+RelayService::HasUnsentReplies() const
+{
+  return std::any_of(
+    mIncoming.begin(), mIncoming.end(), [](const LinkPtr& aLink) {
+      return aLink->mUnsent && !aLink->mFailed;
+    });
 }
 
 void
@@ -109,7 +139,7 @@
       break;
     }
     for (std::string& message : *messages) {
-      mTasks.Spawn("answer", HandleCall(link, std::move(message)));
+      mAnswers.Spawn("answer", HandleCall(link, std::move(message)));
     }
   }
   mIncoming.erase(link);
@@ -144,6 +174,7 @@
 {
   std::string bytes = ToCbor(aMessage);
   std::visit([&](auto& aTypedLink) { aTypedLink.Queue(bytes); }, *aLink.mLink);
+  aLink.mUnsent = true;
   aLink.mQueued.NotifyAll();
 }
 
@@ -161,6 +192,8 @@
     }
     // Flush doesn't suspend after it has emptied the queue, so that no
     // notification is missed.
+    aLink->mUnsent = false;
+    mSent.NotifyAll();
     co_await aLink->mQueued.Wait();
   }
 }
@@ -217,7 +250,7 @@
   Json reply = std::get<Json>(std::move(parsed));
   if (reply.is_array() && reply.size() == kLinkCallFields) {
     // A broadcast of the called node.
-    mTasks.Spawn("told", HandleCall(aOut.mLink, std::string(aMessage)));
+    mAnswers.Spawn("told", HandleCall(aOut.mLink, std::string(aMessage)));
     return;
   }
   bool valid = reply.is_array() && reply.size() == kLinkReplyFields &&
--- a/src/services/relay_service.h
+++ b/src/services/relay_service.h
@@ -30,6 +30,7 @@
   RelayService(Kernel& aKernel, Endpoint aListen);
 
   leaf::result<void> Start();
+  /// Sends the replies that are ready, then closes all links.
   Task<void> Stop();
 
   /// Sets the handler of a kind of calls; to be called before Start.
@@ -58,6 +59,8 @@
     std::unique_ptr<PeerLink> mLink;
     Event mQueued;
     bool mFailed = false;
+    /// Whether queued messages haven't been written yet.
+    bool mUnsent = false;
     /// When the first call was sent since the peer last sent anything.
     std::optional<TimePoint> mSilentSince;
   };
@@ -98,11 +101,16 @@
   Task<void> HandleCall(LinkPtr aLink, std::string aMessage);
   void OnReply(OutgoingLink& aOut, std::string_view aMessage);
   void Send(Link& aLink, const Json& aMessage);
+  bool HasUnsentReplies() const;
   static void FailLink(OutgoingLink& aOut, const LinkPtr& aLink);
 
   Kernel& mKernel;
   Endpoint mListen;
   TaskGroup mTasks;
+  /// Tasks that answer calls.
+  TaskGroup mAnswers;
+  /// Notified when a link has written its queue.
+  Event mSent;
   boost::asio::ip::tcp::acceptor mAcceptor;
   PeerConnector mConnector;
   std::map<std::string, Handler, std::less<>> mHandlers;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -47,7 +47,10 @@
     bool stopped = false;
     asio::co_spawn(
       mContext, StopBoth(), [&](const std::exception_ptr&) { stopped = true; });
-    RunUntil([&] { return stopped; });
+    // A stop waits for calls in hand.
+    while (!stopped) {
+      mManual.Advance(10ms);
+    }
   }
 
   void Call(std::string aKind, Duration aTimeout, Answer& aAnswer)
