Reproduce an error in one request that ends the process, failing

A handler of the HTTP server or of a call between nodes that throws ends its task with an exception, which the executor passes on: the whole node goes down, with every cell that it owns. Decoders return typed failures, so no message is known that does it; an allocation that fails, or a defect, would.

--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -16,6 +16,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -125,6 +126,9 @@
     if (aTarget == "/wait") {
       co_await mRelease.Wait();
     }
+    if (aTarget == "/throw") {
+      throw std::runtime_error("unexpected");
+    }
     if (aTarget == "/never") {
       co_await mClock.Sleep(1h);
     }
@@ -263,6 +267,19 @@
   CHECK(server.mServer.DroppedRequests() == 1);
 }
 
+TEST_CASE("a handler that throws ends only its own connection")
+{
+  TestServer server;
+  Client first(server);
+  Client second(server);
+  first.Get("/throw");
+  server.RunUntil([&] { return first.Ended(); });
+  CHECK_FALSE(first.Has("HTTP/1.1"));
+  CHECK(server.mServer.Connections() == 1);
+  second.Get("/quick");
+  server.RunUntil([&] { return second.Has("200"); });
+}
+
 TEST_CASE("a client that is refused while it sends isn't reset")
 {
   constexpr std::size_t kHalfBytes = 32768;
--- a/tests/relay_test.cpp
+++ b/tests/relay_test.cpp
@@ -9,6 +9,7 @@
 #include <doctest/doctest.h>
 
 #include <optional>
+#include <stdexcept>
 
 using namespace buckthornshunt;
 using namespace buckthornshunt::tests;
@@ -38,6 +39,10 @@
     });
     mSecond.RegisterHandler(
       "quick", [](Json, TimePoint) -> Task<Json> { co_return Json(2); });
+    mSecond.RegisterHandler("throwing", [](Json, TimePoint) -> Task<Json> {
+      throw std::runtime_error("unexpected");
+      co_return Json();
+    });
     REQUIRE(mFirst.Start());
     REQUIRE(mSecond.Start());
   }
@@ -128,6 +133,20 @@
   CHECK(std::holds_alternative<ConnectionLost>(std::get<Failure>(*longCall)));
 }
 
+TEST_CASE("a handler that throws ends only its own call")
+{
+  TwoNodes nodes;
+  TwoNodes::Answer failed;
+  TwoNodes::Answer quick;
+  nodes.Call("throwing", 500ms, failed);
+  nodes.Call("quick", 9s, quick);
+  nodes.RunUntil([&] { return quick.has_value(); });
+  CHECK(Ok(*quick));
+  nodes.mManual.Advance(500ms);
+  nodes.RunUntil([&] { return failed.has_value(); });
+  CHECK(std::holds_alternative<TimeoutFailure>(std::get<Failure>(*failed)));
+}
+
 TEST_CASE("a call at a node that stops ends with its link")
 {
   TwoNodes nodes;
