Contain an unexpected error in the request that caused it

ContainFailure logs it and ends only that request: the caller's connection is closed, or the call between nodes gets no answer, so that its outcome counts as unknown. Tasks of a service's own loops still end the process, since a service would go on without them.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,6 +1,7 @@
 #include "net/http_server.h"
 
 #include "buckthornshunt/failure.h"
+#include "kernel/contain.h"
 #include "kernel/log.h"
 #include "kernel/wait.h"
 
@@ -391,10 +392,14 @@
     aConnection.mRequestReadAt = mClock.Now();
     auto caller = std::make_shared<CallerState>();
     aConnection.WatchForDisconnect(caller);
-    reply = co_await mHandler(request, *caller);
-    if (aConnection.mAnsweredByDrain) {
+    auto handled =
+      co_await ContainFailure(mLogPart, mHandler(request, *caller));
+    // Without a reply, the caller knows that its request may have been
+    // executed.
+    if (aConnection.mAnsweredByDrain || !handled) {
       co_return false;
     }
+    reply = std::move(*handled);
   }
   keepAlive = keepAlive && !mStopping && !mDraining;
   bool sent = co_await WriteReply(aConnection, std::move(reply), keepAlive);
--- a/src/services/relay_service.cpp
+++ b/src/services/relay_service.cpp
@@ -1,5 +1,6 @@
 #include "services/relay_service.h"
 
+#include "kernel/contain.h"
 #include "kernel/log.h"
 #include "kernel/wait.h"
 #include "wire/relay_codec.h"
@@ -162,9 +163,13 @@
     co_return;
   }
   TimePoint deadline = mKernel.GetClock().Now() + call.mTimeLeft;
-  Json reply = co_await handler->second(std::move(call.mBody), deadline);
-  if (call.mNumber != 0 && !aLink->mFailed) {
-    Json message = Json::array({ call.mNumber, std::move(reply) });
+  auto reply = co_await ContainFailure(
+    kPart, handler->second(std::move(call.mBody), deadline));
+  // A cancelled handler may have returned without having done its work.
+  auto cancellation = co_await asio::this_coro::cancellation_state;
+  bool complete = cancellation.cancelled() == asio::cancellation_type::none;
+  if (reply && complete && call.mNumber != 0 && !aLink->mFailed) {
+    Json message = Json::array({ call.mNumber, std::move(*reply) });
     Send(*aLink, message);
   }
 }
