--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -353,6 +353,44 @@
   CHECK_FALSE(harness.mCell.OnWorkerEnded("w", 5, harness.mNow));
 }
 
+TEST_CASE("a worker that has ended isn't used again while it is listed")
+{
+  SingleWorkerCell harness;
+  harness.mCell.OnNoAnswer("w");
+  REQUIRE(harness.mCell.OnWorkerEnded("w", 5, harness.mNow));
+  for (int i = 0; i < 3; ++i) {
+    harness.mCell.SetWorkers(harness.mReports, harness.mNow);
+    CHECK_FALSE(harness.mCell.NeedsRenewal("w"));
+    CHECK_FALSE(harness.mCell.MayStartOn("w"));
+    CHECK(harness.mCell.Summary().mCapacityCores == 0);
+  }
+  harness.mReports[0].mIncarnation = 6;
+  harness.mCell.SetWorkers(harness.mReports, harness.mNow);
+  CHECK(harness.mCell.NeedsRenewal("w"));
+  CHECK(harness.mCell.Summary().mCapacityCores == 32);
+}
+
+TEST_CASE("a worker that is listed long after its end is contacted again")
+{
+  SingleWorkerCell harness;
+  harness.mCell.OnNoAnswer("w");
+  REQUIRE(harness.mCell.OnWorkerEnded("w", 5, harness.mNow));
+  harness.mNow += 11s;
+  harness.mCell.SetWorkers(harness.mReports, harness.mNow);
+  harness.mCell.SetWorkers(harness.mReports, harness.mNow);
+  CHECK(harness.mCell.NeedsRenewal("w"));
+}
+
+TEST_CASE("a worker that has ended is dropped once it isn't listed")
+{
+  SingleWorkerCell harness;
+  harness.mCell.OnNoAnswer("w");
+  REQUIRE(harness.mCell.OnWorkerEnded("w", 5, harness.mNow));
+  harness.mCell.SetWorkers(harness.mReports, harness.mNow);
+  harness.mCell.SetWorkers({}, harness.mNow);
+  CHECK(harness.mCell.Workers().empty());
+}
+
 TEST_CASE("an unanswered start is stopped before the task runs elsewhere")
 {
   SingleWorkerCell harness;
