Remember a worker's end until the directory drops it

Cause: SetWorkers dropped a worker that wasn't listed any more, and an ended one counts as not listed; the next report of the directory then made a new worker of it, with its cores in the cell's capacity until two probes had failed.

Change: an ended worker stays known, unused, while the directory lists this incarnation, 10 s at most; after that it is contacted like a new one, should the end have been reported wrongly. It leaves the stored set of workers at once, so that a new owner doesn't wait for it.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -80,7 +80,8 @@
 struct CellWorker
 {
   WorkerReport mReport;
-  /// Listed in the directory.
+  bool mInDirectory = false;
+  /// Listed in the directory and not known to have ended.
   bool mListed = false;
   /// The current incarnation has accepted this owner's fencing token.
   bool mTokenAccepted = false;
@@ -92,6 +93,7 @@
   bool mInheritedRunsUnknown = false;
   /// The known incarnation has certainly ended.
   bool mEnded = false;
+  TimePoint mEndedAt;
   /// Reported gone, and not probed since.
   bool mNeedsProbe = false;
   /// Start of its process in milliseconds; 0 if unknown.
--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -151,8 +151,10 @@
     mWorkersDirty = false;
     changes.mWorkers.emplace();
     for (const auto& [id, worker] : mWorkers) {
-      changes.mWorkers->push_back(
-        { id, worker.mReport.mEndpoint, worker.mReport.mVm });
+      if (!worker.mEnded) {
+        changes.mWorkers->push_back(
+          { id, worker.mReport.mEndpoint, worker.mReport.mVm });
+      }
     }
   }
   if (mDirtyJobs.empty()) {
@@ -211,7 +213,8 @@
   }
   if (aChanges.mWorkers) {
     for (const WorkerAddress& address : *aChanges.mWorkers) {
-      if (CellWorker* worker = FindWorker(address.mId)) {
+      CellWorker* worker = FindWorker(address.mId);
+      if (worker != nullptr && !worker->mEnded) {
         worker->mPersisted = true;
       }
     }
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -381,7 +381,10 @@
 {
   RecordCrash(aWorker, aNow);
   aWorker.mEnded = true;
+  aWorker.mEndedAt = aNow;
   aWorker.mListed = false;
+  mWorkersDirty = mWorkersDirty || aWorker.mPersisted;
+  aWorker.mPersisted = false;
   aWorker.mInheritedRunsUnknown = false;
   aWorker.mLeaseExpiry = aNow;
   while (!aWorker.mRuns.empty()) {
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -13,6 +13,10 @@
 constexpr std::uint32_t kMaxCrashes = 3;
 constexpr std::uint32_t kMaxCrashesAlone = 2;
 
+/// The directory drops a worker after three silent heartbeats. One that is
+/// still listed by then is contacted like a new one.
+constexpr Duration kEndedWorkerRetention = std::chrono::seconds(10);
+
 } // namespace
 
 void
@@ -20,6 +24,7 @@
 {
   mLoadMeasuredAt.reset();
   for (auto& [id, worker] : mWorkers) {
+    worker.mInDirectory = false;
     worker.mListed = false;
   }
   for (const WorkerReport& report : aReports) {
@@ -34,6 +39,7 @@
       BeginIncarnation(worker, aNow);
     }
     worker.mReport = report;
+    worker.mInDirectory = true;
     worker.mListed = !worker.mEnded;
     worker.mIncarnation = std::max(worker.mIncarnation, report.mIncarnation);
   }
@@ -41,7 +47,12 @@
     const CellWorker& worker = aEntry.second;
     // Runs that an earlier owner started may exist until the lease expires.
     bool unknown = worker.mInheritedRunsUnknown && aNow <= worker.mLeaseExpiry;
-    bool removable = !worker.mListed && worker.mRuns.empty() && !unknown;
+    // The directory lists a worker for seconds after its end; if it were
+    // forgotten by then, it would be taken for a new one.
+    bool listedSinceEnd =
+      worker.mEnded && aNow > worker.mEndedAt + kEndedWorkerRetention;
+    bool removable = (!worker.mInDirectory || listedSinceEnd) &&
+                     worker.mRuns.empty() && !unknown;
     mWorkersDirty = mWorkersDirty || (removable && worker.mPersisted);
     return removable;
   });
