Follow the workers' table only at owners, wake only whom a change concerns

Cause: each of 147 nodes read and decoded the heartbeat of each of 1,100 workers, though 5 of them own something. At an owner every heartbeat's page, every plan and every commit woke the task of every worker.

Change: the directory follows the workers' table while somebody subscribes, the runtime of a cell or the owner of the fleet; a new subscriber reads the table once, beside the rows of its cell. Without one, what was known is dropped, so that a worker that has left meanwhile can't come back. A heartbeat that changes nothing else notifies nobody, and orders wake only their worker's task.

--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -57,6 +57,7 @@
   , mClock(aKernel.GetClock())
   , mPorts(aPorts)
   , mDirectory(aDirectory)
+  , mWorkerSubscription(aDirectory.SubscribeToWorkers())
   , mPool(aPool)
   , mLease(aKernel,
            *aPorts.mStore,
@@ -72,7 +73,6 @@
   , mPlanDue(aKernel.Context())
   , mCommitDue(aKernel.Context())
   , mCommitted(aKernel.Context())
-  , mWorkersChanged(aKernel.Context())
   , mMalformed(aKernel.GetMetrics(), kPart)
 {
 }
@@ -106,6 +106,7 @@
             mLease.Row().mTerm);
   }
   mClosed = true;
+  mWorkerSubscription.reset();
   mCommitted.NotifyAll();
 }
 
@@ -138,11 +139,36 @@
 {
   mLease.MarkLost(aWhy);
   mCommitted.NotifyAll();
-  mWorkersChanged.NotifyAll();
+  NotifyWorkers();
   mPlanDue.Set();
   mCommitDue.Set();
 }
 
+CellRuntime::WorkerQueue&
+CellRuntime::QueueOf(std::string_view aWorker)
+{
+  auto it = mWorkerQueues.find(aWorker);
+  if (it == mWorkerQueues.end()) {
+    it =
+      mWorkerQueues.try_emplace(std::string(aWorker), mKernel.Context()).first;
+  }
+  return it->second;
+}
+
+void
+CellRuntime::NotifyWorker(std::string_view aWorker)
+{
+  QueueOf(aWorker).mChanged.NotifyAll();
+}
+
+void
+CellRuntime::NotifyWorkers()
+{
+  for (auto& [id, queue] : mWorkerQueues) {
+    queue.mChanged.NotifyAll();
+  }
+}
+
 RowName
 CellRuntime::MakeRowName(std::string_view aTable, std::string_view aKey) const
 {
@@ -305,14 +331,16 @@
   if (auto config = mDirectory.Config()) {
     mCell->SetConfig(*config, mPool);
   }
-  std::vector<WorkerReport> reports = mDirectory.Workers();
-  mCell->SetWorkers(reports, mClock.Now());
+  if (mDirectory.WorkersKnown()) {
+    std::vector<WorkerReport> reports = mDirectory.Workers();
+    mCell->SetWorkers(reports, mClock.Now());
+  }
   for (const std::string& id : mLease.Row().mDrainingWorkers) {
     mCell->SetDraining(id, true);
   }
   MonitorWorkers();
   mPlanDue.Set();
-  mWorkersChanged.NotifyAll();
+  NotifyWorkers();
 }
 
 // --- Planning
@@ -332,7 +360,6 @@
       }
       if (!orders.empty()) {
         Dispatch(std::move(orders));
-        mWorkersChanged.NotifyAll();
       }
       if (mPorts.mAdviceEndpoint.mPort != 0) {
         for (AdviceRequest& request : mCell->TakeAdviceRequests()) {
@@ -387,7 +414,8 @@
 {
   LogStarts(aOrders);
   for (CellOrder& order : aOrders) {
-    WorkerQueue& queue = mWorkerQueues[order.mWorker];
+    WorkerQueue& queue = QueueOf(order.mWorker);
+    queue.mChanged.NotifyAll();
     queue.mOrders.push_back(std::move(order.mCall));
     auto waiting = static_cast<int>(queue.mOrders.size());
     if (queue.mSenders < std::min(kMaxSendersPerWorker, waiting)) {
@@ -402,7 +430,7 @@
 Task<void>
 CellRuntime::SendOrders(std::string aWorker)
 {
-  WorkerQueue& queue = mWorkerQueues[aWorker];
+  WorkerQueue& queue = QueueOf(aWorker);
   while (!queue.mOrders.empty() && Active()) {
     WorkerCall call = std::move(queue.mOrders.front());
     queue.mOrders.pop_front();
@@ -495,7 +523,7 @@
 CellRuntime::MonitorWorkers()
 {
   for (const auto& [id, worker] : mCell->Workers()) {
-    WorkerQueue& queue = mWorkerQueues[id];
+    WorkerQueue& queue = QueueOf(id);
     if (!queue.mMonitored && worker.mReport.mEndpoint.mPort != 0) {
       queue.mMonitored = true;
       mTasks.Spawn("attend", MonitorWorker(id));
@@ -511,7 +539,7 @@
   while (Active() && mCell->Workers().contains(aWorker)) {
     if (!mCell->NeedsRenewal(aWorker) || !HoldsLease()) {
       TimePoint deadline = mClock.Now() + kOwnerRenewalInterval;
-      co_await WaitUntil(mWorkersChanged, mClock, deadline);
+      co_await WaitUntil(QueueOf(aWorker).mChanged, mClock, deadline);
       continue;
     }
     TimePoint began = mClock.Now();
@@ -525,7 +553,11 @@
       co_await mClock.SleepUntil(next);
     }
   }
-  mWorkerQueues[aWorker].mMonitored = false;
+  WorkerQueue& queue = QueueOf(aWorker);
+  queue.mMonitored = false;
+  if (queue.mSenders == 0) {
+    mWorkerQueues.erase(aWorker);
+  }
 }
 
 // A dead worker stays in the directory for some seconds, so the interval grows
@@ -719,6 +751,7 @@
       bool withSeals = mCommitRequested;
       mCommitRequested = false;
       mInFlightChanges = changes;
+      bool held = HoldsLease();
       bool ok =
         co_await CommitChanges(std::move(changes), false, TimePoint::max());
       mInFlightChanges.reset();
@@ -727,6 +760,9 @@
         co_return;
       }
       renewed = began;
+      if (!held) {
+        NotifyWorkers();
+      }
       // Seals set during this commit are stored by the next one.
       mSealsCommitted = mSealsCommitted || (withSeals && !mCommitRequested);
       if (mCell->HasUncommittedJobs()) {
@@ -737,7 +773,6 @@
       mCell->OnCommitted(changes, mClock.Now());
     }
     mPlanDue.Set();
-    mWorkersChanged.NotifyAll();
   }
 }
 
@@ -791,6 +826,9 @@
             mPool);
     mPlanDue.Set();
     mCommitDue.Set();
+  } else {
+    // It may have to be probed.
+    NotifyWorker(aWorker);
   }
 }
 
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -9,6 +9,7 @@
 #include "ports/store.h"
 #include "ports/workers.h"
 #include "services/cell_lease.h"
+#include "services/directory_service.h"
 
 #include <deque>
 #include <map>
@@ -21,8 +22,6 @@
 
 namespace buckthornshunt {
 
-class DirectoryService;
-
 /// Tables of jobs; the part of a row is its cell's name, the key the job's id.
 constexpr std::string_view kJobTable = "jobs";
 constexpr std::string_view kProgressTable = "progress";
@@ -98,6 +97,12 @@
   /// Unsent orders to a worker, in the order they were decided.
   struct WorkerQueue
   {
+    explicit WorkerQueue(asio::io_context& aContext)
+      : mChanged(aContext)
+    {
+    }
+    /// Notified when the worker may need a renewal.
+    Event mChanged;
     std::deque<WorkerCall> mOrders;
     int mSenders = 0;
     bool mMonitored = false;
@@ -122,6 +127,9 @@
   Task<void> SendOrders(std::string aWorker);
   Task<void> FetchAdvice(AdviceRequest aRequest);
   void Dispatch(std::vector<CellOrder> aOrders);
+  WorkerQueue& QueueOf(std::string_view aWorker);
+  void NotifyWorker(std::string_view aWorker);
+  void NotifyWorkers();
   void MonitorWorkers();
   void LogStarts(std::span<const CellOrder> aOrders) const;
   void RecordMalformedRuns(std::string_view aWorker,
@@ -144,6 +152,7 @@
   Clock& mClock;
   CellPorts mPorts;
   DirectoryService& mDirectory;
+  DirectoryService::WorkerSubscription mWorkerSubscription;
   std::string mPool;
   CellLease mLease;
   bool mLoaded = false;
@@ -160,8 +169,7 @@
   AutoResetEvent mPlanDue;
   AutoResetEvent mCommitDue;
   Event mCommitted;
-  Event mWorkersChanged;
-  std::map<std::string, WorkerQueue> mWorkerQueues;
+  std::map<std::string, WorkerQueue, std::less<>> mWorkerQueues;
   /// Jobs of which a row can't be read.
   std::set<std::string, std::less<>> mUnreadableJobs;
   MalformedEntryLog mMalformed;
--- a/src/services/cell_service.cpp
+++ b/src/services/cell_service.cpp
@@ -149,8 +149,12 @@
 Task<void>
 CellService::WatchDirectory()
 {
+  // Without changes of the directory, what a cell knows of workers still gets
+  // out of date.
+  Clock& clock = mKernel.GetClock();
   while (!mStopping) {
-    co_await mDirectory->Changed().Wait();
+    TimePoint deadline = clock.Now() + kCheckInterval;
+    co_await WaitUntil(mDirectory->Changed(), clock, deadline);
     for (auto& [pool, runtime] : mOwned) {
       runtime->OnDirectoryChange();
     }
--- a/src/services/directory_service.cpp
+++ b/src/services/directory_service.cpp
@@ -5,6 +5,7 @@
 #include "wire/json_fields.h"
 
 #include <set>
+#include <utility>
 
 namespace buckthornshunt {
 
@@ -31,6 +32,7 @@
   , mStore(aStore)
   , mTasks(aKernel.Context(), &aKernel.Groups())
   , mChanged(aKernel.Context())
+  , mWorkersSubscribed(aKernel.Context())
   , mMalformed(aKernel.GetMetrics(), kPart)
 {
   mOperatorTable.mTable = platform::kOperatorTable;
@@ -41,7 +43,7 @@
 DirectoryService::Start()
 {
   mTasks.Spawn("operator", Follow(mOperatorTable));
-  mTasks.Spawn("workers", Follow(mWorkerTable));
+  mTasks.Spawn("workers", FollowWorkers());
   return {};
 }
 
@@ -52,6 +54,13 @@
   co_await mTasks.Join();
 }
 
+DirectoryService::WorkerSubscription
+DirectoryService::SubscribeToWorkers()
+{
+  mWorkersSubscribed.NotifyAll();
+  return mSubscribers;
+}
+
 std::vector<WorkerReport>
 DirectoryService::Workers() const
 {
@@ -87,29 +96,63 @@
 DirectoryService::Follow(FollowedTable& aTable)
 {
   while (true) {
-    TimePoint began = mKernel.GetClock().Now();
-    Expected<std::monostate> outcome;
-    // The feed holds every change since the last read, the table only the
-    // latest of each row. Over a slow link the changes of an outage take longer
-    // than a read may, however often it is retried.
-    if (began - aTable.mReadAt > kMaxFeedGap) {
-      aTable.mScanned = false;
-    }
-    if (aTable.mScanned) {
-      outcome = co_await FollowChanges(aTable);
-    } else {
-      outcome = co_await ScanAll(aTable);
-    }
-    RecordRead(aTable, outcome, began);
-    // Each worker writes its entry every second or two, so the table changes
-    // constantly; with a delay, one call returns many changes.
-    bool busy = &aTable == &mWorkerTable;
-    if (!Ok(outcome) || busy) {
+    co_await ReadOnce(aTable);
+    if (aTable.mFailedReads > 0) {
       co_await mKernel.GetClock().Sleep(kRetryInterval);
     }
   }
 }
 
+// Only owners of cells and of the fleet need the workers. Their heartbeats are
+// most of what the store's tables change, so every other node's cost would grow
+// with the fleet. Each worker writes its entry every second or two; with a
+// delay between reads, one call returns many changes.
+Task<void>
+DirectoryService::FollowWorkers()
+{
+  while (true) {
+    while (mSubscribers.use_count() == 1) {
+      ForgetWorkers();
+      co_await mWorkersSubscribed.Wait();
+    }
+    co_await ReadOnce(mWorkerTable);
+    co_await mKernel.GetClock().Sleep(kRetryInterval);
+  }
+}
+
+// The feed holds every change since the last read, the table only the latest of
+// each row. Over a slow link the changes of an outage take longer than a read
+// may, however often it is retried.
+Task<void>
+DirectoryService::ReadOnce(FollowedTable& aTable)
+{
+  TimePoint began = mKernel.GetClock().Now();
+  Expected<std::monostate> outcome;
+  if (began - aTable.mReadAt > kMaxFeedGap) {
+    aTable.mScanned = false;
+  }
+  if (aTable.mScanned) {
+    outcome = co_await FollowChanges(aTable);
+  } else {
+    outcome = co_await ScanAll(aTable);
+  }
+  RecordRead(aTable, outcome, began);
+  if (std::exchange(mDirty, false)) {
+    mChanged.NotifyAll();
+  }
+}
+
+// The table's revision is kept, so that no later scan may be older.
+void
+DirectoryService::ForgetWorkers()
+{
+  mWorkersKnown = false;
+  mWorkers.clear();
+  mIncarnationSeenAt.clear();
+  mWorkerTable.mRows.clear();
+  mWorkerTable.mScanned = false;
+}
+
 // Failed reads are at least kRetryInterval apart, which bounds the log.
 void
 DirectoryService::RecordRead(FollowedTable& aTable,
@@ -201,7 +244,10 @@
   aTable.mRevision = revision;
   aTable.mScanned = true;
   aTable.mReadAt = mKernel.GetClock().Now();
-  mChanged.NotifyAll();
+  if (&aTable == &mWorkerTable) {
+    mDirty = mDirty || !mWorkersKnown;
+    mWorkersKnown = true;
+  }
   co_return std::monostate{};
 }
 
@@ -240,9 +286,6 @@
   if (!keys.empty() && keys.size() * 2 <= changes->mRows.size()) {
     aTable.mScanned = false;
   }
-  if (!changes->mRows.empty()) {
-    mChanged.NotifyAll();
-  }
   co_return std::monostate{};
 }
 
@@ -309,6 +352,7 @@
           waveOrder.mVms.size(),
           waveOrder.mMaxConcurrent,
           ToSeconds(waveOrder.mDeadline));
+  mDirty = true;
   mWaveSeenAt.try_emplace(*wave, mKernel.GetClock().Now());
   mWaves.insert_or_assign(*wave, std::move(waveOrder));
 }
@@ -336,6 +380,7 @@
           mConfig ? ToNumber(mConfig->mVersion) : 0,
           newConfig.mQueues.size(),
           newConfig.mPools.size());
+  mDirty = true;
   mConfig = std::make_shared<const WorkloadConfig>(std::move(newConfig));
 }
 
@@ -353,6 +398,7 @@
               ToNumber(aRow.mRevision));
       mWorkers.erase(before);
       mIncarnationSeenAt.erase(id);
+      mDirty = true;
     }
     mMalformed.Clear(platform::kWorkerTable, id);
     return;
@@ -366,7 +412,7 @@
       mMalformed.Record(
         platform::kWorkerTable, id, Describe(std::get<Failure>(report)));
     }
-    mWorkers.erase(id);
+    mDirty = mWorkers.erase(id) > 0 || mDirty;
     mIncarnationSeenAt.erase(id);
     return;
   }
@@ -393,6 +439,7 @@
             workerReport.mDraining ? 1 : 0,
             ToNumber(aRow.mRevision));
   }
+  mDirty = mDirty || before == mWorkers.end() || before->second != workerReport;
   mWorkers.insert_or_assign(id, std::move(workerReport));
 }
 
--- a/src/services/directory_service.h
+++ b/src/services/directory_service.h
@@ -16,12 +16,16 @@
 namespace buckthornshunt {
 
 /// Follows the tables that the operator and the workers write: the workload
-/// configuration, maintenance waves and the workers themselves.
+/// configuration, maintenance waves and, while somebody subscribes to them, the
+/// workers themselves.
 class DirectoryService
 {
 public:
   static constexpr std::string_view kName = "directory";
 
+  /// The workers' table is followed while any subscription exists.
+  using WorkerSubscription = std::shared_ptr<const void>;
+
   DirectoryService(Kernel& aKernel, Store& aStore);
 
   leaf::result<void> Start();
@@ -34,7 +38,12 @@
   /// it hasn't.
   TimePoint ConfigReadAt() const { return mOperatorTable.mReadAt; }
 
-  /// Workers currently listed.
+  WorkerSubscription SubscribeToWorkers();
+
+  /// Whether the workers' table has been read since it was subscribed to.
+  bool WorkersKnown() const { return mWorkersKnown; }
+
+  /// Workers currently listed; none unless they are known.
   std::vector<WorkerReport> Workers() const;
 
   /// A worker's current incarnation; none if the worker isn't listed.
@@ -46,7 +55,8 @@
   /// When a wave was first seen; the epoch if it wasn't.
   TimePoint WaveSeenAt(std::uint64_t aNumber) const;
 
-  /// Notified after every change.
+  /// Notified after every change of the configuration, the waves or the
+  /// workers; a heartbeat alone is none.
   Event& Changed() { return mChanged; }
 
 private:
@@ -65,6 +75,9 @@
   };
 
   Task<void> Follow(FollowedTable& aTable);
+  Task<void> FollowWorkers();
+  Task<void> ReadOnce(FollowedTable& aTable);
+  void ForgetWorkers();
   Task<Expected<std::monostate>> ScanAll(FollowedTable& aTable);
   Task<Expected<std::monostate>> FollowChanges(FollowedTable& aTable);
   void RecordRead(FollowedTable& aTable,
@@ -85,6 +98,12 @@
   std::shared_ptr<const WorkloadConfig> mConfig;
   std::map<std::uint64_t, WaveOrder> mWaves;
   std::map<std::uint64_t, TimePoint> mWaveSeenAt;
+  /// Shared by all subscriptions.
+  WorkerSubscription mSubscribers = std::make_shared<char>();
+  Event mWorkersSubscribed;
+  bool mWorkersKnown = false;
+  /// Whether the rows applied since the last notification changed anything.
+  bool mDirty = false;
   std::map<std::string, WorkerReport, std::less<>> mWorkers;
   /// When each listed worker's current incarnation was first seen.
   std::map<std::string, TimePoint, std::less<>> mIncarnationSeenAt;
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -154,6 +154,8 @@
 Task<void>
 FleetService::RunAsOwner(ClaimResult aClaim)
 {
+  DirectoryService::WorkerSubscription workers =
+    mDirectory->SubscribeToWorkers();
   mView = FleetView{};
   mInheritedVms.clear();
   mLease = std::make_unique<CellLease>(mKernel,
--- a/tests/malformed_entry_test.cpp
+++ b/tests/malformed_entry_test.cpp
@@ -119,6 +119,7 @@
     , mText(mKernel.GetClock())
     , mStore(mText.Port())
     , mDirectory(mKernel, mStore)
+    , mSubscription(mDirectory.SubscribeToWorkers())
   {
   }
 
@@ -152,6 +153,7 @@
   TextStore mText;
   Store mStore;
   DirectoryService mDirectory;
+  DirectoryService::WorkerSubscription mSubscription;
 };
 
 using Names = std::vector<std::string>;
--- a/tests/slow_link_store.cpp
+++ b/tests/slow_link_store.cpp
@@ -53,6 +53,15 @@
     { std::move(name), std::move(aValue), Revision(mRevision), false });
 }
 
+void
+SlowLinkStore::Remove(std::string_view aTable,
+                      std::string_view aPartition,
+                      std::string_view aKey)
+{
+  Put(aTable, aPartition, aKey, "");
+  mHistory.back().mRemoved = true;
+}
+
 RowScanPage
 SlowLinkStore::Scan(const ScanRows& aScan) const
 {
@@ -61,6 +70,9 @@
     if (row.mName.mTable == aScan.mTable &&
         row.mName.mPartition == aScan.mPartition) {
       rows.insert_or_assign(row.mName, row);
+      if (row.mRemoved) {
+        rows.erase(row.mName);
+      }
     }
   }
   RowScanPage page;
@@ -117,6 +129,8 @@
   --mTransfers;
   if (arrived < aBytes) {
     mDiscardedBytes += arrived;
+  } else {
+    mTransferredBytes += aBytes;
   }
   co_return arrived >= aBytes;
 }
--- a/tests/slow_link_store.h
+++ b/tests/slow_link_store.h
@@ -28,10 +28,16 @@
            std::string_view aKey,
            std::string aValue);
 
+  void Remove(std::string_view aTable,
+              std::string_view aPartition,
+              std::string_view aKey);
+
   /// While set, no byte passes.
   bool mCut = false;
   /// Bytes of replies that were discarded, since they weren't complete in time.
   std::uint64_t mDiscardedBytes = 0;
+  /// Bytes of complete replies.
+  std::uint64_t mTransferredBytes = 0;
 
 private:
   Task<Expected<StoreReply>> Call(StoreCall aCall, TimePoint aDeadline);
--- a/tests/stale_configuration_test.cpp
+++ b/tests/stale_configuration_test.cpp
@@ -78,6 +78,7 @@
     , mSlow(mKernel.GetClock(), kBytesPerSecond)
     , mStore(mSlow.Port())
     , mDirectory(mKernel, mStore)
+    , mSubscription(mDirectory.SubscribeToWorkers())
   {
     PutConfig();
     for (int i = 0; i < kWorkers; ++i) {
@@ -139,6 +140,7 @@
   SlowLinkStore mSlow;
   Store mStore;
   DirectoryService mDirectory;
+  DirectoryService::WorkerSubscription mSubscription;
   std::size_t mRoutes = 260;
   std::uint64_t mVersion = 0;
   std::uint64_t mBeats = 0;
