End a worker with the confirmed move of its VM, seal it during maintenance

Cause: a worker was sealed until the order for its VM was confirmed, which ends it.

Change: a confirmed move ends the incarnation that was known before, at once and without a probe, since its worker lived in another pool than the VM's new one. A maintenance may have been done before the worker's start, so it ends nothing; its worker stays sealed until the list can't be older than the order.

Result: new tests for both decisions.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -260,6 +260,11 @@
   bool OnWorkerEnded(std::string_view aWorker,
                      std::int64_t aIncarnation,
                      TimePoint aNow);
+  /// Handles the platform's confirmation that the worker's VM has been moved;
+  /// false if the incarnation isn't the known one or its end was known.
+  bool OnWorkerMoved(std::string_view aWorker,
+                     std::int64_t aIncarnation,
+                     TimePoint aNow);
   void OnOrderReply(std::string_view aWorker,
                     const WorkerCall& aCall,
                     const Expected<WorkerReply>& aReply,
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -419,6 +419,23 @@
   return true;
 }
 
+// Unlike the list of VMs, the confirmation can't be out of date, so that the
+// worker needs no probe.
+bool
+Cell::OnWorkerMoved(std::string_view aWorker,
+                    std::int64_t aIncarnation,
+                    TimePoint aNow)
+{
+  CellWorker* worker = FindWorker(aWorker);
+  bool matches = worker != nullptr && !worker->mEnded &&
+                 worker->mIncarnation == aIncarnation;
+  if (matches) {
+    EndIncarnation(*worker, aNow);
+    mLoadMeasuredAt.reset();
+  }
+  return matches;
+}
+
 void
 Cell::OnOrderReply(std::string_view aWorker,
                    const WorkerCall& aCall,
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -455,6 +455,35 @@
   return false;
 }
 
+// The worker lived in another pool, so the VM can't have left that pool
+// before it.
+bool
+MoveProvesWorkerEnded(std::string_view aWorker,
+                      const WorkerIncarnation& aIncarnation,
+                      const FleetIntent& aIntent)
+{
+  return aIntent.mConfirmed && !aIntent.mTargetPool.empty() &&
+         aIntent.mWorker == aWorker &&
+         aIncarnation.mFirstSeen < aIntent.mConfirmedAt;
+}
+
+// A confirmed move ends its worker at once. A maintenance may have been done
+// earlier, before the worker's start, so its confirmation ends nothing; until
+// the list shows its effect the worker is taken for ended.
+std::vector<std::string>
+WorkersToSeal(const FleetView& aView, TimePoint aListed)
+{
+  std::vector<std::string> sealed;
+  for (const auto& [name, intent] : aView.mIntents) {
+    bool listLags =
+      intent.mWave != 0 && aListed <= intent.mConfirmedAt + kMaxListLag;
+    if (!intent.mWorker.empty() && (!intent.mConfirmed || listLags)) {
+      sealed.push_back(intent.mWorker);
+    }
+  }
+  return sealed;
+}
+
 double
 GrowThresholdCores(const PoolUsage& aUse)
 {
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -119,6 +119,17 @@
                       const PoolVm* aVm,
                       TimePoint aListed);
 
+/// Whether the confirmed move of its VM has ended a worker's incarnation.
+bool
+MoveProvesWorkerEnded(std::string_view aWorker,
+                      const WorkerIncarnation& aIncarnation,
+                      const FleetIntent& aIntent);
+
+/// Workers on which nothing may start, since their VMs are to be moved or
+/// maintained; aListed is when the list of VMs was requested.
+std::vector<std::string>
+WorkersToSeal(const FleetView& aView, TimePoint aListed);
+
 /// Cores that a pool needs for its demand; with fewer it takes VMs in. A single
 /// large job doesn't count as demand.
 double
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -832,6 +832,17 @@
   }
 }
 
+void
+CellRuntime::MarkWorkerMoved(std::string_view aWorker,
+                             std::int64_t aIncarnation)
+{
+  if (mCell->OnWorkerMoved(aWorker, aIncarnation, mClock.Now())) {
+    LogInfo(kPart, "worker={} pool={} ended by a move", aWorker, mPool);
+    mPlanDue.Set();
+    mCommitDue.Set();
+  }
+}
+
 Task<bool>
 CellRuntime::SealWorkers(std::vector<std::string> aWorkers, TimePoint aDeadline)
 {
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -79,6 +79,8 @@
 
   /// Ends the worker incarnation that started at aBorn, with all runs on it.
   void MarkWorkerGone(std::string_view aWorker, std::int64_t aBorn);
+  /// Notes that the move of its VM has ended a worker's incarnation.
+  void MarkWorkerMoved(std::string_view aWorker, std::int64_t aIncarnation);
 
   /// Starts nothing new on exactly these workers; true once this is stored.
   Task<bool> SealWorkers(std::vector<std::string> aWorkers,
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -460,10 +460,8 @@
         sync.mIncomingCores += incoming ? CoresOf(at) : 0;
       }
     }
-    if (!intent.mWorker.empty() && !intent.mConfirmed) {
-      sync.mSealed.push_back(intent.mWorker);
-    }
   }
+  sync.mSealed = WorkersToSeal(mView, mListRequestedAt);
   auto use = mView.mPools.find(aPool);
   if (use == mView.mPools.end()) {
     return sync;
@@ -485,6 +483,12 @@
     if (!incarnation) {
       continue;
     }
+    auto intent = mView.mIntents.find(incarnation->mVm);
+    if (intent != mView.mIntents.end() &&
+        MoveProvesWorkerEnded(id, *incarnation, intent->second)) {
+      sync.mMoved.emplace(id, incarnation->mId);
+      continue;
+    }
     auto vm = vms.find(incarnation->mVm);
     const PoolVm* at = vm == vms.end() ? nullptr : vm->second;
     if (ListProvesWorkerEnded(id, aPool, *incarnation, at, mListRequestedAt)) {
@@ -551,8 +555,11 @@
     co_return Json();
   }
   mHighestFleetToken = fleetSync.mToken;
-  for (const auto& [id, born] : fleetSync.mEnded) {
-    runtime->MarkWorkerGone(id, born);
+  for (const auto& [id, incarnation] : fleetSync.mEnded) {
+    runtime->MarkWorkerGone(id, incarnation);
+  }
+  for (const auto& [id, incarnation] : fleetSync.mMoved) {
+    runtime->MarkWorkerMoved(id, incarnation);
   }
   runtime->State().SetIncomingCores(fleetSync.mIncomingCores);
   bool sealed = co_await runtime->SealWorkers(fleetSync.mSealed, aDeadline);
@@ -715,6 +722,7 @@
     } else {
       current.mConfirmed = true;
       current.mConfirmedAt = mClock.Now();
+      mSyncDue.NotifyAll();
     }
     if (intent.mWave != 0 &&
         (refused == nullptr || refused->mReason == MachineRefusal::NotInWave)) {
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -112,18 +112,35 @@
   return wave;
 }
 
+namespace {
+
+using Incarnations = std::map<std::string, std::int64_t>;
+
+leaf::result<Incarnations>
+ReadIncarnations(const Json& aObject, const char* aName)
+{
+  BOOST_LEAF_AUTO(list, Member(aObject, aName));
+  if (!list->is_object()) {
+    return Fail(MessageFailure{ MessageFault::WrongType, aName });
+  }
+  Incarnations incarnations;
+  for (const auto& [id, unused] : list->items()) {
+    BOOST_LEAF_AUTO(start, ReadInRange(*list, id.c_str(), 0, kMaxTimeMillis));
+    incarnations.emplace(id, start);
+  }
+  return incarnations;
+}
+
+} // namespace
+
 Json
 FleetSyncToJson(const FleetSync& aSync)
 {
-  Json ended = Json::object();
-  for (const auto& [id, incarnationStart] : aSync.mEnded) {
-    ended[id] = incarnationStart;
-  }
-  return { { "pool", aSync.mPool },
-           { "token", aSync.mToken },
-           { "sealed", aSync.mSealed },
-           { "ended", std::move(ended) },
-           { "incoming", aSync.mIncomingCores } };
+  return {
+    { "pool", aSync.mPool },         { "token", aSync.mToken },
+    { "sealed", aSync.mSealed },     { "ended", Json(aSync.mEnded) },
+    { "moved", Json(aSync.mMoved) }, { "incoming", aSync.mIncomingCores }
+  };
 }
 
 leaf::result<FleetSync>
@@ -134,14 +151,10 @@
   BOOST_LEAF_ASSIGN(sync.mToken, ReadUnsigned(aJson, "token"));
   BOOST_LEAF_ASSIGN(sync.mSealed, ReadStrings(aJson, "sealed"));
   BOOST_LEAF_ASSIGN(sync.mIncomingCores, ReadCores(aJson, "incoming"));
-  BOOST_LEAF_AUTO(ended, Member(aJson, "ended"));
-  if (!ended->is_object()) {
-    return Fail(MessageFailure{ MessageFault::WrongType, "ended" });
-  }
-  for (const auto& [id, unused] : ended->items()) {
-    BOOST_LEAF_AUTO(incarnationStart,
-                    ReadInRange(*ended, id.c_str(), 0, kMaxTimeMillis));
-    sync.mEnded.emplace(id, incarnationStart);
+  BOOST_LEAF_ASSIGN(sync.mEnded, ReadIncarnations(aJson, "ended"));
+  // Nodes of the previous version don't send this field.
+  if (aJson.contains("moved")) {
+    BOOST_LEAF_ASSIGN(sync.mMoved, ReadIncarnations(aJson, "moved"));
   }
   return sync;
 }
--- a/src/wire/fleet_codec.h
+++ b/src/wire/fleet_codec.h
@@ -39,6 +39,8 @@
   std::map<std::string, std::int64_t> mEnded;
   /// Cores of VMs that are being moved into the pool.
   double mIncomingCores = 0;
+  /// As mEnded, for workers whose VMs' moves are confirmed.
+  std::map<std::string, std::int64_t> mMoved{};
 };
 
 /// CBOR encodings of stored rows; decoders fail with MessageFailure. Of an
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -370,6 +370,18 @@
   CHECK(harness.mCell.Summary().mCapacityCores == 32);
 }
 
+TEST_CASE("a worker whose VM has moved is used no more")
+{
+  SingleWorkerCell harness;
+  CHECK_FALSE(harness.mCell.OnWorkerMoved("w", 4, harness.mNow));
+  CHECK(harness.mCell.OnWorkerMoved("w", 5, harness.mNow));
+  CHECK_FALSE(harness.mCell.OnWorkerMoved("w", 5, harness.mNow));
+  harness.mCell.SetWorkers(harness.mReports, harness.mNow);
+  harness.Submit("a", ChainOf({ 1 }));
+  CHECK(harness.Plan().empty());
+  CHECK_FALSE(harness.mCell.MayStartOn("w"));
+}
+
 TEST_CASE("a worker that is listed long after its end is contacted again")
 {
   SingleWorkerCell harness;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -303,6 +303,32 @@
   CHECK(off == 8);
 }
 
+TEST_CASE("a confirmed move ends its worker, and a maintenance seals it")
+{
+  Fleet fleet;
+  TimePoint confirmedAt = fleet.mView.mNow;
+  FleetIntent move;
+  move.mTargetPool = "b";
+  move.mWorker = "w-a0";
+  WorkerIncarnation before{ "a0", 5, confirmedAt - 10s };
+  WorkerIncarnation after{ "a0", 6, confirmedAt + 2s };
+  CHECK_FALSE(MoveProvesWorkerEnded("w-a0", before, move));
+  move.mConfirmed = true;
+  move.mConfirmedAt = confirmedAt;
+  CHECK(MoveProvesWorkerEnded("w-a0", before, move));
+  CHECK_FALSE(MoveProvesWorkerEnded("w-a0", after, move));
+  CHECK_FALSE(MoveProvesWorkerEnded("w-a1", before, move));
+
+  FleetIntent maintenance = move;
+  maintenance.mTargetPool.clear();
+  maintenance.mWave = 1;
+  CHECK_FALSE(MoveProvesWorkerEnded("w-a0", before, maintenance));
+  fleet.mView.mIntents["a0"] = maintenance;
+  std::vector<std::string> sealed = { "w-a0" };
+  CHECK(WorkersToSeal(fleet.mView, confirmedAt + 1s) == sealed);
+  CHECK(WorkersToSeal(fleet.mView, confirmedAt + 3s).empty());
+}
+
 TEST_CASE("a pool gives no VMs away during a demand burst")
 {
   Fleet fleet;
