Hand one of two cells to a node that owns none

Cause: an owner was asked for a cell only by nodes that are larger.

Change: the owner row says with what delay its owner would claim the cell beside its other ones, not only how large it is. A request carries the delay of who asks, and the owner judges it by the cells that it has left, so that of several requests for both cells one is granted.

Result: a new test with three nodes; it fails without the change by reading, not run.

--- a/src/decide/cell_owner.cpp
+++ b/src/decide/cell_owner.cpp
@@ -31,10 +31,16 @@
   return size + kClaimDelayPerCell * static_cast<int>(aCells);
 }
 
+bool
+IsHandoffWorthwhile(Duration aDelay, Duration aOwnerDelay)
+{
+  return aDelay + kMinHandoffGain <= aOwnerDelay;
+}
+
 bool
 ShouldRequestHandoff(Duration aDelay, const OwnerRow& aRow)
 {
-  return !aRow.mReleased && aDelay + kMinHandoffGain <= aRow.mBaseClaimDelay;
+  return !aRow.mReleased && IsHandoffWorthwhile(aDelay, aRow.mClaimDelay);
 }
 
 OwnershipState
--- a/src/decide/cell_owner.h
+++ b/src/decide/cell_owner.h
@@ -25,8 +25,9 @@
   bool mReleased = false;
   /// Workers that get no new runs.
   std::vector<std::string> mDrainingWorkers;
-  /// ClaimDelay of the owner for no other cells, as a measure of its size.
-  Duration mBaseClaimDelay{};
+  /// ClaimDelay of the owner with its other cells, as a measure of its size and
+  /// of what else it does.
+  Duration mClaimDelay{};
 
   friend bool operator==(const OwnerRow&, const OwnerRow&) = default;
 };
@@ -81,6 +82,11 @@
 Duration
 ClaimDelay(const NodeCapacity& aCapacity, std::size_t aCells);
 
+/// Whether a cell gains by moving from its owner to a node with claim delay
+/// aDelay.
+bool
+IsHandoffWorthwhile(Duration aDelay, Duration aOwnerDelay);
+
 /// Whether a node with claim delay aDelay should request a handoff from the
 /// owner. After successive node failures a small node may own the pool, and
 /// would serve the next demand peak alone while larger ones are idle.
--- a/src/services/cell_lease.cpp
+++ b/src/services/cell_lease.cpp
@@ -96,6 +96,12 @@
   mRow.mDrainingWorkers = std::move(aWorkers);
 }
 
+void
+CellLease::SetClaimDelay(Duration aDelay)
+{
+  mRow.mClaimDelay = std::chrono::floor<std::chrono::milliseconds>(aDelay);
+}
+
 // Retries are idempotent: each commit changes the owner row, so a duplicate
 // that arrives late finds another revision and is rejected.
 Task<bool>
@@ -173,7 +179,7 @@
   row.mIncarnation = aSelf.mIncarnation;
   row.mTerm = aSighting ? aSighting->mRow.mTerm + 1 : 1;
   row.mSequence = 1;
-  row.mBaseClaimDelay = std::chrono::floor<std::chrono::milliseconds>(
+  row.mClaimDelay = std::chrono::floor<std::chrono::milliseconds>(
     ClaimDelay(aSelf.mCapacity, 0));
   Revision before{};
   if (aSighting) {
--- a/src/services/cell_lease.h
+++ b/src/services/cell_lease.h
@@ -45,6 +45,8 @@
 
   /// Sets the workers that get no new runs; stored by the next commit.
   void SetSealed(std::vector<std::string> aWorkers);
+  /// Sets the row's claim delay; stored by the next commit.
+  void SetClaimDelay(Duration aDelay);
 
   /// Commits rows and renews the lease. Retries until the commit is known to
   /// have taken effect (true), the cell is lost or the deadline has passed
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -68,6 +68,9 @@
   /// False once the lease is lost or the cell is being released.
   bool Active() const { return !mReleasing && !Lost(); }
 
+  /// Notes what the node's other cells make of its delay in claiming this one.
+  void SetClaimDelay(Duration aDelay) { mLease.SetClaimDelay(aDelay); }
+
   /// Answers a caller's call; ServiceUnavailable if the cell can't take it now.
   Task<CallerReply> Handle(CallerCall aCall, TimePoint aDeadline);
 
--- a/src/services/cell_service.cpp
+++ b/src/services/cell_service.cpp
@@ -188,11 +188,21 @@
       mOwners->Refresh();
       BeginRelease(std::move(runtime), clock.Now() + kOwnerLeaseDuration);
     }
+    for (auto& [pool, runtime] : mOwned) {
+      runtime->SetClaimDelay(DelayWithOtherCells());
+    }
     TimePoint deadline = clock.Now() + kCheckInterval;
     co_await WaitUntil(mOwners->Changed(), clock, deadline);
   }
 }
 
+// Delay in claiming one of the owned cells, had it none.
+Duration
+CellService::DelayWithOtherCells() const
+{
+  return ClaimDelay(mOwners->Self().mCapacity, mOwned.size() - 1);
+}
+
 // Pools that queues send their jobs to, and pools that have had an owner: the
 // jobs of a queue that moved remain in the cell that accepted them.
 std::set<std::string_view>
@@ -267,15 +277,16 @@
   if (held && ShouldRequestHandoff(delay, sighting->mRow)) {
     mHandoffRequestedAt = now;
     mTasks.Spawn(
-      "ask", RequestHandoff(std::string(aPool), sighting->mRow.mPeerEndpoint));
+      "ask",
+      RequestHandoff(std::string(aPool), sighting->mRow.mPeerEndpoint, delay));
   }
 }
 
 Task<void>
-CellService::RequestHandoff(std::string aPool, Endpoint aOwner)
+CellService::RequestHandoff(std::string aPool, Endpoint aOwner, Duration aDelay)
 {
   TimePoint deadline = mKernel.GetClock().Now() + kHandoffRequestTimeout;
-  Json body = { { "pool", aPool } };
+  Json body = { { "pool", aPool }, { "delay_ms", ToMillis(aDelay) } };
   auto reply =
     co_await mRelay->Call(aOwner, "ask for cell", std::move(body), deadline);
   LogInfo(kPart,
@@ -286,8 +297,24 @@
   mOwners->Refresh();
 }
 
+// Nodes of the previous version don't send their delay; they have judged the
+// request themselves.
+bool
+CellService::IsHandoffWorthwhile(const Json& aBody) const
+{
+  if (!aBody.contains("delay_ms")) {
+    return true;
+  }
+  auto delay =
+    ToExpected<Duration>([&] { return ReadMillis(aBody, "delay_ms"); });
+  return Ok(delay) && buckthornshunt::IsHandoffWorthwhile(
+                        std::get<Duration>(delay), DelayWithOtherCells());
+}
+
 // Runs at the owner. The released cell is free, and the requesting node claims
-// it first because its claim delay is shorter.
+// it first because its claim delay is shorter. Several nodes may ask an owner
+// of two cells for one; each further request is judged by the cells that are
+// left.
 Task<Json>
 CellService::OnHandoffRequest(Json aBody)
 {
@@ -300,7 +327,7 @@
     co_return Json();
   }
   std::shared_ptr<CellRuntime> runtime = Find(std::get<0>(pool));
-  if (runtime && runtime->Loaded()) {
+  if (runtime && runtime->Loaded() && IsHandoffWorthwhile(aBody)) {
     mOwned.erase(std::get<0>(pool));
     LogInfo(
       kPart, "cell={} released for handoff to a larger node", runtime->Pool());
--- a/src/services/cell_service.h
+++ b/src/services/cell_service.h
@@ -55,7 +55,11 @@
                          TimePoint aDeadline);
   void MaybeTakeOver(std::string_view aPool);
   void MaybeRequestHandoff(std::string_view aPool);
-  Task<void> RequestHandoff(std::string aPool, Endpoint aOwner);
+  Task<void> RequestHandoff(std::string aPool,
+                            Endpoint aOwner,
+                            Duration aDelay);
+  Duration DelayWithOtherCells() const;
+  bool IsHandoffWorthwhile(const Json& aBody) const;
   Task<Json> OnHandoffRequest(Json aBody);
   std::set<std::string_view> PoolsWithJobs(const WorkloadConfig& aConfig);
   std::size_t ClaimOrder(std::string_view aPool) const;
--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -321,7 +321,7 @@
                   { "s", aRow.mSequence },
                   { "r", aRow.mReleased },
                   { "x", aRow.mDrainingWorkers },
-                  { "d", ToMillis(aRow.mBaseClaimDelay) } });
+                  { "d", ToMillis(aRow.mClaimDelay) } });
 }
 
 leaf::result<OwnerRow>
@@ -347,7 +347,7 @@
   }
   // Rows written by the previous version lack this field.
   BOOST_LEAF_AUTO(delayMillis, ReadOrZero(json, "d", kMaxMillis));
-  row.mBaseClaimDelay = std::chrono::milliseconds(delayMillis);
+  row.mClaimDelay = std::chrono::milliseconds(delayMillis);
   return row;
 }
 
--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -624,6 +624,27 @@
   CHECK(fleet.mFakeWorkers.mRuns.size() == 1);
 }
 
+TEST_CASE("a node that owns nothing takes one of another node's two cells")
+{
+  CellFleet fleet(2);
+  CellNode& first = fleet.AddNode();
+  fleet.mManual.Advance(6s);
+  REQUIRE(first.mCells.Find("p0"));
+  REQUIRE(first.mCells.Find("p1"));
+  CellNode& second = fleet.AddNode();
+  CellNode& third = fleet.AddNode();
+  fleet.mManual.Advance(6s);
+  int owned = 0;
+  for (CellNode* node : { &first, &second, &third }) {
+    int cells =
+      (node->mCells.Find("p0") ? 1 : 0) + (node->mCells.Find("p1") ? 1 : 0);
+    CHECK(cells <= 1);
+    owned += cells;
+  }
+  CHECK(owned == 2);
+  CHECK((first.mCells.Find("p0") || first.mCells.Find("p1")));
+}
+
 TEST_CASE("a long-running task that ends in a handover runs again in 3 s")
 {
   for (int ms = 0; ms < 1500; ms += 50) {
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -358,15 +358,15 @@
   NodeCapacity large{ 0.5, 200 };
   NodeCapacity small{ 0.12, 10 };
   OwnerRow row;
-  row.mBaseClaimDelay = ClaimDelay(small, 0);
+  row.mClaimDelay = ClaimDelay(small, 0);
   CHECK(ShouldRequestHandoff(ClaimDelay(large, 0), row));
   CHECK(ShouldRequestHandoff(ClaimDelay(large, 1), row));
   CHECK_FALSE(ShouldRequestHandoff(ClaimDelay(large, 2), row));
   CHECK_FALSE(ShouldRequestHandoff(ClaimDelay(small, 0), row));
-  row.mBaseClaimDelay = ClaimDelay(large, 0);
+  row.mClaimDelay = ClaimDelay(large, 0);
   CHECK_FALSE(ShouldRequestHandoff(ClaimDelay(large, 0), row));
   // A released cell needs no handoff.
-  row.mBaseClaimDelay = ClaimDelay(small, 0);
+  row.mClaimDelay = ClaimDelay(small, 0);
   row.mReleased = true;
   CHECK_FALSE(ShouldRequestHandoff(ClaimDelay(large, 0), row));
 }
