Look up a VM's state once a plan, keep the list of VMs indexed

Change: the planner resolves pools, usage and intents to pointers once; VMs for a growing pool are found in one pass; the service keeps an index of the list. Plans are at least 10 ms apart, so that reports which arrive together share one. The decisions are the same.

Result: the tests of the fleet and of waves pass unchanged.

--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <unordered_map>
 
 namespace buckthornshunt {
 
@@ -37,32 +38,76 @@
   return kVmMaintenanceTime * static_cast<int>(batches + 2);
 }
 
-/// Builds the plan and tracks the VMs and cores that it leaves each pool.
+/// One pool's state while a plan is made.
+struct PoolState
+{
+  /// Null if there is no recent report.
+  const PoolUsage* mUsage = nullptr;
+  bool mSpare = false;
+  bool mHasCell = false;
+  int mVms = 0;
+  int mLeaving = 0;
+  /// VMs on their way to the pool.
+  int mArriving = 0;
+  double mUsableCores = 0;
+  double mGrowThreshold = 0;
+  double mShrinkThreshold = 0;
+  /// One more VM than the limits on tasks per VM require, so that there is room
+  /// for the tasks of a lost VM.
+  int mMinVms = 0;
+  /// Minimum VMs that the pool keeps while idle.
+  int mStandbyVms = 0;
+
+  int Staying() const { return mVms - mLeaving; }
+};
+
+/// One VM's state while a plan is made.
+struct VmState
+{
+  const PoolVm* mVm = nullptr;
+  PoolState* mPool = nullptr;
+  /// Null if unknown.
+  const WorkerUsage* mUsage = nullptr;
+  bool mHasIntent = false;
+
+  bool IsIdle() const { return mUsage != nullptr && mUsage->mRuns == 0; }
+  // No cell starts runs in the spare pool or in a pool without a queue.
+  bool NeedsSeal() const { return !mPool->mSpare && mPool->mHasCell; }
+  bool IsUp() const { return mVm->mState == PoolVmState::Up; }
+};
+
+/// Builds the plan and tracks the VMs and cores that it leaves each pool. A
+/// fleet has thousands of VMs and a plan is made many times a second, so that
+/// what a VM needs is looked up once.
 class Planner
 {
 public:
   explicit Planner(const FleetView& aView)
     : mView(aView)
   {
-    for (const WorkerPoolConfig& pool : aView.mPoolConfigs) {
-      mIsSpare[pool.mName] = pool.mSpare;
-    }
+    AddPools();
+    mVms.reserve(aView.mVms.size());
     for (const PoolVm& vm : aView.mVms) {
-      mVms.emplace(vm.mVm, &vm);
-      ++mPoolSize[vm.mPool];
+      PoolState& pool = mPools[vm.mPool];
       bool leaving = aView.mIntents.contains(vm.mVm);
-      mLeaving[vm.mPool] += leaving ? 1 : 0;
+      mVms.push_back({ &vm, &pool, UsageOf(vm, pool), leaving });
+      ++pool.mVms;
+      pool.mLeaving += leaving ? 1 : 0;
       if (vm.mState == PoolVmState::Up && !leaving) {
-        mUsableCores[vm.mPool] += CoresOf(vm);
+        pool.mUsableCores += CoresOf(vm);
       }
     }
-    for (const auto& [vm, intent] : aView.mIntents) {
-      auto it = mVms.find(vm);
-      if (it != mVms.end() && !intent.mTargetPool.empty()) {
-        mUsableCores[intent.mTargetPool] += CoresOf(*it->second);
-        // A VM that has arrived is already in mPoolSize.
-        bool moving = it->second->mPool != intent.mTargetPool;
-        mArriving[intent.mTargetPool] += moving ? 1 : 0;
+    for (std::size_t i = 0; i < mVms.size(); ++i) {
+      mByName.emplace(mVms[i].mVm->mVm, i);
+    }
+    for (const auto& [name, intent] : aView.mIntents) {
+      const VmState* vm = Find(name);
+      if (vm != nullptr && !intent.mTargetPool.empty()) {
+        PoolState& target = mPools[intent.mTargetPool];
+        target.mUsableCores += CoresOf(*vm->mVm);
+        // A VM that has arrived is already counted.
+        bool moving = vm->mVm->mPool != intent.mTargetPool;
+        target.mArriving += moving ? 1 : 0;
       }
     }
   }
@@ -82,84 +127,64 @@
   }
 
 private:
-  bool IsSpare(std::string_view aPool) const
-  {
-    auto it = mIsSpare.find(aPool);
-    return it != mIsSpare.end() && it->second;
-  }
-
-  const PoolUsage* UsageOf(std::string_view aPool) const
-  {
-    auto it = mView.mPools.find(aPool);
-    bool valid = it != mView.mPools.end() &&
-                 mView.mNow - it->second.mReportedAt < kMaxReportAge;
-    return valid ? &it->second : nullptr;
-  }
-
-  // Usage of the VM's worker; null if unknown.
-  const WorkerUsage* WorkerUsageOn(const PoolVm& aVm) const
+  void AddPools()
   {
-    const PoolUsage* use = UsageOf(aVm.mPool);
-    if (use == nullptr) {
-      return nullptr;
+    for (const WorkerPoolConfig& config : mView.mPoolConfigs) {
+      mPools[config.mName].mSpare = config.mSpare;
     }
-    auto it = use->mWorkers.find(aVm.mWorker);
-    return it == use->mWorkers.end() ? nullptr : &it->second;
-  }
-
-  bool HasIntent(std::string_view aVm) const
-  {
-    return mView.mIntents.contains(aVm) || mPlan.mNewIntents.contains(aVm);
-  }
-
-  // Minimum VMs that a pool keeps while idle.
-  int StandbyVms(std::string_view aPool) const
-  {
     double evenShare =
       static_cast<double>(mView.mVms.size()) /
-      static_cast<double>(std::max<std::size_t>(mIsSpare.size(), 1));
+      static_cast<double>(std::max<std::size_t>(mPools.size(), 1));
     auto standby = static_cast<int>(std::floor(kStandbyShare * evenShare));
-    return std::max(standby, MinVmsOf(aPool));
-  }
-
-  // One more than the limits on tasks per VM require, so that there is room for
-  // the tasks of a lost VM.
-  int MinVmsOf(std::string_view aPool) const
-  {
-    const PoolUsage* use = UsageOf(aPool);
-    bool limited = use != nullptr && use->mMinVms > 0;
-    return limited ? static_cast<int>(use->mMinVms) + 1 : 0;
+    for (const std::string& name : mView.mCells) {
+      mPools[name].mHasCell = true;
+    }
+    for (const auto& [name, usage] : mView.mPools) {
+      PoolState& pool = mPools[name];
+      if (mView.mNow - usage.mReportedAt >= kMaxReportAge) {
+        continue;
+      }
+      pool.mUsage = &usage;
+      pool.mGrowThreshold = GrowThresholdCores(usage);
+      pool.mShrinkThreshold = ShrinkThresholdCores(usage);
+      pool.mMinVms =
+        usage.mMinVms > 0 ? static_cast<int>(usage.mMinVms) + 1 : 0;
+    }
+    for (auto& [name, pool] : mPools) {
+      pool.mStandbyVms = std::max(standby, pool.mMinVms);
+    }
   }
 
-  int VmsStayingIn(const std::string& aPool)
+  static const WorkerUsage* UsageOf(const PoolVm& aVm, const PoolState& aPool)
   {
-    return mPoolSize[aPool] - mLeaving[aPool];
+    if (aPool.mUsage == nullptr) {
+      return nullptr;
+    }
+    auto it = aPool.mUsage->mWorkers.find(aVm.mWorker);
+    return it == aPool.mUsage->mWorkers.end() ? nullptr : &it->second;
   }
 
-  // No cell starts runs in the spare pool or in a pool without a queue.
-  bool NeedsSeal(const PoolVm& aVm) const
+  VmState* Find(std::string_view aName)
   {
-    return !IsSpare(aVm.mPool) && mView.mCells.contains(aVm.mPool);
+    auto it = mByName.find(aName);
+    return it == mByName.end() ? nullptr : &mVms[it->second];
   }
 
   void ReviewIntents()
   {
     for (const auto& [name, intent] : mView.mIntents) {
-      auto it = mVms.find(name);
-      if (it == mVms.end()) {
+      const VmState* vm = Find(name);
+      if (vm == nullptr) {
         if (!intent.mOrdered) {
           mPlan.mCancelledIntents.push_back(name);
         }
         continue;
       }
-      const PoolVm& vm = *it->second;
       if (intent.mOrdered) {
         continue;
       }
-      const WorkerUsage* use = WorkerUsageOn(vm);
-      bool empty =
-        !NeedsSeal(vm) || (use != nullptr && use->mSealed && use->mRuns == 0);
-      bool stale = vm.mWorker != intent.mWorker || vm.mState != PoolVmState::Up;
+      bool empty = !vm->NeedsSeal() || (vm->IsIdle() && vm->mUsage->mSealed);
+      bool stale = vm->mVm->mWorker != intent.mWorker || !vm->IsUp();
       bool timedOut =
         intent.mWave == 0 && mView.mNow > intent.mCreatedAt + kMoveDrainTimeout;
       if (stale || (timedOut && !empty)) {
@@ -170,49 +195,54 @@
     }
   }
 
-  std::uint32_t CountInMaintenance(std::uint64_t aWave) const
+  std::uint32_t CountInMaintenance(std::uint64_t aWave)
   {
     std::uint32_t n = 0;
-    for (const auto& [vm, intent] : mView.mIntents) {
-      n += intent.mWave == aWave ? 1 : 0;
-    }
-    for (const auto& [vm, intent] : mPlan.mNewIntents) {
+    for (const auto& [name, intent] : mView.mIntents) {
       n += intent.mWave == aWave ? 1 : 0;
     }
     // A VM that is down without an intent may be down because of an earlier
     // owner's order.
     for (const std::string& name : mView.mWaves.at(aWave).mOrder.mVms) {
-      auto it = mVms.find(name);
-      bool down = it != mVms.end() && it->second->mState != PoolVmState::Up;
-      n += down && !mView.mIntents.contains(name) ? 1 : 0;
+      const VmState* vm = Find(name);
+      n += vm != nullptr && !vm->IsUp() && !vm->mHasIntent ? 1 : 0;
     }
     return n;
   }
 
-  void AddIntent(const PoolVm& aVm, FleetIntent aIntent)
+  void AddIntent(VmState& aVm, FleetIntent aIntent)
   {
+    double cores = CoresOf(*aVm.mVm);
     aIntent.mCreatedAt = mView.mNow;
-    aIntent.mWorker = aVm.mWorker;
-    ++mLeaving[aVm.mPool];
-    mUsableCores[aVm.mPool] -= CoresOf(aVm);
+    aIntent.mWorker = aVm.mVm->mWorker;
+    aVm.mHasIntent = true;
+    ++aVm.mPool->mLeaving;
+    aVm.mPool->mUsableCores -= cores;
     if (!aIntent.mTargetPool.empty()) {
-      mUsableCores[aIntent.mTargetPool] += CoresOf(aVm);
-      ++mArriving[aIntent.mTargetPool];
+      PoolState& target = mPools[aIntent.mTargetPool];
+      target.mUsableCores += cores;
+      ++target.mArriving;
     }
-    mPlan.mNewIntents.emplace(aVm.mVm, std::move(aIntent));
-    if (!NeedsSeal(aVm)) {
-      mPlan.mReadyVms.push_back(aVm.mVm);
+    mPlan.mNewIntents.emplace(aVm.mVm->mVm, std::move(aIntent));
+    if (!aVm.NeedsSeal()) {
+      mPlan.mReadyVms.push_back(aVm.mVm->mVm);
     }
   }
 
-  bool IsAnyPoolShort()
+  void MoveTo(std::string_view aPool, VmState& aVm)
   {
-    return std::any_of(
-      mView.mPools.begin(), mView.mPools.end(), [&](const auto& aEntry) {
-        const auto& [pool, use] = aEntry;
-        return UsageOf(pool) != nullptr && !IsSpare(pool) &&
-               mUsableCores[pool] < GrowThresholdCores(use);
-      });
+    FleetIntent intent;
+    intent.mTargetPool = aPool;
+    AddIntent(aVm, std::move(intent));
+  }
+
+  bool IsAnyPoolShort() const
+  {
+    return std::any_of(mPools.begin(), mPools.end(), [](const auto& aEntry) {
+      const PoolState& pool = aEntry.second;
+      return pool.mUsage != nullptr && !pool.mSpare &&
+             pool.mUsableCores < pool.mGrowThreshold;
+    });
   }
 
   // Number of VMs that must be down at the same time for the rest of a wave to
@@ -233,26 +263,24 @@
   // VMs that are switched off go first, then those with the least work.
   void AdvanceWave(std::uint64_t aNumber, const WaveProgress& aWave)
   {
-    std::vector<std::pair<int, const PoolVm*>> remaining;
+    std::vector<std::pair<int, VmState*>> remaining;
     bool allDone = true;
     for (const std::string& name : aWave.mOrder.mVms) {
-      auto it = mVms.find(name);
-      if (it == mVms.end() || aWave.mMaintainedVms.contains(name)) {
+      VmState* vm = Find(name);
+      if (vm == nullptr || aWave.mMaintainedVms.contains(name)) {
         continue;
       }
       allDone = false;
-      const PoolVm& vm = *it->second;
-      if (vm.mState != PoolVmState::Up || HasIntent(name)) {
+      if (!vm->IsUp() || vm->mHasIntent) {
         continue;
       }
-      const WorkerUsage* use = WorkerUsageOn(vm);
       int cost = 3;
-      if (!NeedsSeal(vm)) {
+      if (!vm->NeedsSeal()) {
         cost = 0;
-      } else if (use != nullptr) {
-        cost = use->mRuns == 0 ? 1 : use->mHasLongRunning ? 3 : 2;
+      } else if (vm->mUsage != nullptr) {
+        cost = vm->mUsage->mRuns == 0 ? 1 : vm->mUsage->mHasLongRunning ? 3 : 2;
       }
-      remaining.emplace_back(cost, &vm);
+      remaining.emplace_back(cost, vm);
     }
     if (allDone) {
       mPlan.mCompletedWaves.push_back(aNumber);
@@ -269,86 +297,84 @@
     if (IsAnyPoolShort()) {
       maxDown = std::min(maxDown, RequiredConcurrency(remaining.size(), aWave));
     }
+    std::uint32_t down = CountInMaintenance(aNumber);
     for (auto [cost, vm] : remaining) {
-      if (CountInMaintenance(aNumber) >= maxDown) {
+      if (down >= maxDown) {
         return;
       }
+      PoolState& pool = *vm->mPool;
       double maxLeaving =
-        std::max(1.0, std::floor(mPoolSize[vm->mPool] * kMaxLeavingShare));
-      bool tooManyLeaving = cost > 0 && mLeaving[vm->mPool] >= maxLeaving;
-      bool unknown = NeedsSeal(*vm) && UsageOf(vm->mPool) == nullptr;
+        std::max(1.0, std::floor(pool.mVms * kMaxLeavingShare));
+      bool tooManyLeaving = cost > 0 && pool.mLeaving >= maxLeaving;
+      bool unknown = vm->NeedsSeal() && pool.mUsage == nullptr;
       // A pool in its peak goes last.
-      bool needed = NeedsSeal(*vm) && !unknown &&
-                    mUsableCores[vm->mPool] - CoresOf(*vm) <
-                      GrowThresholdCores(*UsageOf(vm->mPool));
+      bool needed = vm->NeedsSeal() && !unknown &&
+                    pool.mUsableCores - CoresOf(*vm->mVm) < pool.mGrowThreshold;
       if (unknown || ((tooManyLeaving || needed) && !urgent)) {
         continue;
       }
       FleetIntent intent;
       intent.mWave = aNumber;
-      AddIntent(*vm, intent);
+      AddIntent(*vm, std::move(intent));
+      ++down;
     }
   }
 
   void GrowPools()
   {
     std::vector<std::pair<double, std::string_view>> shortPools;
-    for (const auto& [pool, use] : mView.mPools) {
-      double deficit = GrowThresholdCores(use) - mUsableCores[pool];
-      if (VmsStayingIn(pool) < MinVmsOf(pool)) {
+    for (const auto& [name, pool] : mPools) {
+      double deficit = pool.mGrowThreshold - pool.mUsableCores;
+      if (pool.Staying() < pool.mMinVms) {
         deficit = std::max(deficit, 1.0);
       }
-      if (UsageOf(pool) != nullptr && !IsSpare(pool) && deficit > 0) {
-        shortPools.emplace_back(-deficit, pool);
+      if (pool.mUsage != nullptr && !pool.mSpare && deficit > 0) {
+        shortPools.emplace_back(-deficit, name);
       }
     }
     std::sort(shortPools.begin(), shortPools.end());
     for (auto [negativeDeficit, pool] : shortPools) {
-      double deficit = -negativeDeficit;
-      while (deficit > 0) {
-        const PoolVm* vm = FindDonorVm(pool);
-        if (vm == nullptr) {
-          return;
-        }
-        deficit -= CoresOf(*vm);
-        FleetIntent intent;
-        intent.mTargetPool = pool;
-        AddIntent(*vm, intent);
+      if (!Grow(pool, -negativeDeficit)) {
+        return;
       }
     }
   }
 
-  // A VM that is switched off, or an idle one in a pool that stays above its
-  // shrink threshold.
-  const PoolVm* FindDonorVm(std::string_view aTargetPool)
+  // Takes VMs that are switched off first, then idle ones of pools that stay
+  // above their shrink thresholds; false if there aren't enough. What a pool
+  // can give only falls while another grows, so that one pass over the VMs
+  // does.
+  bool Grow(std::string_view aTarget, double aDeficit)
   {
-    const PoolVm* best = nullptr;
-    for (const PoolVm& vm : mView.mVms) {
-      if (vm.mState != PoolVmState::Up || vm.mPool == aTargetPool ||
-          HasIntent(vm.mVm)) {
-        continue;
-      }
-      if (IsSpare(vm.mPool)) {
-        return &vm;
+    const PoolState* target = &mPools.find(aTarget)->second;
+    double deficit = aDeficit;
+    auto take = [&](VmState& aVm) {
+      deficit -= CoresOf(*aVm.mVm);
+      MoveTo(aTarget, aVm);
+    };
+    for (auto it = mVms.begin(); it != mVms.end() && deficit > 0; ++it) {
+      if (it->mPool->mSpare && it->IsUp() && !it->mHasIntent) {
+        take(*it);
       }
-      const PoolUsage* use = UsageOf(vm.mPool);
-      const WorkerUsage* worker = WorkerUsageOn(vm);
+    }
+    for (auto it = mVms.rbegin(); it != mVms.rend() && deficit > 0; ++it) {
+      const PoolState& pool = *it->mPool;
       bool free =
-        use != nullptr && worker != nullptr && worker->mRuns == 0 &&
-        VmsStayingIn(vm.mPool) > MinVmsOf(vm.mPool) &&
-        mUsableCores[vm.mPool] - CoresOf(vm) >= ShrinkThresholdCores(*use);
+        it->mPool != target && !pool.mSpare && it->IsUp() && !it->mHasIntent &&
+        it->IsIdle() && pool.Staying() > pool.mMinVms &&
+        pool.mUsableCores - CoresOf(*it->mVm) >= pool.mShrinkThreshold;
       if (free) {
-        best = &vm;
+        take(*it);
       }
     }
-    return best;
+    return deficit <= 0;
   }
 
   // Surplus VMs after a pool's peak go to pools below their standby, where the
   // next peak may begin.
   void RestoreStandby()
   {
-    for (const PoolVm& vm : mView.mVms) {
+    for (VmState& vm : mVms) {
       if (!IsSurplus(vm)) {
         continue;
       }
@@ -356,68 +382,59 @@
       if (target.empty()) {
         return;
       }
-      FleetIntent intent;
-      intent.mTargetPool = target;
-      AddIntent(vm, intent);
+      MoveTo(target, vm);
     }
   }
 
   // The pool furthest below its standby; empty if none is below it.
-  std::string_view PoolWithLargestDeficit()
+  std::string_view PoolWithLargestDeficit() const
   {
     std::string_view target;
     int largest = 0;
-    for (const auto& [pool, use] : mView.mPools) {
-      int deficit = StandbyVms(pool) - VmsStayingIn(pool) - mArriving[pool];
-      if (UsageOf(pool) != nullptr && !IsSpare(pool) && deficit > largest) {
+    for (const auto& [name, pool] : mPools) {
+      int deficit = pool.mStandbyVms - pool.Staying() - pool.mArriving;
+      if (pool.mUsage != nullptr && !pool.mSpare && deficit > largest) {
         largest = deficit;
-        target = pool;
+        target = name;
       }
     }
     return target;
   }
 
   // The VM is idle, and its pool needs it neither for demand nor as standby.
-  bool IsSurplus(const PoolVm& aVm)
+  static bool IsSurplus(const VmState& aVm)
   {
-    const PoolUsage* use = UsageOf(aVm.mPool);
-    const WorkerUsage* worker = WorkerUsageOn(aVm);
-    bool idle = aVm.mState == PoolVmState::Up && !IsSpare(aVm.mPool) &&
-                !HasIntent(aVm.mVm) && use != nullptr && worker != nullptr &&
-                worker->mRuns == 0;
-    return idle && VmsStayingIn(aVm.mPool) > StandbyVms(aVm.mPool) &&
-           mUsableCores[aVm.mPool] - CoresOf(aVm) >= ShrinkThresholdCores(*use);
+    const PoolState& pool = *aVm.mPool;
+    return !pool.mSpare && aVm.IsUp() && !aVm.mHasIntent && aVm.IsIdle() &&
+           pool.Staying() > pool.mStandbyVms &&
+           pool.mUsableCores - CoresOf(*aVm.mVm) >= pool.mShrinkThreshold;
   }
 
   void ShrinkPools()
   {
     std::string_view spare;
-    for (const auto& [pool, isSpare] : mIsSpare) {
-      if (isSpare) {
-        spare = pool;
+    for (const auto& [name, pool] : mPools) {
+      if (pool.mSpare) {
+        spare = name;
       }
     }
     if (spare.empty()) {
       return;
     }
-    for (const PoolVm& vm : mView.mVms) {
+    for (VmState& vm : mVms) {
       if (IsSurplus(vm)) {
-        FleetIntent intent;
-        intent.mTargetPool = spare;
-        AddIntent(vm, intent);
+        MoveTo(spare, vm);
       }
     }
   }
 
   const FleetView& mView;
   FleetPlan mPlan;
-  std::map<std::string_view, const PoolVm*> mVms;
-  std::map<std::string, bool, std::less<>> mIsSpare;
-  std::map<std::string, int, std::less<>> mPoolSize;
-  std::map<std::string, int, std::less<>> mLeaving;
-  /// VMs on their way to each pool.
-  std::map<std::string, int, std::less<>> mArriving;
-  std::map<std::string, double, std::less<>> mUsableCores;
+  std::map<std::string, PoolState, std::less<>> mPools;
+  /// In the order of the list.
+  std::vector<VmState> mVms;
+  /// Positions in mVms.
+  std::unordered_map<std::string_view, std::size_t> mByName;
 };
 
 } // namespace
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -28,6 +28,8 @@
 constexpr Duration kSyncInterval = std::chrono::milliseconds(200);
 constexpr Duration kSyncTimeout = std::chrono::milliseconds(900);
 constexpr Duration kPlanInterval = std::chrono::milliseconds(100);
+/// Delay before a plan, so that reports which arrive together share it.
+constexpr Duration kPlanBatchDelay = std::chrono::milliseconds(10);
 constexpr Duration kViewLogInterval = std::chrono::seconds(1);
 /// About the age of the platform's list of VMs.
 constexpr Duration kListInterval = std::chrono::milliseconds(500);
@@ -157,6 +159,7 @@
   DirectoryService::WorkerSubscription workers =
     mDirectory->SubscribeToWorkers();
   mView = FleetView{};
+  mVmsByName.clear();
   mInheritedVms.clear();
   mLease = std::make_unique<CellLease>(mKernel,
                                        *mPorts.mStore,
@@ -345,7 +348,7 @@
     }
     if (ok) {
       LogVmChanges(vms);
-      mView.mVms = std::move(vms);
+      SetVms(std::move(vms));
       mListRequestedAt = requested;
       RemoveSettledIntents();
     }
@@ -353,6 +356,24 @@
   }
 }
 
+void
+FleetService::SetVms(std::vector<PoolVm> aVms)
+{
+  mView.mVms = std::move(aVms);
+  mVmsByName.clear();
+  for (const PoolVm& vm : mView.mVms) {
+    mVmsByName.emplace(vm.mVm, &vm);
+  }
+}
+
+// Null if the list doesn't name the VM.
+const PoolVm*
+FleetService::FindVm(std::string_view aName) const
+{
+  auto it = mVmsByName.find(aName);
+  return it == mVmsByName.end() ? nullptr : it->second;
+}
+
 void
 FleetService::RecordMalformedVms(const PoolVmPage& aPage)
 {
@@ -400,13 +421,11 @@
     if (!intent.mConfirmed) {
       continue;
     }
-    auto it = std::find_if(mView.mVms.begin(),
-                           mView.mVms.end(),
-                           [&](const PoolVm& aVm) { return aVm.mVm == vm; });
-    bool unlisted = it == mView.mVms.end();
+    const PoolVm* at = FindVm(vm);
+    bool unlisted = at == nullptr;
     bool settled =
-      !unlisted && it->mState == PoolVmState::Up &&
-      (intent.mTargetPool.empty() || it->mPool == intent.mTargetPool);
+      !unlisted && at->mState == PoolVmState::Up &&
+      (intent.mTargetPool.empty() || at->mPool == intent.mTargetPool);
     bool timedOut =
       mListRequestedAt > intent.mConfirmedAt + kConfirmedOrderTimeout;
     bool pastDutyLease =
@@ -453,23 +472,16 @@
   sync.mPool = aPool;
   sync.mToken = mLease->Token();
   for (const auto& [vm, intent] : mView.mIntents) {
-    if (intent.mTargetPool == aPool) {
-      for (const PoolVm& at : mView.mVms) {
-        bool incoming =
-          at.mVm == vm && (at.mPool != aPool || at.mState != PoolVmState::Up);
-        sync.mIncomingCores += incoming ? CoresOf(at) : 0;
-      }
-    }
+    const PoolVm* at = FindVm(vm);
+    bool incoming = at != nullptr && intent.mTargetPool == aPool &&
+                    (at->mPool != aPool || at->mState != PoolVmState::Up);
+    sync.mIncomingCores += incoming ? CoresOf(*at) : 0;
   }
   sync.mSealed = WorkersToSeal(mView, mListRequestedAt);
   auto use = mView.mPools.find(aPool);
   if (use == mView.mPools.end()) {
     return sync;
   }
-  std::map<std::string_view, const PoolVm*> vms;
-  for (const PoolVm& vm : mView.mVms) {
-    vms.emplace(vm.mVm, &vm);
-  }
   for (const auto& [id, worker] : use->second.mWorkers) {
     std::optional<WorkerIncarnation> incarnation =
       mDirectory->FindIncarnation(id);
@@ -489,8 +501,7 @@
       sync.mMoved.emplace(id, incarnation->mId);
       continue;
     }
-    auto vm = vms.find(incarnation->mVm);
-    const PoolVm* at = vm == vms.end() ? nullptr : vm->second;
+    const PoolVm* at = FindVm(incarnation->mVm);
     if (ListProvesWorkerEnded(id, aPool, *incarnation, at, mListRequestedAt)) {
       sync.mEnded.emplace(id, incarnation->mId);
     }
@@ -593,6 +604,7 @@
     }
     TimePoint deadline = mClock.Now() + kPlanInterval;
     co_await mPlanDue.WaitAndReset(mClock, deadline);
+    co_await mClock.Sleep(kPlanBatchDelay);
   }
 }
 
--- a/src/services/fleet_service.h
+++ b/src/services/fleet_service.h
@@ -16,6 +16,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <unordered_map>
 
 namespace buckthornshunt {
 
@@ -62,6 +63,8 @@
   Task<void> ExecuteOrder(std::string aVm);
   Task<bool> Persist();
   Task<Json> OnSync(Json aBody, TimePoint aDeadline);
+  void SetVms(std::vector<PoolVm> aVms);
+  const PoolVm* FindVm(std::string_view aName) const;
   void RecordMalformedVms(const PoolVmPage& aPage);
   void LogVmChanges(std::span<const PoolVm> aVms) const;
   void RemoveSettledIntents();
@@ -87,6 +90,8 @@
   /// VMs that an earlier owner may have ordered recently.
   std::set<std::string, std::less<>> mInheritedVms;
   FleetView mView;
+  /// The VMs of mView.
+  std::unordered_map<std::string_view, const PoolVm*> mVmsByName;
   /// Versions of the state: the newest, and the last that is stored.
   std::uint64_t mRequestedState = 0;
   std::uint64_t mPersistedState = 0;
