--- a/src/services/cell_service.cpp
+++ b/src/services/cell_service.cpp
@@ -329,8 +329,7 @@
   std::shared_ptr<CellRuntime> runtime = Find(std::get<0>(pool));
   if (runtime && runtime->Loaded() && IsHandoffWorthwhile(aBody)) {
     mOwned.erase(std::get<0>(pool));
-    LogInfo(
-      kPart, "cell={} released for handoff to a larger node", runtime->Pool());
+    LogInfo(kPart, "cell={} released for a handoff", runtime->Pool());
     TimePoint deadline = mKernel.GetClock().Now() + kOwnerLeaseDuration;
     BeginRelease(std::move(runtime), deadline);
   }
