Don't empty VMs for moves that may not be ordered yet

Cause: a new owner of the fleet may order the VMs of the earlier one's orders only after 3.5 s. It planned moves for them at once all the same, and their workers were sealed meanwhile.

Change: the plan leaves such VMs alone until they may be ordered. Waves go on to empty theirs.

--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -69,7 +69,10 @@
   /// Null if unknown.
   const WorkerUsage* mUsage = nullptr;
   bool mHasIntent = false;
+  bool mHeld = false;
 
+  // A move that can't be ordered yet would only keep the worker empty.
+  bool IsMovable() const { return IsUp() && !mHasIntent && !mHeld; }
   bool IsIdle() const { return mUsage != nullptr && mUsage->mRuns == 0; }
   // No cell starts runs in the spare pool or in a pool without a queue.
   bool NeedsSeal() const { return !mPool->mSpare && mPool->mHasCell; }
@@ -90,7 +93,8 @@
     for (const PoolVm& vm : aView.mVms) {
       PoolState& pool = mPools[vm.mPool];
       bool leaving = aView.mIntents.contains(vm.mVm);
-      mVms.push_back({ &vm, &pool, UsageOf(vm, pool), leaving });
+      bool held = aView.mHeldVms.contains(vm.mVm);
+      mVms.push_back({ &vm, &pool, UsageOf(vm, pool), leaving, held });
       ++pool.mVms;
       pool.mLeaving += leaving ? 1 : 0;
       if (vm.mState == PoolVmState::Up && !leaving) {
@@ -353,14 +357,14 @@
       MoveTo(aTarget, aVm);
     };
     for (auto it = mVms.begin(); it != mVms.end() && deficit > 0; ++it) {
-      if (it->mPool->mSpare && it->IsUp() && !it->mHasIntent) {
+      if (it->mPool->mSpare && it->IsMovable()) {
         take(*it);
       }
     }
     for (auto it = mVms.rbegin(); it != mVms.rend() && deficit > 0; ++it) {
       const PoolState& pool = *it->mPool;
       bool free =
-        it->mPool != target && !pool.mSpare && it->IsUp() && !it->mHasIntent &&
+        it->mPool != target && !pool.mSpare && it->IsMovable() &&
         it->IsIdle() && pool.Staying() > pool.mMinVms &&
         pool.mUsableCores - CoresOf(*it->mVm) >= pool.mShrinkThreshold;
       if (free) {
@@ -405,7 +409,7 @@
   static bool IsSurplus(const VmState& aVm)
   {
     const PoolState& pool = *aVm.mPool;
-    return !pool.mSpare && aVm.IsUp() && !aVm.mHasIntent && aVm.IsIdle() &&
+    return !pool.mSpare && aVm.IsMovable() && aVm.IsIdle() &&
            pool.Staying() > pool.mStandbyVms &&
            pool.mUsableCores - CoresOf(*aVm.mVm) >= pool.mShrinkThreshold;
   }
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -90,6 +90,9 @@
   std::map<std::uint64_t, WaveProgress> mWaves;
   std::map<std::string, FleetIntent, std::less<>> mIntents;
   std::vector<WorkerPoolConfig> mPoolConfigs;
+  /// VMs that an earlier owner may have ordered; no move of theirs may be
+  /// ordered yet.
+  std::set<std::string, std::less<>> mHeldVms;
   /// Pools with a cell, whether its owner has reported or not.
   std::set<std::string, std::less<>> mCells;
 };
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -160,7 +160,6 @@
     mDirectory->SubscribeToWorkers();
   mView = FleetView{};
   mVmsByName.clear();
-  mInheritedVms.clear();
   mLease = std::make_unique<CellLease>(mKernel,
                                        *mPorts.mStore,
                                        kFleetCell,
@@ -225,7 +224,7 @@
         // The order may or may not have been executed; it is sent again once
         // the VM is found to be empty.
         intent.mCreatedAt = mOwnedSince;
-        mInheritedVms.insert(vm);
+        mView.mHeldVms.insert(vm);
         mView.mIntents.insert_or_assign(vm, intent);
       }
     } else if (key.starts_with(kWavePrefix)) {
@@ -436,7 +435,7 @@
   }
   for (const std::string& vm : removable) {
     mView.mIntents.erase(vm);
-    mInheritedVms.erase(vm);
+    mView.mHeldVms.erase(vm);
   }
   if (!removable.empty()) {
     ++mRequestedState;
@@ -600,6 +599,9 @@
     LogView();
     if (mLease->IsValid() && !mView.mVms.empty()) {
       mView.mNow = mClock.Now();
+      if (!HoldsInheritedVms()) {
+        mView.mHeldVms.clear();
+      }
       ApplyPlan(PlanFleet(mView));
     }
     TimePoint deadline = mClock.Now() + kPlanInterval;
@@ -673,9 +675,15 @@
 bool
 FleetService::MayOrder(std::string_view aVm, const FleetIntent& aIntent) const
 {
-  bool free = aIntent.mWave == 0 && !mInheritedVms.contains(aVm);
-  return free || mPreviousOwners == 0 ||
-         mClock.Now() > mOwnedSince + mPorts.mDutyLease + kCheckInterval;
+  bool free = aIntent.mWave == 0 && !mView.mHeldVms.contains(aVm);
+  return free || !HoldsInheritedVms();
+}
+
+bool
+FleetService::HoldsInheritedVms() const
+{
+  return mPreviousOwners > 0 &&
+         mClock.Now() <= mOwnedSince + mPorts.mDutyLease + kCheckInterval;
 }
 
 // Sends one order until its outcome is known. It is stored first, so that a new
--- a/src/services/fleet_service.h
+++ b/src/services/fleet_service.h
@@ -73,6 +73,8 @@
   void LogView();
   FleetSync MakeSync(std::string_view aPool) const;
   bool MayOrder(std::string_view aVm, const FleetIntent& aIntent) const;
+  /// Whether VMs in mHeldVms may not be ordered yet.
+  bool HoldsInheritedVms() const;
 
   Kernel& mKernel;
   Clock& mClock;
@@ -87,8 +89,6 @@
   TimePoint mOwnedSince;
   /// Number of owners of the fleet before this one.
   std::uint32_t mPreviousOwners = 0;
-  /// VMs that an earlier owner may have ordered recently.
-  std::set<std::string, std::less<>> mInheritedVms;
   FleetView mView;
   /// The VMs of mView.
   std::unordered_map<std::string_view, const PoolVm*> mVmsByName;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -329,6 +329,24 @@
   CHECK(WorkersToSeal(fleet.mView, confirmedAt + 3s).empty());
 }
 
+TEST_CASE("a VM that may not be ordered yet is not emptied for a move")
+{
+  Fleet fleet;
+  fleet.mView.mVms[8].mPool = fleet.mView.mVms[9].mPool = "a";
+  fleet.mView.mVms[8].mWorker = "w-8";
+  fleet.mView.mVms[9].mWorker = "w-9";
+  fleet.Report("a");
+  CHECK(PlanFleet(fleet.mView).mNewIntents.size() > 0);
+  for (const PoolVm& vm : fleet.mView.mVms) {
+    fleet.mView.mHeldVms.insert(vm.mVm);
+  }
+  CHECK(PlanFleet(fleet.mView).mNewIntents.empty());
+  fleet.mView.mPools["b"].mForecastDemandCores = 1000;
+  CHECK(PlanFleet(fleet.mView).mNewIntents.empty());
+  fleet.mView.mHeldVms.erase("off3");
+  CHECK(PlanFleet(fleet.mView).mNewIntents.size() == 1);
+}
+
 TEST_CASE("a pool gives no VMs away during a demand burst")
 {
   Fleet fleet;
