--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -392,8 +392,8 @@
     aConnection.mRequestReadAt = mClock.Now();
     auto caller = std::make_shared<CallerState>();
     aConnection.WatchForDisconnect(caller);
-    auto handled =
-      co_await ContainFailure(mLogPart, mHandler(request, *caller));
+    Task<HttpReply> handling = mHandler(request, *caller);
+    auto handled = co_await ContainFailure(mLogPart, std::move(handling));
     // Without a reply, the caller knows that its request may have been
     // executed.
     if (aConnection.mAnsweredByDrain || !handled) {
--- a/src/services/cell_service.cpp
+++ b/src/services/cell_service.cpp
@@ -196,7 +196,7 @@
   }
 }
 
-// Delay in claiming one of the owned cells, had it none.
+// Delay with which this node would claim one of its cells beside the others.
 Duration
 CellService::DelayWithOtherCells() const
 {
@@ -300,15 +300,15 @@
 // Nodes of the previous version don't send their delay; they have judged the
 // request themselves.
 bool
-CellService::IsHandoffWorthwhile(const Json& aBody) const
+CellService::MayHandOff(const Json& aBody) const
 {
   if (!aBody.contains("delay_ms")) {
     return true;
   }
   auto delay =
     ToExpected<Duration>([&] { return ReadMillis(aBody, "delay_ms"); });
-  return Ok(delay) && buckthornshunt::IsHandoffWorthwhile(
-                        std::get<Duration>(delay), DelayWithOtherCells());
+  return Ok(delay) &&
+         IsHandoffWorthwhile(std::get<Duration>(delay), DelayWithOtherCells());
 }
 
 // Runs at the owner. The released cell is free, and the requesting node claims
@@ -327,7 +327,7 @@
     co_return Json();
   }
   std::shared_ptr<CellRuntime> runtime = Find(std::get<0>(pool));
-  if (runtime && runtime->Loaded() && IsHandoffWorthwhile(aBody)) {
+  if (runtime && runtime->Loaded() && MayHandOff(aBody)) {
     mOwned.erase(std::get<0>(pool));
     LogInfo(kPart, "cell={} released for a handoff", runtime->Pool());
     TimePoint deadline = mKernel.GetClock().Now() + kOwnerLeaseDuration;
--- a/src/services/cell_service.h
+++ b/src/services/cell_service.h
@@ -59,7 +59,7 @@
                             Endpoint aOwner,
                             Duration aDelay);
   Duration DelayWithOtherCells() const;
-  bool IsHandoffWorthwhile(const Json& aBody) const;
+  bool MayHandOff(const Json& aBody) const;
   Task<Json> OnHandoffRequest(Json aBody);
   std::set<std::string_view> PoolsWithJobs(const WorkloadConfig& aConfig);
   std::size_t ClaimOrder(std::string_view aPool) const;
--- a/src/services/relay_service.cpp
+++ b/src/services/relay_service.cpp
@@ -163,8 +163,8 @@
     co_return;
   }
   TimePoint deadline = mKernel.GetClock().Now() + call.mTimeLeft;
-  auto reply = co_await ContainFailure(
-    kPart, handler->second(std::move(call.mBody), deadline));
+  Task<Json> handling = handler->second(std::move(call.mBody), deadline);
+  auto reply = co_await ContainFailure(kPart, std::move(handling));
   // A cancelled handler may have returned without having done its work.
   auto cancellation = co_await asio::this_coro::cancellation_state;
   bool complete = cancellation.cancelled() == asio::cancellation_type::none;
