Renew by the workers in use, not by all of a cell

Cause: the interval between two renewals at a worker grows with the cell, so that an owner renews 600 times a second at most; it counted all workers, of which most are idle outside a peak and many within one.

Change: idle workers don't count. The limit of 600 a second stays.

Result: a new test with 300 idle workers, in which an end is stored 200 ms later at the latest; without the change it would have to wait for up to 0.51 s (by reading, not run).

--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -22,9 +22,11 @@
 constexpr Duration kPlanBatchDelay = std::chrono::milliseconds(3);
 /// Planning takes at most 1/kPlanTimeDivisor of the owner's time.
 constexpr int kPlanTimeDivisor = 5;
-/// Additions for each worker of the cell: with 80 of them a commit holds the
-/// changes of 20 ms, and all together get at most 600 renewals a second.
+/// Addition for each worker of the cell: with 80 of them a commit holds the
+/// changes of 20 ms.
 constexpr Duration kCommitBatchDelayPerWorker = std::chrono::microseconds(200);
+/// Addition for each worker in use: all together get at most 600 renewals a
+/// second.
 constexpr Duration kMinRenewalIntervalPerWorker =
   std::chrono::microseconds(1700);
 /// Maximum pause between two planning rounds.
@@ -531,22 +533,32 @@
   }
 }
 
+void
+CellRuntime::SetInUse(WorkerQueue& aQueue, bool aInUse)
+{
+  if (aQueue.mInUse != aInUse) {
+    aQueue.mInUse = aInUse;
+    mWorkersInUse += aInUse ? 1 : -1;
+  }
+}
+
 // Renews the leases of a worker's runs and reads which have ended, for as long
 // as the cell knows the worker.
 Task<void>
 CellRuntime::MonitorWorker(std::string aWorker)
 {
   while (Active() && mCell->Workers().contains(aWorker)) {
-    if (!mCell->NeedsRenewal(aWorker) || !HoldsLease()) {
+    bool inUse = mCell->NeedsRenewal(aWorker) && HoldsLease();
+    SetInUse(QueueOf(aWorker), inUse);
+    if (!inUse) {
       TimePoint deadline = mClock.Now() + kOwnerRenewalInterval;
       co_await WaitUntil(QueueOf(aWorker).mChanged, mClock, deadline);
       continue;
     }
     TimePoint began = mClock.Now();
     bool answered = co_await RenewWorkerLeases(aWorker);
-    auto workers = static_cast<int>(mCell->Workers().size());
-    Duration interval =
-      std::max(kMinRenewalInterval, kMinRenewalIntervalPerWorker * workers);
+    Duration interval = std::max(kMinRenewalInterval,
+                                 kMinRenewalIntervalPerWorker * mWorkersInUse);
     TimePoint next =
       answered ? began + interval : mClock.Now() + RenewalBackoff(aWorker);
     if (mClock.Now() < next) {
@@ -554,6 +566,7 @@
     }
   }
   WorkerQueue& queue = QueueOf(aWorker);
+  SetInUse(queue, false);
   queue.mMonitored = false;
   if (queue.mSenders == 0) {
     mWorkerQueues.erase(aWorker);
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -111,6 +111,8 @@
     std::deque<WorkerCall> mOrders;
     int mSenders = 0;
     bool mMonitored = false;
+    /// Renewed again and again, and not only watched.
+    bool mInUse = false;
   };
 
   Task<void> Load();
@@ -135,6 +137,7 @@
   WorkerQueue& QueueOf(std::string_view aWorker);
   void NotifyWorker(std::string_view aWorker);
   void NotifyWorkers();
+  void SetInUse(WorkerQueue& aQueue, bool aInUse);
   void MonitorWorkers();
   void LogStarts(std::span<const CellOrder> aOrders) const;
   void RecordMalformedRuns(std::string_view aWorker,
@@ -175,6 +178,7 @@
   AutoResetEvent mCommitDue;
   Event mCommitted;
   std::map<std::string, WorkerQueue, std::less<>> mWorkerQueues;
+  int mWorkersInUse = 0;
   /// Jobs of which a row can't be read.
   std::set<std::string, std::less<>> mUnreadableJobs;
   MalformedEntryLog mMalformed;
--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -645,6 +645,41 @@
   CHECK((first.mCells.Find("p0") || first.mCells.Find("p1")));
 }
 
+TEST_CASE("idle workers of a cell don't delay the ends of busy ones")
+{
+  constexpr int kIdleWorkers = 300;
+  CellFleet fleet;
+  for (int i = 0; i < kIdleWorkers; ++i) {
+    fleet.AddRow("servers",
+                 "idle" + std::to_string(i),
+                 { { "service", kPool },
+                   { "address", "127.0.0.1:9" },
+                   { "zone", "z" },
+                   { "state", "ready" },
+                   { "machine", "m" + std::to_string(i) },
+                   { "born", 5 },
+                   { "capacity", { { "cpu", 1 }, { "mem_mb", 1 } } } });
+  }
+  CellNode& node = fleet.AddOwner();
+  fleet.mManual.Advance(2s);
+  for (int i = 0; i < 10; ++i) {
+    std::string id = JobName(i);
+    fleet.Submit(node, id);
+    fleet.mManual.Advance(350ms + i * 37ms);
+    REQUIRE(fleet.mFakeWorkers.mRuns.size() == 1);
+    fleet.mFakeWorkers.EndAllRuns();
+    TimePoint ended = fleet.mManual.Now();
+    auto completed = [&] {
+      return node.mCells.Find(kPool)->State().PhaseOf(id) ==
+             JobPhase::Completed;
+    };
+    while (!completed() && fleet.mManual.Now() < ended + 2s) {
+      fleet.mManual.Advance(5ms);
+    }
+    CHECK(fleet.mManual.Now() <= ended + 200ms);
+  }
+}
+
 TEST_CASE("a long-running task that ends in a handover runs again in 3 s")
 {
   for (int ms = 0; ms < 1500; ms += 50) {
