Keep runs that a restarted worker may have confirmed

Cause: the reply to a start doesn't tell which process of the worker carried it out, and the cell took every confirmed run for one of the earlier process once the directory reported a later one.

Ruled out: the path by the worker's listing, which adopts the run in the same step.

Fix: a run remembers whether a listing of the known process has shown it. Runs that only a reply has confirmed wait for the first listing of the later process, which decides. On the same path: the stop that an earlier process has confirmed is repeated to the later one, and leases that were granted by the earlier process's clock count with the limit of 10 s.

Two tests took a reply as proof of the earlier process. They now check both cases, with the listing and without it, to the same outcomes.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -79,6 +79,7 @@
                          workload.mMetrics };
   options.mCells = { &aClients.mStore, &aClients.mWorkers, workload.mAdvice };
   options.mTimes.mStatusRetention = workload.mStatusRetention;
+  options.mTimes.mMaxRunLeaseDuration = workload.mMaxRunLeaseDuration;
   options.mTimes.mRunLeaseDuration =
     std::min(options.mTimes.mRunLeaseDuration, workload.mMaxRunLeaseDuration);
   options.mFleet = { &aClients.mStore, nullptr, workload.mDutyLease };
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -33,6 +33,8 @@
 {
   /// Lease that each renewal grants to the worker's runs.
   Duration mRunLeaseDuration = std::chrono::seconds(7);
+  /// Limit to which workers shorten a longer lease.
+  Duration mMaxRunLeaseDuration = std::chrono::seconds(10);
   /// How long the state of an ended job can be queried.
   Duration mStatusRetention = std::chrono::seconds(120);
 };
@@ -55,6 +57,9 @@
   Stage mStage = Stage::Starting;
   /// When the current stage began.
   TimePoint mStageSince;
+  /// A listing of the worker's known incarnation has shown the run. The reply
+  /// to a start order doesn't tell which incarnation carried it out.
+  bool mReported = false;
   bool mStopSent = false;
   TimePoint mStopSentAt;
   /// When the worker confirmed the stop; a listing requested later shows
@@ -96,8 +101,13 @@
   TimePoint mEndedAt;
   /// Reported gone, and not probed since.
   bool mNeedsProbe = false;
-  /// Start of its process in milliseconds; 0 if unknown.
+  /// Start of its process in milliseconds; 0 if unknown. The directory may
+  /// already report a later one, which counts from its first listing on if only
+  /// that tells which runs it has.
   std::int64_t mIncarnation = 0;
+  /// The known incarnation was draining when the directory reported a later
+  /// one.
+  bool mDrainedBeforeRestart = false;
   std::int64_t mWorkerClockMs = 0;
   /// When mWorkerClockMs was received.
   TimePoint mClockReceivedAt;
@@ -121,6 +131,11 @@
   TimePoint mRateAdjustedAt;
 
   void AddRun(const TaskId& aTask, const ActiveRun& aRun);
+  /// Tasks whose runs are confirmed.
+  std::vector<TaskId> RunningTasks() const;
+  /// Whether some run is confirmed, but not known to belong to the known
+  /// incarnation.
+  bool HasUnreportedRun() const;
 
   bool HasSeenEnd(std::uint64_t aSequence) const
   {
@@ -341,12 +356,19 @@
   /// Finds or creates an occurrence's record; null if it is done or out of
   /// range.
   OccurrenceRecord* OpenOccurrence(CellJob& aJob, std::uint32_t aNumber);
-  void BeginIncarnation(CellWorker& aWorker, TimePoint aNow);
+  void ReportIncarnation(CellWorker& aWorker,
+                         const WorkerReport& aReport,
+                         TimePoint aNow);
+  void BeginIncarnation(CellWorker& aWorker,
+                        std::span<const TaskId> aLost,
+                        TimePoint aNow);
   void EndIncarnation(CellWorker& aWorker, TimePoint aNow);
   void ReleaseRun(CellWorker& aWorker, const TaskId& aTask);
   void RemoveRun(CellWorker& aWorker, const TaskId& aTask);
   void ResetToIdle(const TaskId& aTask, std::string_view aWorker);
-  void RecordCrash(CellWorker& aWorker, TimePoint aNow);
+  void RecordCrash(CellWorker& aWorker,
+                   std::span<const TaskId> aLost,
+                   TimePoint aNow);
   void FailJob(CellJob& aJob, TimePoint aNow);
   void RequestStop(ActiveRun& aRun, TimePoint aNow);
   void StopRunsOf(const CellJob& aJob, TimePoint aNow);
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -140,7 +140,7 @@
     worker.mInheritedRunsUnknown = false;
     // A worker that is cut off stays listed; one that has crashed isn't.
     if (!worker.mListed) {
-      RecordCrash(worker, aNow);
+      RecordCrash(worker, worker.RunningTasks(), aNow);
     }
     while (!worker.mRuns.empty()) {
       RemoveRun(worker, worker.mRuns.begin()->first);
@@ -520,8 +520,9 @@
     }
     bool available = false;
     auto worker = mWorkers.find(step.mTasks[i].mWorker);
-    // The runs of a worker that doesn't answer may be gone.
-    bool alive = worker != mWorkers.end() &&
+    // The runs of a worker that doesn't answer, or that has restarted, may be
+    // gone.
+    bool alive = worker != mWorkers.end() && worker->second.mTokenAccepted &&
                  worker->second.mMissedAnswers == 0 &&
                  aNow - worker->second.mLastAnswerAt < kLivenessTimeout;
     if (step.mTasks[i].mStage == TaskStage::Active && alive) {
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -191,6 +191,7 @@
   auto it = aWorker.mRuns.find(aPresent.mTask);
   if (it != aWorker.mRuns.end() && it->second.mRun == aPresent.mRun) {
     ActiveRun& run = it->second;
+    run.mReported = true;
     if (run.mStage == ActiveRun::Stage::Starting ||
         run.mStage == ActiveRun::Stage::Unconfirmed) {
       run.mStage = ActiveRun::Stage::Running;
@@ -209,6 +210,7 @@
     run.mRun = aPresent.mRun;
     run.mStage = ActiveRun::Stage::Stopping;
     run.mStageSince = aNow;
+    run.mReported = true;
     run.mStartedAt = aNow;
     CellJob* job = FindJob(aPresent.mTask.mJob);
     bool known = job != nullptr &&
@@ -311,6 +313,37 @@
   }
 }
 
+namespace {
+
+// Confirmed runs that a new incarnation never had: those that an earlier
+// listing has shown, and those that were confirmed before this one was
+// requested.
+std::vector<TaskId>
+LostRuns(const CellWorker& aWorker,
+         const WorkerStatus& aListing,
+         TimePoint aSent)
+{
+  std::vector<TaskId> lost;
+  for (const auto& [task, run] : aWorker.mRuns) {
+    auto isRun = [&](const auto& aRun) {
+      return aRun.mTask == task && aRun.mRun == run.mRun;
+    };
+    bool listed =
+      std::any_of(
+        aListing.mActiveRuns.begin(), aListing.mActiveRuns.end(), isRun) ||
+      std::any_of(
+        aListing.mEndedRuns.begin(), aListing.mEndedRuns.end(), isRun);
+    bool absent =
+      !listed && aListing.mMalformed.empty() && run.mStageSince < aSent;
+    if (run.mStage == ActiveRun::Stage::Running && (run.mReported || absent)) {
+      lost.push_back(task);
+    }
+  }
+  return lost;
+}
+
+} // namespace
+
 void
 Cell::OnListing(std::string_view aWorker,
                 const WorkerStatus& aListing,
@@ -329,7 +362,7 @@
     return;
   }
   if (newIncarnation) {
-    BeginIncarnation(*worker, aNow);
+    BeginIncarnation(*worker, LostRuns(*worker, aListing, aSent), aNow);
   }
   worker->mIncarnation = std::max(worker->mIncarnation, aListing.mIncarnation);
   worker->mWorkerClockMs = aListing.mClockMs;
@@ -379,7 +412,7 @@
 void
 Cell::EndIncarnation(CellWorker& aWorker, TimePoint aNow)
 {
-  RecordCrash(aWorker, aNow);
+  RecordCrash(aWorker, aWorker.RunningTasks(), aNow);
   aWorker.mEnded = true;
   aWorker.mEndedAt = aNow;
   aWorker.mListed = false;
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -32,16 +32,10 @@
       continue;
     }
     CellWorker& worker = mWorkers[report.mId];
-    bool newIncarnation =
-      report.mIncarnation > worker.mIncarnation && worker.mIncarnation != 0;
-    // The earlier report says whether the earlier incarnation was draining.
-    if (newIncarnation) {
-      BeginIncarnation(worker, aNow);
-    }
+    ReportIncarnation(worker, report, aNow);
     worker.mReport = report;
     worker.mInDirectory = true;
     worker.mListed = !worker.mEnded;
-    worker.mIncarnation = std::max(worker.mIncarnation, report.mIncarnation);
   }
   std::erase_if(mWorkers, [&](const auto& aEntry) {
     const CellWorker& worker = aEntry.second;
@@ -58,6 +52,30 @@
   });
 }
 
+// A run whose start was confirmed may belong to either incarnation until a
+// listing shows it or doesn't. Then nothing is started and no run is dropped
+// before the worker answers.
+void
+Cell::ReportIncarnation(CellWorker& aWorker,
+                        const WorkerReport& aReport,
+                        TimePoint aNow)
+{
+  bool restarted =
+    aReport.mIncarnation > aWorker.mIncarnation && aWorker.mIncarnation != 0;
+  if (restarted && aWorker.HasUnreportedRun()) {
+    aWorker.mTokenAccepted = false;
+    if (aReport.mIncarnation > aWorker.mReport.mIncarnation) {
+      aWorker.mDrainedBeforeRestart = aWorker.mReport.mDraining;
+    }
+    return;
+  }
+  if (restarted) {
+    aWorker.mDrainedBeforeRestart = aWorker.mReport.mDraining;
+    BeginIncarnation(aWorker, aWorker.RunningTasks(), aNow);
+  }
+  aWorker.mIncarnation = std::max(aWorker.mIncarnation, aReport.mIncarnation);
+}
+
 void
 Cell::SetDraining(std::string_view aWorker, bool aDraining)
 {
@@ -138,9 +156,12 @@
 // aren't counted. A long-running task meets unrelated crashes in the course of
 // time, so it is never given up.
 void
-Cell::RecordCrash(CellWorker& aWorker, TimePoint aNow)
+Cell::RecordCrash(CellWorker& aWorker,
+                  std::span<const TaskId> aLost,
+                  TimePoint aNow)
 {
-  if (aWorker.mDraining || aWorker.mReport.mDraining) {
+  if (aWorker.mDraining || aWorker.mReport.mDraining ||
+      aWorker.mDrainedBeforeRestart) {
     return;
   }
   WorkerCrash crash{ aWorker.mReport.mId, aWorker.mIncarnation, {} };
@@ -149,10 +170,10 @@
     aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const auto& aEntry) {
       return !aEntry.second.mLongRunning;
     });
-  for (const auto& [id, run] : aWorker.mRuns) {
+  for (const TaskId& id : aLost) {
+    const ActiveRun& run = aWorker.mRuns.find(id)->second;
     CellJob* job = FindJob(id.mJob);
-    bool counts = run.mStage == ActiveRun::Stage::Running &&
-                  !run.mLongRunning && job != nullptr && job->IsLive();
+    bool counts = !run.mLongRunning && job != nullptr && job->IsLive();
     if (!counts) {
       continue;
     }
@@ -189,26 +210,38 @@
   return std::exchange(mCrashes, {});
 }
 
-// Runs of the earlier incarnation are gone. An order in flight may still start
-// its run in the new incarnation, so that run is stopped first.
+// The lost runs ended with the earlier incarnation; other confirmed ones are
+// left to the next listing. An order in flight may still start its run in the
+// new incarnation, so that run is stopped first; what the earlier one has
+// confirmed as stopped isn't known to the new one.
 void
-Cell::BeginIncarnation(CellWorker& aWorker, TimePoint aNow)
+Cell::BeginIncarnation(CellWorker& aWorker,
+                       std::span<const TaskId> aLost,
+                       TimePoint aNow)
 {
-  RecordCrash(aWorker, aNow);
-  std::vector<TaskId> ended;
+  RecordCrash(aWorker, aLost, aNow);
+  for (const TaskId& task : aLost) {
+    RemoveRun(aWorker, task);
+  }
   for (auto& [task, run] : aWorker.mRuns) {
-    bool wasRunning = run.mStage == ActiveRun::Stage::Running;
-    if (wasRunning) {
-      ended.push_back(task);
-    } else {
+    run.mReported = false;
+    if (run.mStage != ActiveRun::Stage::Running) {
       RequestStop(run, aNow);
       run.mStopSent = false;
+      run.mStopAcknowledgedAt.reset();
     }
   }
-  for (const TaskId& task : ended) {
-    RemoveRun(aWorker, task);
+  // Orders that were meant for the earlier incarnation carry leases by its
+  // clock, which the new one may shorten only to the maximum.
+  if (!aWorker.mRuns.empty()) {
+    TimePoint expiry = aNow +
+                       std::chrono::duration_cast<Duration>(
+                         mTimes.mMaxRunLeaseDuration / (1 - kMaxClockDrift)) +
+                       kLeaseGracePeriod;
+    aWorker.mLeaseExpiry = std::max(aWorker.mLeaseExpiry, expiry);
   }
   aWorker.mTokenAccepted = false;
+  aWorker.mDrainedBeforeRestart = false;
   aWorker.mEnded = false;
   aWorker.mInheritedRunsUnknown = false;
   aWorker.mLastSeenEnd = 0;
@@ -226,6 +259,27 @@
   mRuns.emplace(aTask, aRun);
 }
 
+std::vector<TaskId>
+CellWorker::RunningTasks() const
+{
+  std::vector<TaskId> tasks;
+  for (const auto& [task, run] : mRuns) {
+    if (run.mStage == ActiveRun::Stage::Running) {
+      tasks.push_back(task);
+    }
+  }
+  return tasks;
+}
+
+bool
+CellWorker::HasUnreportedRun() const
+{
+  return std::any_of(mRuns.begin(), mRuns.end(), [](const auto& aEntry) {
+    const ActiveRun& run = aEntry.second;
+    return run.mStage == ActiveRun::Stage::Running && !run.mReported;
+  });
+}
+
 void
 Cell::ReleaseRun(CellWorker& aWorker, const TaskId& aTask)
 {
--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -160,7 +160,7 @@
       report.mPool = "pool";
       report.mEndpoint = { "127.0.0.1", 1 };
       report.mCapacity = worker.mCapacity;
-      report.mIncarnation = worker.mIncarnation;
+      report.mIncarnation = worker.mReportedIncarnation;
       reports.push_back(std::move(report));
     }
   }
@@ -168,7 +168,7 @@
 }
 
 void
-CellSimulation::Crash(SimWorker& aWorker)
+CellSimulation::Reset(SimWorker& aWorker)
 {
   aWorker.mRuns.clear();
   aWorker.mEnded.clear();
@@ -178,6 +178,12 @@
   aWorker.mNextEnd = 1;
   aWorker.mLeaseEnd = 0;
   aWorker.mClock = {};
+}
+
+void
+CellSimulation::Crash(SimWorker& aWorker)
+{
+  Reset(aWorker);
   aWorker.mAlive = false;
   std::string id = aWorker.mId;
   ScheduleIn(2s, [this, id] {
@@ -185,6 +191,7 @@
       if (worker.mId == id) {
         worker.mAlive = true;
         worker.mIncarnation += 1000;
+        worker.mReportedIncarnation = worker.mIncarnation;
         ReportWorkers();
       }
     }
@@ -192,6 +199,25 @@
   ReportWorkers();
 }
 
+void
+CellSimulation::Restart(SimWorker& aWorker)
+{
+  Reset(aWorker);
+  aWorker.mIncarnation += 1000;
+  // The pending renewal is lost with its connection.
+  mOwner->OnNoAnswer(aWorker.mId);
+  mRenewalPausedUntil[aWorker.mId] = mNow + 250ms;
+  auto millis = std::uniform_int_distribution<int>(10, 400)(mRandom);
+  ScheduleIn(std::chrono::milliseconds(millis), [this, id = aWorker.mId] {
+    for (SimWorker& worker : mWorkers) {
+      if (worker.mId == id) {
+        worker.mReportedIncarnation = worker.mIncarnation;
+      }
+    }
+    ReportWorkers();
+  });
+}
+
 void
 CellSimulation::StepWorkers()
 {
@@ -220,6 +246,8 @@
     }
     if (crashes || WithProbability(mFaults.mWorkerCrash)) {
       Crash(worker);
+    } else if (WithProbability(mFaults.mWorkerRestart)) {
+      Restart(worker);
     } else if (worker.mReachable && WithProbability(mFaults.mWorkerPartition)) {
       worker.mReachable = false;
       std::string id = worker.mId;
@@ -400,8 +428,8 @@
   }
   auto execute = [this, id, call, owner, lost, delayed, incarnation] {
     for (SimWorker& worker : mWorkers) {
-      if (worker.mId == id && worker.mIncarnation == incarnation &&
-          worker.mAlive && worker.mReachable) {
+      bool same = !delayed || worker.mIncarnation == incarnation;
+      if (worker.mId == id && same && worker.mAlive && worker.mReachable) {
         WorkerReply reply = Execute(worker, call);
         if (!lost && !delayed) {
           ScheduleIn(2ms, [this, id, call, owner, reply] {
@@ -482,7 +510,8 @@
 {
   std::vector<std::string> due;
   for (const auto& [id, worker] : mOwner->Workers()) {
-    if (!mRenewing[id] && mOwner->NeedsRenewal(id)) {
+    bool paused = mNow < mRenewalPausedUntil[id];
+    if (!mRenewing[id] && !paused && mOwner->NeedsRenewal(id)) {
       due.push_back(id);
     }
   }
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -26,6 +26,8 @@
 
   std::string mId;
   std::int64_t mIncarnation = 1;
+  /// Incarnation in the directory, which learns of a restart late.
+  std::int64_t mReportedIncarnation = 1;
   bool mAlive = true;
   bool mReachable = true;
   Resources mCapacity{ 32000, 131072, 0 };
@@ -46,6 +48,8 @@
   /// The order is executed seconds later, after newer ones.
   double mDelayedOrder = 0;
   double mWorkerCrash = 0;
+  /// The worker crashes and restarts at once, before the directory knows.
+  double mWorkerRestart = 0;
   double mWorkerPartition = 0;
   double mOwnerChange = 0;
   double mTaskFailure = 0.05;
@@ -98,7 +102,9 @@
   void ReportWorkers();
   void StepWorkers();
   void StepOwner();
+  static void Reset(SimWorker& aWorker);
   void Crash(SimWorker& aWorker);
+  void Restart(SimWorker& aWorker);
   void SendOrder(CellOrder aOrder);
   void SendRenewal(const std::string& aWorker);
   WorkerReply Execute(SimWorker& aWorker, const WorkerCall& aCall);
@@ -119,6 +125,7 @@
   std::uint32_t mTerm = 1;
   TimePoint mOwnerAbsentUntil;
   std::map<std::string, bool> mRenewing;
+  std::map<std::string, TimePoint> mRenewalPausedUntil;
   bool mCommitting = false;
   std::map<std::string, StoredJob> mJobRows;
   std::map<std::string, StoredProgress> mProgressRows;
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -168,6 +168,16 @@
   }
 }
 
+// Guards against a start that is confirmed by the next incarnation being taken
+// for one of the incarnation that has ended.
+TEST_CASE("workers that restart at once run no task twice")
+{
+  for (std::uint64_t seed = 1; seed <= 24; ++seed) {
+    CAPTURE(seed);
+    RunWithFaults(seed, { .mWorkerRestart = 0.002 });
+  }
+}
+
 TEST_CASE("partitioned workers run no task twice")
 {
   for (std::uint64_t seed = 1; seed <= 12; ++seed) {
@@ -184,6 +194,7 @@
                   { .mLostAnswer = 0.05,
                     .mDelayedOrder = 0.03,
                     .mWorkerCrash = 0.0005,
+                    .mWorkerRestart = 0.0005,
                     .mWorkerPartition = 0.001,
                     .mOwnerChange = 0.002 });
   }
@@ -833,26 +844,99 @@
 
 TEST_CASE("a worker that drains and restarts counts as crashed")
 {
+  std::vector<ReportedRun> run = { { { "a", 0, 0, 0 }, 1, "", 100, {} } };
   for (bool draining : { false, true }) {
-    CAPTURE(draining);
-    SingleWorkerCell harness;
-    harness.Submit("a", ChainOf({ 1 }));
-    harness.PlanAndAnswer();
-    harness.mReports[0].mDraining = draining;
-    harness.mCell.SetWorkers(harness.mReports, harness.mNow);
-    harness.mReports[0].mDraining = false;
-    harness.mReports[0].mIncarnation += 1;
-    harness.mCell.SetWorkers(harness.mReports, harness.mNow);
-    CHECK(harness.mCell.TakeCrashes().empty() == draining);
-    CHECK(harness.mCell.Workers().find("w")->second.mRuns.empty());
+    // Without a listing of the run, the next incarnation may have started it.
+    for (bool reported : { false, true }) {
+      CAPTURE(draining);
+      CAPTURE(reported);
+      SingleWorkerCell harness;
+      harness.Submit("a", ChainOf({ 1 }));
+      harness.PlanAndAnswer();
+      if (reported) {
+        harness.List(run, {});
+      }
+      harness.mReports[0].mDraining = draining;
+      harness.mCell.SetWorkers(harness.mReports, harness.mNow);
+      harness.mReports[0].mDraining = false;
+      harness.mReports[0].mIncarnation += 1;
+      harness.mCell.SetWorkers(harness.mReports, harness.mNow);
+      if (!reported) {
+        CHECK(harness.mCell.TakeCrashes().empty());
+        CHECK(harness.Plan().empty());
+        harness.ListStatus({ 0, 6, {}, {} });
+      }
+      CHECK(harness.mCell.TakeCrashes().empty() == draining);
+      CHECK(harness.mCell.Workers().find("w")->second.mRuns.empty());
+    }
   }
 }
 
+// Guards against a run of the new incarnation being counted as crashed, and its
+// task being started elsewhere, when the directory reports the restart late.
+TEST_CASE("a run that a restarted worker confirmed is kept")
+{
+  SingleWorkerCell harness;
+  harness.Submit("a", ChainOf({ 1 }));
+  REQUIRE(harness.PlanAndAnswer().size() == 1);
+  WorkerReport other = harness.mReports[0];
+  other.mId = "v";
+  harness.mReports.push_back(other);
+  harness.mReports[0].mIncarnation = 6;
+  harness.mCell.SetWorkers(harness.mReports, harness.mNow);
+  harness.mCell.OnListing("v", { 0, 5, {}, {} }, harness.mNow, harness.mNow);
+  harness.Commit();
+  CHECK(harness.Plan().empty());
+  harness.ListStatus({ 0, 6, { { { "a", 0, 0, 0 }, 1, "", 100, {} } }, {} });
+  CHECK(harness.Plan().empty());
+  CHECK(harness.mCell.TakeCrashes().empty());
+  const CellWorker& worker = harness.mCell.Workers().find("w")->second;
+  CHECK(worker.mRuns.size() == 1);
+  // The order carried a lease by the clock of the earlier incarnation.
+  CHECK(worker.mLeaseExpiry >= harness.mNow + 10s);
+  harness.List({}, {});
+  CHECK(worker.mRuns.size() == 1);
+}
+
+// Guards against a run that has ended in the new incarnation being counted as
+// crashed.
+TEST_CASE("a run that a restarted worker lists as ended hasn't crashed")
+{
+  SingleWorkerCell harness;
+  harness.Submit("a", ChainOf({ 1 }));
+  REQUIRE(harness.PlanAndAnswer().size() == 1);
+  harness.mReports[0].mIncarnation = 6;
+  harness.mCell.SetWorkers(harness.mReports, harness.mNow);
+  harness.ListStatus({ 0, 6, {}, { DoneEnd(1, 0) } });
+  CHECK(harness.mCell.TakeCrashes().empty());
+  harness.Commit();
+  CHECK(harness.mCell.PhaseOf("a") == JobPhase::Completed);
+}
+
+// Guards against a delayed start being carried out by the next incarnation,
+// which doesn't know the stop that the earlier one has confirmed.
+TEST_CASE("a stop is repeated to a worker that has restarted")
+{
+  SingleWorkerCell harness;
+  harness.Submit("a", ChainOf({ 1 }));
+  std::vector<CellOrder> orders = harness.Plan();
+  REQUIRE(orders.size() == 1);
+  harness.mCell.OnOrderReply(
+    "w", orders[0].mCall, Failure(TimeoutFailure{}), harness.mNow);
+  harness.List({}, {});
+  REQUIRE(harness.PlanAndAnswer().size() == 1);
+  harness.ListStatus({ 0, 6, {}, {} });
+  orders = harness.PlanAndAnswer();
+  REQUIRE(orders.size() == 1);
+  CHECK(std::holds_alternative<StopRun>(orders[0].mCall));
+}
+
 TEST_CASE("the crashes of a task are lost when its job is restored")
 {
   SingleWorkerCell harness;
   harness.Submit("a", ChainOf({ 1 }));
   harness.PlanAndAnswer();
+  harness.List({ { { "a", 0, 0, 0 }, 1, "", 100, {} } }, {});
   harness.mReports[0].mIncarnation += 1;
   harness.mCell.SetWorkers(harness.mReports, harness.mNow);
   CellChanges changes = harness.mCell.TakeChanges(harness.mNow);
