Ask the earlier cells of a queue that has moved

Cause: a job stays in the cell that accepted it, while the entry chose the cell of a submission by the present configuration only. Reads and cancels that end with "unknown" are tried elsewhere; a submission never ends so. Counts of waiting jobs had the same cause.

The new test "a repeated submission to a queue that has moved runs its job again" fails with two runs if the entry doesn't ask the earlier cells.

Fix: nodes remember the pools that queues have used, and owner rows list the queues that have left the cell while it has jobs of theirs. A submission is first looked for in these cells, which then accept no new jobs of the queue by an older configuration.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -49,6 +49,9 @@
   }
   mConfig = aConfig;
   mPool = aPool;
+  std::erase_if(mClosedQueues, [&](const auto& aEntry) {
+    return aEntry.second <= mConfig.mVersion;
+  });
   mQueues.clear();
   for (const QueueConfig& queue : mConfig.mQueues) {
     mQueues.emplace(queue.mName, &queue);
@@ -115,14 +118,13 @@
   std::int64_t age =
     std::max<std::int64_t>(aWallNow.mMillis - aJob.mSubmitted.mMillis, 0);
   aJob.mFirstSeen = aNow - std::chrono::milliseconds(age);
-  std::string id = aJob.mId;
   if (aJob.IsLive()) {
-    mLiveJobs.insert(id);
+    mLiveJobs.insert(aJob.mId);
   } else {
     aJob.mCommittedPhase = aJob.NextPhase();
     aJob.mEndedAt = aNow;
   }
-  mJobs.insert_or_assign(std::move(id), std::move(aJob));
+  AddJob(std::move(aJob));
 }
 
 void
@@ -140,7 +142,7 @@
   job.mDoneOccurrences = aProgress.mDoneOccurrences;
   job.mCommittedPhase = aProgress.mPhase;
   job.mEndedAt = aNow;
-  mJobs.insert_or_assign(std::string(aId), std::move(job));
+  AddJob(std::move(job));
 }
 
 void
@@ -197,12 +199,53 @@
     mLoad.mFreeCores -= demand.mInitialCores;
   }
   mLiveJobs.insert(job.mId);
-  CellJob& entry = mJobs[job.mId];
-  entry = std::move(job);
-  MarkDirty(entry);
+  MarkDirty(AddJob(std::move(job)));
   return SubmitResult::Accepted;
 }
 
+CellJob&
+Cell::AddJob(CellJob aJob)
+{
+  ++mJobsByQueue[aJob.mQueue];
+  return mJobs.insert_or_assign(aJob.mId, std::move(aJob)).first->second;
+}
+
+// The jobs of a queue that has moved stay in the cell that accepted them. A
+// submission that a node sends here by an earlier configuration must not be
+// accepted once another node has found that the job isn't here.
+bool
+Cell::AcceptsQueue(std::string_view aQueue) const
+{
+  auto closed = mClosedQueues.find(aQueue);
+  if (closed != mClosedQueues.end() && closed->second > mConfig.mVersion) {
+    return false;
+  }
+  const QueueConfig* queue = FindQueue(aQueue);
+  return queue == nullptr || queue->mPool == mPool;
+}
+
+void
+Cell::CloseQueue(std::string_view aQueue, ConfigVersion aVersion)
+{
+  if (aVersion > mConfig.mVersion) {
+    ConfigVersion& closed = mClosedQueues[std::string(aQueue)];
+    closed = std::max(closed, aVersion);
+  }
+}
+
+std::vector<std::string>
+Cell::MovedQueues() const
+{
+  std::vector<std::string> moved;
+  for (const auto& [name, jobs] : mJobsByQueue) {
+    const QueueConfig* queue = FindQueue(name);
+    if (queue == nullptr || queue->mPool != mPool) {
+      moved.push_back(name);
+    }
+  }
+  return moved;
+}
+
 Duration
 Cell::RetryAfterFor(const Submission& aSubmission,
                     TimePoint aNow,
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -240,6 +240,13 @@
 
   // Callers.
   SubmitResult Submit(Submission aSubmission, TimePoint aNow);
+  /// Whether new jobs of the queue belong to this cell.
+  bool AcceptsQueue(std::string_view aQueue) const;
+  /// Accepts no new jobs of the queue until the configuration is at least that
+  /// version and sends them here.
+  void CloseQueue(std::string_view aQueue, ConfigVersion aVersion);
+  /// Queues with jobs in the cell that the configuration doesn't send here.
+  std::vector<std::string> MovedQueues() const;
   /// Cores of VMs that are being moved into the pool.
   void SetIncomingCores(double aCores);
   /// Delay before a rejected submission is retried; aJitter is in [0, 1].
@@ -351,6 +358,7 @@
                      TimePoint aFirstSeen,
                      TimePoint aNow) const;
 
+  CellJob& AddJob(CellJob aJob);
   void MarkDirty(CellJob& aJob);
   std::vector<CellJob*> TakeDirtyJobs();
   /// Finds or creates an occurrence's record; null if it is done or out of
@@ -438,6 +446,10 @@
   std::map<std::string, const QueueConfig*, std::less<>> mQueues;
   std::string mPool;
   std::map<std::string, CellJob, std::less<>> mJobs;
+  /// Number of jobs in mJobs by queue.
+  std::map<std::string, std::size_t, std::less<>> mJobsByQueue;
+  /// Version of the configuration that sends each closed queue elsewhere.
+  std::map<std::string, ConfigVersion, std::less<>> mClosedQueues;
   std::map<std::string, CellWorker, std::less<>> mWorkers;
   std::set<std::string, std::less<>> mLiveJobs;
   /// Jobs with changes that no commit holds yet, in the order of the changes.
--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -209,7 +209,15 @@
     }
   }
   for (const std::string& id : aChanges.mExpiredJobs) {
-    mJobs.erase(id);
+    auto job = mJobs.find(id);
+    if (job == mJobs.end()) {
+      continue;
+    }
+    auto queue = mJobsByQueue.find(job->second.mQueue);
+    if (--queue->second == 0) {
+      mJobsByQueue.erase(queue);
+    }
+    mJobs.erase(job);
   }
   if (aChanges.mWorkers) {
     for (const WorkerAddress& address : *aChanges.mWorkers) {
--- a/src/decide/cell_owner.h
+++ b/src/decide/cell_owner.h
@@ -25,6 +25,9 @@
   bool mReleased = false;
   /// Workers that get no new runs.
   std::vector<std::string> mDrainingWorkers;
+  /// Queues whose jobs the cell holds although the configuration sends new ones
+  /// to another cell, or no longer has the queue.
+  std::vector<std::string> mMovedQueues;
   /// ClaimDelay of the owner with its other cells, as a measure of its size and
   /// of what else it does.
   Duration mClaimDelay{};
--- a/src/ports/caller_calls.h
+++ b/src/ports/caller_calls.h
@@ -24,6 +24,17 @@
   std::string mId;
 };
 
+/// Asks the cell that a queue used earlier whether it has accepted a job; the
+/// reply is JobAccepted or JobNotFound. From then on the cell accepts no new
+/// jobs of the queue unless a later configuration sends them there.
+struct LocateJob
+{
+  std::string mQueue;
+  std::string mId;
+  /// Configuration by which the queue uses another cell.
+  ConfigVersion mVersion{};
+};
+
 struct CancelJob
 {
   std::string mQueue;
@@ -36,7 +47,8 @@
   std::string mQueue;
 };
 
-using CallerCall = std::variant<SubmitJob, ReadJob, CancelJob, CountQueuedJobs>;
+using CallerCall =
+  std::variant<SubmitJob, ReadJob, LocateJob, CancelJob, CountQueuedJobs>;
 
 /// The job is stored.
 struct JobAccepted
--- a/src/services/cell_lease.cpp
+++ b/src/services/cell_lease.cpp
@@ -96,6 +96,12 @@
   mRow.mDrainingWorkers = std::move(aWorkers);
 }
 
+void
+CellLease::SetMovedQueues(std::vector<std::string> aQueues)
+{
+  mRow.mMovedQueues = std::move(aQueues);
+}
+
 void
 CellLease::SetClaimDelay(Duration aDelay)
 {
@@ -184,6 +190,7 @@
   Revision before{};
   if (aSighting) {
     row.mDrainingWorkers = aSighting->mRow.mDrainingWorkers;
+    row.mMovedQueues = aSighting->mRow.mMovedQueues;
     before = aSighting->mRevision;
   }
   RowName name = OwnerRowName(aCell);
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -340,6 +340,11 @@
   for (const std::string& id : mLease.Row().mDrainingWorkers) {
     mCell->SetDraining(id, true);
   }
+  // The other nodes have to know soon whose jobs are still here.
+  if (mCell->MovedQueues() != mLease.Row().mMovedQueues) {
+    mCommitRequested = true;
+    mCommitDue.Set();
+  }
   MonitorWorkers();
   mPlanDue.Set();
   NotifyWorkers();
@@ -795,6 +800,7 @@
                            bool aRelease,
                            TimePoint aDeadline)
 {
+  mLease.SetMovedQueues(mCell->MovedQueues());
   bool ok = co_await mLease.Commit(MakeCommit(aChanges), aRelease, aDeadline);
   if (ok) {
     LogChanges(aChanges);
@@ -960,6 +966,10 @@
     CallerReply reply = co_await Submit(std::move(*submit), aDeadline);
     co_return reply;
   }
+  if (auto* find = std::get_if<LocateJob>(&aCall)) {
+    CallerReply reply = co_await Find(std::move(*find), aDeadline);
+    co_return reply;
+  }
   if (auto* cancel = std::get_if<CancelJob>(&aCall)) {
     CallerReply reply = co_await Cancel(std::move(*cancel), aDeadline);
     co_return reply;
@@ -1008,6 +1018,14 @@
     co_return ServiceUnavailable{ std::chrono::seconds(1) };
   }
   std::string id = aCall.mId;
+  if (!mCell->Jobs().contains(id) && !mCell->AcceptsQueue(aCall.mQueue)) {
+    LogInfo(kPart,
+            "job={} pool={} unavailable, queue={} has moved",
+            id,
+            mPool,
+            aCall.mQueue);
+    co_return ServiceUnavailable{ std::chrono::seconds(1) };
+  }
   Submission submission{
     id, std::move(aCall.mQueue), std::move(aCall.mSpec), mClock.WallNow()
   };
@@ -1043,6 +1061,30 @@
   co_return JobAccepted{};
 }
 
+// The job may be in a commit that hasn't been answered yet.
+Task<CallerReply>
+CellRuntime::Find(LocateJob aCall, TimePoint aDeadline)
+{
+  if (!HoldsLease()) {
+    co_return ServiceUnavailable{ std::chrono::seconds(1) };
+  }
+  mCell->CloseQueue(aCall.mQueue, aCall.mVersion);
+  if (mCell->PhaseOf(aCall.mId)) {
+    co_return JobAccepted{};
+  }
+  if (!mCell->Jobs().contains(aCall.mId)) {
+    co_return JobNotFound{};
+  }
+  ChangeState state = co_await AwaitStored(aCall.mId, aDeadline);
+  if (state == ChangeState::Stored) {
+    co_return JobAccepted{};
+  }
+  if (state == ChangeState::NotStored) {
+    co_return ServiceUnavailable{ std::chrono::seconds(1) };
+  }
+  co_return CallOutcomeUnknown{};
+}
+
 Task<CallerReply>
 CellRuntime::Cancel(CancelJob aCall, TimePoint aDeadline)
 {
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -153,6 +153,7 @@
   RowName MakeRowName(std::string_view aTable, std::string_view aKey) const;
 
   Task<CallerReply> Submit(SubmitJob aCall, TimePoint aDeadline);
+  Task<CallerReply> Find(LocateJob aCall, TimePoint aDeadline);
   Task<CallerReply> Cancel(CancelJob aCall, TimePoint aDeadline);
   Task<ChangeState> AwaitStored(std::string aId, TimePoint aDeadline);
 
--- a/src/services/directory_service.cpp
+++ b/src/services/directory_service.cpp
@@ -381,6 +381,9 @@
           newConfig.mQueues.size(),
           newConfig.mPools.size());
   mDirty = true;
+  if (mConfig) {
+    mMoves.Record(*mConfig, newConfig, mKernel.GetClock().Now());
+  }
   mConfig = std::make_shared<const WorkloadConfig>(std::move(newConfig));
 }
 
--- a/src/services/directory_service.h
+++ b/src/services/directory_service.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNSHUNT_SERVICES_DIRECTORY_SERVICE_H
 
 #include "buckthornshunt/workload.h"
+#include "decide/queue_moves.h"
 #include "kernel/entry_log.h"
 #include "kernel/kernel.h"
 #include "ports/store.h"
@@ -34,6 +35,9 @@
   /// Newest configuration; null until there is one.
   std::shared_ptr<const WorkloadConfig> Config() const { return mConfig; }
 
+  /// Pools that queues used by earlier configurations that this node has read.
+  const QueueMoves& Moves() const { return mMoves; }
+
   /// When the store last said which configuration is the newest; the epoch if
   /// it hasn't.
   TimePoint ConfigReadAt() const { return mOperatorTable.mReadAt; }
@@ -96,6 +100,7 @@
   FollowedTable mOperatorTable;
   FollowedTable mWorkerTable;
   std::shared_ptr<const WorkloadConfig> mConfig;
+  QueueMoves mMoves;
   std::map<std::uint64_t, WaveOrder> mWaves;
   std::map<std::uint64_t, TimePoint> mWaveSeenAt;
   /// Shared by all subscriptions.
--- a/src/services/entry_service.cpp
+++ b/src/services/entry_service.cpp
@@ -60,6 +60,10 @@
   {
     return "read job=" + aCall.mId;
   }
+  std::string operator()(const LocateJob& aCall) const
+  {
+    return "locate job=" + aCall.mId;
+  }
   std::string operator()(const CancelJob& aCall) const
   {
     return "cancel job=" + aCall.mId;
@@ -213,8 +217,18 @@
     config->FindQueueByName(QueueName(decodedCall.mCall))->mPool;
   CallerCall call = decodedCall.mCall;
   CallProgress progress;
-  CallerReply reply = co_await Route(
-    std::move(pool), std::move(decodedCall.mCall), deadline, progress);
+  EarlierCells earlier =
+    co_await CallEarlierCells(call, pool, deadline, progress);
+  CallerReply reply = ServiceUnavailable{ kRetryAfter };
+  if (earlier.mReply) {
+    reply = *earlier.mReply;
+  } else {
+    reply = co_await Route(
+      std::move(pool), std::move(decodedCall.mCall), deadline, progress);
+  }
+  if (auto* count = std::get_if<QueuedJobCount>(&reply)) {
+    count->mJobs += earlier.mWaiting;
+  }
   LogReply(call, reply, progress, clock.Now() - began);
   co_return platform::EncodeCallerReply(reply);
 }
@@ -259,6 +273,53 @@
                        : TimePoint::max();
 }
 
+std::set<std::string>
+EntryService::EarlierPools(std::string_view aQueue,
+                           std::string_view aPool) const
+{
+  std::set<std::string> pools = mDirectory->Moves().EarlierPools(aQueue);
+  pools.merge(mOwners->CellsThatQueueLeft(aQueue));
+  // A pool that no longer exists has no owner to ask.
+  auto config = mDirectory->Config();
+  std::erase_if(pools, [&](const std::string& aEarlier) {
+    return aEarlier == aPool || config->FindPool(aEarlier) == nullptr;
+  });
+  return pools;
+}
+
+// The earlier cells of a queue keep the jobs that they accepted, so a repeated
+// submission belongs to them, and their jobs count as waiting. Reads and
+// cancellations are tried there once the present cell doesn't know the job.
+Task<EntryService::EarlierCells>
+EntryService::CallEarlierCells(CallerCall aCall,
+                               std::string aPool,
+                               TimePoint aDeadline,
+                               CallProgress& aProgress)
+{
+  EarlierCells result;
+  const auto* submit = std::get_if<SubmitJob>(&aCall);
+  const auto* count = std::get_if<CountQueuedJobs>(&aCall);
+  if (submit == nullptr && count == nullptr) {
+    co_return result;
+  }
+  CallerCall call = aCall;
+  if (submit != nullptr) {
+    call =
+      LocateJob{ submit->mQueue, submit->mId, mDirectory->Config()->mVersion };
+  }
+  std::set<std::string> pools = EarlierPools(QueueName(aCall), aPool);
+  for (const std::string& pool : pools) {
+    CallerReply reply = co_await Route(pool, call, aDeadline, aProgress);
+    if (const auto* waiting = std::get_if<QueuedJobCount>(&reply)) {
+      result.mWaiting += waiting->mJobs;
+    } else if (!std::holds_alternative<JobNotFound>(reply)) {
+      result.mReply = reply;
+      co_return result;
+    }
+  }
+  co_return result;
+}
+
 // Makes one call to the cell's current owner.
 Task<OwnerReply>
 EntryService::CallOwner(std::string aPool,
@@ -334,7 +395,7 @@
     const auto* answer = std::get_if<CallerReply>(&reply);
     bool unknown =
       answer != nullptr && std::holds_alternative<JobNotFound>(*answer);
-    if (unknown) {
+    if (unknown && !std::holds_alternative<LocateJob>(aCall)) {
       CallerReply otherReply =
         co_await CallOtherOwners(aPool, aCall, aDeadline, aProgress);
       co_return otherReply;
--- a/src/services/entry_service.h
+++ b/src/services/entry_service.h
@@ -6,6 +6,8 @@
 #include "wire/relay_codec.h"
 
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -60,12 +62,27 @@
     bool mMayHaveRun = false;
   };
 
+  /// Calls to the earlier cells of the queue of one call.
+  struct EarlierCells
+  {
+    /// The reply that settles the call, if there is one.
+    std::optional<CallerReply> mReply;
+    /// Jobs of the queue that wait in these cells.
+    std::uint64_t mWaiting = 0;
+  };
+
   /// By when all calls must be answered; the end of time unless the node stops.
   TimePoint AnswerDeadline() const;
   Task<CallerReply> Route(std::string aPool,
                           CallerCall aCall,
                           TimePoint aDeadline,
                           CallProgress& aProgress);
+  std::set<std::string> EarlierPools(std::string_view aQueue,
+                                     std::string_view aPool) const;
+  Task<EarlierCells> CallEarlierCells(CallerCall aCall,
+                                      std::string aPool,
+                                      TimePoint aDeadline,
+                                      CallProgress& aProgress);
   Task<OwnerReply> CallOwner(std::string aPool,
                              CallerCall aCall,
                              TimePoint aDeadline,
--- a/src/services/owner_service.cpp
+++ b/src/services/owner_service.cpp
@@ -64,6 +64,19 @@
   return it == mLastSeen.end() ? nullptr : &it->second;
 }
 
+std::set<std::string>
+OwnerService::CellsThatQueueLeft(std::string_view aQueue) const
+{
+  std::set<std::string> cells;
+  for (const auto& [cell, observation] : mLastSeen) {
+    const std::vector<std::string>& moved = observation.mRow.mMovedQueues;
+    if (std::find(moved.begin(), moved.end(), aQueue) != moved.end()) {
+      cells.insert(cell);
+    }
+  }
+  return cells;
+}
+
 bool
 OwnerService::HasBeenRead(std::string_view aCell) const
 {
--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -313,17 +313,40 @@
 std::string
 EncodeOwnerRow(const OwnerRow& aRow)
 {
-  return ToCbor({ { "n", aRow.mNode },
-                  { "h", aRow.mPeerEndpoint.mHost },
-                  { "p", aRow.mPeerEndpoint.mPort },
-                  { "i", ToNumber(aRow.mIncarnation) },
-                  { "t", aRow.mTerm },
-                  { "s", aRow.mSequence },
-                  { "r", aRow.mReleased },
-                  { "x", aRow.mDrainingWorkers },
-                  { "d", ToMillis(aRow.mClaimDelay) } });
+  Json json = { { "n", aRow.mNode },
+                { "h", aRow.mPeerEndpoint.mHost },
+                { "p", aRow.mPeerEndpoint.mPort },
+                { "i", ToNumber(aRow.mIncarnation) },
+                { "t", aRow.mTerm },
+                { "s", aRow.mSequence },
+                { "r", aRow.mReleased },
+                { "x", aRow.mDrainingWorkers },
+                { "d", ToMillis(aRow.mClaimDelay) } };
+  // Usually empty, and the row is a part of every commit.
+  if (!aRow.mMovedQueues.empty()) {
+    json["q"] = aRow.mMovedQueues;
+  }
+  return ToCbor(json);
 }
 
+namespace {
+
+leaf::result<std::vector<std::string>>
+ReadStrings(const Json& aJson, const char* aField)
+{
+  BOOST_LEAF_AUTO(array, ReadArray(aJson, aField));
+  std::vector<std::string> strings;
+  for (const Json& at : *array) {
+    if (!at.is_string()) {
+      return Fail(MessageFailure{ MessageFault::WrongType, aField });
+    }
+    strings.push_back(at.get<std::string>());
+  }
+  return strings;
+}
+
+} // namespace
+
 leaf::result<OwnerRow>
 DecodeOwnerRow(std::string_view aBytes)
 {
@@ -338,12 +361,9 @@
   BOOST_LEAF_ASSIGN(row.mTerm, ReadUnsigned32(json, "t"));
   BOOST_LEAF_ASSIGN(row.mSequence, ReadUnsigned(json, "s"));
   BOOST_LEAF_ASSIGN(row.mReleased, ReadBool(json, "r"));
-  BOOST_LEAF_AUTO(drainingWorkers, ReadArray(json, "x"));
-  for (const Json& at : *drainingWorkers) {
-    if (!at.is_string()) {
-      return Fail(MessageFailure{ MessageFault::WrongType, "x" });
-    }
-    row.mDrainingWorkers.push_back(at.get<std::string>());
+  BOOST_LEAF_ASSIGN(row.mDrainingWorkers, ReadStrings(json, "x"));
+  if (json.contains("q")) {
+    BOOST_LEAF_ASSIGN(row.mMovedQueues, ReadStrings(json, "q"));
   }
   // Rows written by the previous version lack this field.
   BOOST_LEAF_AUTO(delayMillis, ReadOrZero(json, "d", kMaxMillis));
--- a/src/wire/relay_codec.cpp
+++ b/src/wire/relay_codec.cpp
@@ -26,6 +26,13 @@
              { "q", aCall.mQueue },
              { "id", aCall.mId } };
   }
+  Json operator()(const LocateJob& aCall) const
+  {
+    return { { kKindField, "locate" },
+             { "q", aCall.mQueue },
+             { "id", aCall.mId },
+             { "v", ToNumber(aCall.mVersion) } };
+  }
   Json operator()(const CancelJob& aCall) const
   {
     return { { kKindField, "cancel" },
@@ -93,6 +100,11 @@
   if (kind == "read") {
     return CallerCall(ReadJob{ std::move(queue), std::move(id) });
   }
+  if (kind == "locate") {
+    BOOST_LEAF_AUTO(version, ReadUnsigned(aJson, "v"));
+    return CallerCall(
+      LocateJob{ std::move(queue), std::move(id), ConfigVersion(version) });
+  }
   if (kind == "cancel") {
     return CallerCall(CancelJob{ std::move(queue), std::move(id) });
   }
--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -718,6 +718,61 @@
   CHECK(fleet.mFakeWorkers.mRuns.size() == 1);
 }
 
+// Guards against nodes that start after the move not knowing where the jobs
+// are.
+TEST_CASE("the owner row lists the queues that have left the cell")
+{
+  CellFleet fleet(2);
+  CellNode& node = fleet.AddOwner();
+  auto submitted = fleet.Submit(node, "a", true);
+  fleet.mManual.Advance(500ms);
+  REQUIRE(submitted->Is<JobAccepted>());
+  CHECK(fleet.Owner(kPool)->mMovedQueues.empty());
+  fleet.WriteConfig(2, "p1");
+  fleet.mManual.Advance(300ms);
+  CHECK(fleet.Owner(kPool)->mMovedQueues == std::vector<std::string>{ "q0" });
+  CHECK(node.mOwners.CellsThatQueueLeft("q0").contains(std::string(kPool)));
+  CHECK(node.mOwners.CellsThatQueueLeft("q1").empty());
+  // The next owner lists them from its claim on.
+  CellNode& next = fleet.AddNode();
+  fleet.mManual.Advance(1s);
+  fleet.Stop(node);
+  fleet.mManual.Advance(4s);
+  CHECK(next.mOwners.CellsThatQueueLeft("q0").contains(std::string(kPool)));
+}
+
+// Guards against a node with an earlier configuration handing a job to the cell
+// in which another node has just looked for it in vain.
+TEST_CASE("a cell accepts new jobs of a queue that has moved")
+{
+  CellFleet fleet(2);
+  CellNode& node = fleet.AddOwner();
+  auto submitted = fleet.Submit(node, "a", true);
+  fleet.mManual.Advance(500ms);
+  REQUIRE(submitted->Is<JobAccepted>());
+  auto find = [&](std::string aId) {
+    auto reply =
+      fleet.Call(node, LocateJob{ "q0", std::move(aId), ConfigVersion(7) });
+    fleet.mManual.Advance(500ms);
+    return reply;
+  };
+  CHECK(find("a")->Is<JobAccepted>());
+  CHECK(find("b")->Is<JobNotFound>());
+  auto late = fleet.Submit(node, "b");
+  auto again = fleet.Submit(node, "a");
+  fleet.mManual.Advance(500ms);
+  CHECK(late->Is<ServiceUnavailable>());
+  CHECK(again->Is<JobAccepted>());
+  // Once the configuration is there, it decides.
+  for (int i = 0; i < 7; ++i) {
+    fleet.WriteConfig(2, i < 3 ? "p1" : "p0");
+  }
+  fleet.mManual.Advance(500ms);
+  auto back = fleet.Submit(node, "b");
+  fleet.mManual.Advance(500ms);
+  CHECK(back->Is<JobAccepted>());
+}
+
 TEST_CASE("a commit holds no more entries than the store accepts")
 {
   constexpr std::size_t kMaxEntries = 100;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -5,6 +5,7 @@
 #include "decide/fifo_wait_model.h"
 #include "decide/pool_plan.h"
 #include "decide/pool_queue.h"
+#include "decide/queue_moves.h"
 #include "decide/run_times.h"
 #include "decide/table_replica.h"
 #include "kernel/kernel.h"
@@ -57,6 +58,29 @@
   CHECK(times.Classify("quote", 10s) == WorkClass::Short);
 }
 
+TEST_CASE("the pools that a queue has used are remembered for a while")
+{
+  auto config = [](std::string_view aPool) {
+    WorkloadConfig made;
+    for (const char* name : { "moves", "stays" }) {
+      QueueConfig queue;
+      queue.mName = name;
+      queue.mPool = queue.mName == "stays" ? "a" : aPool;
+      made.mQueues.push_back(queue);
+    }
+    return made;
+  };
+  QueueMoves moves;
+  TimePoint now{ 100s };
+  moves.Record(config("a"), config("b"), now);
+  CHECK(moves.EarlierPools("moves") == std::set<std::string>{ "a" });
+  CHECK(moves.EarlierPools("stays").empty());
+  moves.Record(config("b"), config("c"), now + 1min);
+  CHECK(moves.EarlierPools("moves") == std::set<std::string>{ "a", "b" });
+  moves.Record(config("c"), config("c"), now + 1h);
+  CHECK(moves.EarlierPools("moves").empty());
+}
+
 TEST_CASE("shares of a server's slots add up to its slots")
 {
   std::mt19937 rng(1);
--- a/tests/decoder_fuzz_test.cpp
+++ b/tests/decoder_fuzz_test.cpp
@@ -57,7 +57,7 @@
            { "p", 7U },     { "i", 5U },
            { "t", 2U },     { "s", 9U },
            { "r", false },  { "x", Json::array({ "w" }) },
-           { "d", 110 } };
+           { "d", 110 },    { "q", Json::array({ "queue" }) } };
 }
 
 Json
--- a/tests/node_stop_test.cpp
+++ b/tests/node_stop_test.cpp
@@ -106,6 +106,16 @@
     };
   }
 
+  /// Runs on all workers.
+  std::size_t Count() const
+  {
+    std::size_t n = 0;
+    for (const auto& [worker, runs] : mRuns) {
+      n += runs.size();
+    }
+    return n;
+  }
+
 private:
   Task<Expected<WorkerReply>> Call(WorkerAddress aWorker, WorkerCall aCall)
   {
@@ -601,3 +611,25 @@
   node.Run(2s);
   CHECK(node.Call(http::verb::get, target) == kOk);
 }
+
+// Guards against a submission that arrives again being accepted as a new job by
+// the pool to which the queue has moved.
+TEST_CASE("a repeated submission to a queue that has moved runs its job again")
+{
+  const std::string target = "/queue0/00000000000000aa";
+  const std::string job = R"({"spec":"x","steps":[{"count":1,"cpu":10}]})";
+  StoppingNode node;
+  node.TakeOverAll();
+  node.RunUntil(
+    [&] { return node.Call(http::verb::post, target, job) == kOk; });
+  node.Run(1s);
+  REQUIRE(node.mEndlessWorkers.Count() == 1);
+  node.MoveFirstQueue("pool1");
+  CHECK(node.Call(http::verb::post, target, job) == kOk);
+  node.Run(2s);
+  CHECK(node.mEndlessWorkers.Count() == 1);
+  // Other jobs of the queue run in the new pool.
+  CHECK(node.Call(http::verb::post, "/queue0/00000000000000bb", job) == kOk);
+  node.Run(1s);
+  CHECK(node.mEndlessWorkers.Count() == 2);
+}
