End a planning pass only for want of room

Cause: a pass ended after 40 steps that had found no worker, whatever the reason. Steps that can never be placed become the oldest of the overdue class, so that no other overdue step was reached. Steps that wait for a retry, for advice or for their own limits counted as well, and admission counted jobs that can't end as backlog.

Evidence: four new tests of the cell fail on the sources before: a missing label, gangs too large for the pool, retries that aren't due, admission beside impossible jobs.

Fix: only sizes of tasks that found no room count, what can't fit is passed over by a filter for each label, and admission leaves out jobs with a step that no listed worker could run. A worker is reserved for a long-running task only if it fits beside the long-running ones.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -317,9 +317,31 @@
   return mLoad;
 }
 
+// No listed worker has the label or the size that some step needs, so that the
+// job can't end as long as this lasts.
+bool
+Cell::HasImpossibleStep(const JobSpec& aSpec) const
+{
+  return std::any_of(
+    aSpec.mSteps.begin(), aSpec.mSteps.end(), [&](const StepSpec& aStep) {
+      Resources need = ReservedResources(aStep);
+      return std::none_of(
+        mWorkers.begin(), mWorkers.end(), [&](const auto& aEntry) {
+          const CellWorker& worker = aEntry.second;
+          const std::vector<std::string>& labels = worker.mReport.mLabels;
+          bool labelled =
+            aStep.mRequiredLabel.empty() ||
+            std::find(labels.begin(), labels.end(), aStep.mRequiredLabel) !=
+              labels.end();
+          return worker.mListed && labelled &&
+                 Fits(worker.mReport.mCapacity, Resources{}, need);
+        });
+    });
+}
+
 // After a takeover the jobs of the earlier owner may have to wait for leases of
-// workers that can't be reached, while the others are idle. Until they can
-// start they don't keep new jobs from starting.
+// workers that can't be reached, while the others are idle. Neither these until
+// they can start nor jobs that can't end keep new jobs from starting.
 PoolLoad
 Cell::MeasureLoad(TimePoint aNow) const
 {
@@ -332,7 +354,8 @@
   for (const std::string& id : mLiveJobs) {
     const CellJob& job = mJobs.find(id)->second;
     bool mayStart = inheritedRunsKnown || !job.mInherited;
-    if (job.IsLongRunning() || !mayStart) {
+    if (job.IsLongRunning() || !mayStart ||
+        (summary.mCapacityCores > 0 && HasImpossibleStep(job.mSpec))) {
       continue;
     }
     if (!job.mStarted) {
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -121,6 +121,8 @@
   std::set<std::uint64_t> mEndsSeenAhead;
   std::uint64_t mLastCommittedEnd = 0;
   Resources mReserved;
+  /// Part of mReserved that long-running tasks hold.
+  Resources mLongRunning;
   std::map<TaskId, ActiveRun> mRuns;
   /// Runs in mRuns that share the worker with no other short task.
   std::uint32_t mIsolatedRuns = 0;
@@ -345,6 +347,15 @@
     double mRuns = 0;
   };
   struct Candidate;
+  /// Outcome of the placement of a step's idle tasks.
+  enum class Placement : std::uint8_t
+  {
+    AllPlaced,
+    /// Some wait for a time, for advice, or for other tasks of the job.
+    Waiting,
+    /// No worker has room for some of them.
+    NoRoom
+  };
 
   CellWorker* FindWorker(std::string_view aId);
   CellJob* FindJob(std::string_view aId);
@@ -353,6 +364,7 @@
   RunTimeModel ModelOf(std::string_view aQueue) const;
   Duration ObjectiveOf(std::string_view aQueue, const JobSpec& aSpec) const;
   PoolLoad MeasureLoad(TimePoint aNow) const;
+  bool HasImpossibleStep(const JobSpec& aSpec) const;
   JobDemand DemandOf(std::string_view aQueue,
                      const JobSpec& aSpec,
                      TimePoint aFirstSeen,
@@ -409,11 +421,11 @@
   void PlanRates(TimePoint aNow, std::vector<CellOrder>& aOrders);
   void PlanStarts(TimePoint aNow, std::vector<CellOrder>& aOrders);
   void CollectCandidates(TimePoint aNow, std::vector<Candidate>& aOut);
-  bool PlaceStep(const Candidate& aCandidate,
-                 std::vector<PlacementTarget>& aTargets,
-                 std::span<CellWorker* const> aWorkers,
-                 TimePoint aNow,
-                 std::vector<CellOrder>& aOrders);
+  Placement PlaceStep(const Candidate& aCandidate,
+                      std::vector<PlacementTarget>& aTargets,
+                      std::span<CellWorker* const> aWorkers,
+                      TimePoint aNow,
+                      std::vector<CellOrder>& aOrders);
   static void ReserveTarget(const Candidate& aCandidate,
                             std::vector<PlacementTarget>& aTargets);
   /// A placement target for every worker; aWorkers gets the workers in the same
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -10,8 +10,8 @@
 /// Run numbers of a task in one term; later terms use higher ones.
 constexpr std::uint64_t kMaxRunsPerTerm = 1000;
 constexpr Duration kStopRetryInterval = std::chrono::milliseconds(700);
-/// Steps without room after which a planning pass ends.
-constexpr int kMaxUnplacedSteps = 40;
+/// Sizes of tasks without room after which a planning pass ends.
+constexpr int kMaxUnplacedSizes = 40;
 /// A late job has a low value up to this multiple of its objective, then none.
 constexpr int kOverdueFactor = 3;
 /// Fractions of the target of a run's tail latency: above the first,
@@ -67,47 +67,91 @@
 
 namespace {
 
-/// Detects tasks that fit on no worker, after the placement of one has failed.
-/// Saves a scan of all workers for each of hundreds of tasks that are queued
-/// while the pool is full.
-class FreeCapacityFilter
+TaskRequirements
+RequirementsOf(const StepSpec& aSpec)
+{
+  TaskRequirements requirements;
+  requirements.mResources = ReservedResources(aSpec);
+  requirements.mRequiredLabel = aSpec.mRequiredLabel;
+  requirements.mPreferredRack = aSpec.mPreferredRack;
+  requirements.mMaxPerWorker = aSpec.mMaxPerWorker;
+  return requirements;
+}
+
+/// Detects steps that can't be placed in the rest of a planning pass, so that
+/// neither a full pool nor steps that no worker can ever run cost a search of
+/// the workers for each of their tasks. Free capacity only shrinks within a
+/// pass, so that what it has measured stays an upper bound.
+class RoomFilter
 {
 public:
-  bool CannotFit(const StepSpec& aSpec) const
+  explicit RoomFilter(std::span<const PlacementTarget> aTargets)
+    : mTargets(aTargets)
   {
-    Resources required = ReservedResources(aSpec);
-    // Each long-running task is tried, since failing reserves a worker for it.
-    return mMeasured && !aSpec.mLongRunning &&
-           (required.mCpuMillis > mMaxFreeCpuMillis ||
-            required.mMemoryMb > mMaxFreeMemoryMb);
   }
 
-  // Free capacity only shrinks within a pass, so the maxima stay upper bounds.
-  void RecordFailure(const StepSpec& aSpec,
-                     std::span<const PlacementTarget> aTargets)
+  bool CannotFit(const StepSpec& aSpec)
   {
+    TaskRequirements requirements = RequirementsOf(aSpec);
+    if (aSpec.mLongRunning) {
+      // One that could fit is tried, since failing reserves a worker for it.
+      return std::none_of(mTargets.begin(), mTargets.end(), [&](auto& aTarget) {
+        return FitsBesideLongRunning(aTarget, requirements);
+      });
+    }
+    const Resources& need = requirements.mResources;
+    const Resources& free = LargestFree(aSpec.mRequiredLabel);
+    if (need.mCpuMillis > free.mCpuMillis || need.mMemoryMb > free.mMemoryMb ||
+        need.mGpus > free.mGpus) {
+      return true;
+    }
     if (aSpec.mGang) {
-      return;
+      return CountSlots(mTargets, requirements, aSpec.mTaskCount) <
+             aSpec.mTaskCount;
     }
-    mMeasured = true;
-    mMaxFreeCpuMillis = 0;
-    mMaxFreeMemoryMb = 0;
-    for (const PlacementTarget& target : aTargets) {
-      if (!target.mUnschedulable) {
-        mMaxFreeCpuMillis =
-          std::max(mMaxFreeCpuMillis,
-                   target.mCapacity.mCpuMillis - target.mReserved.mCpuMillis);
-        mMaxFreeMemoryMb =
-          std::max(mMaxFreeMemoryMb,
-                   target.mCapacity.mMemoryMb - target.mReserved.mMemoryMb);
-      }
+    return std::any_of(mFailed.begin(), mFailed.end(), [&](const auto& aSize) {
+      return aSize.first == aSpec.mRequiredLabel &&
+             Fits(need, Resources{}, aSize.second);
+    });
+  }
+
+  void RecordFailure(const StepSpec& aSpec)
+  {
+    if (!aSpec.mGang && !aSpec.mLongRunning) {
+      mFailed.emplace_back(aSpec.mRequiredLabel, ReservedResources(aSpec));
+      mFree.erase(aSpec.mRequiredLabel);
     }
   }
 
+  std::size_t FailedSizes() const { return mFailed.size(); }
+
 private:
-  bool mMeasured = false;
-  std::int64_t mMaxFreeCpuMillis = 0;
-  std::int64_t mMaxFreeMemoryMb = 0;
+  // The largest free amount of each resource, on any worker with the label.
+  const Resources& LargestFree(std::string_view aLabel)
+  {
+    auto [it, added] = mFree.try_emplace(aLabel, Resources{ -1, -1, -1 });
+    if (!added) {
+      return it->second;
+    }
+    Resources& largest = it->second;
+    for (const PlacementTarget& target : mTargets) {
+      if (target.mUnschedulable || !HasLabel(target, aLabel)) {
+        continue;
+      }
+      Resources free = target.mCapacity;
+      free -= target.mReserved;
+      largest.mCpuMillis = std::max(largest.mCpuMillis, free.mCpuMillis);
+      largest.mMemoryMb = std::max(largest.mMemoryMb, free.mMemoryMb);
+      largest.mGpus = std::max(largest.mGpus, free.mGpus);
+    }
+    return largest;
+  }
+
+  std::span<const PlacementTarget> mTargets;
+  /// By required label.
+  std::map<std::string_view, Resources, std::less<>> mFree;
+  /// Tasks that found no room, with their required labels.
+  std::vector<std::pair<std::string_view, Resources>> mFailed;
 };
 
 } // namespace
@@ -214,6 +258,7 @@
                         worker.mReport.mLabels,
                         worker.mReport.mCapacity,
                         worker.mReserved,
+                        worker.mLongRunning,
                         !Usable(worker, aNow) || worker.mIsolatedRuns > 0,
                         0 });
   }
@@ -278,22 +323,20 @@
   }
   std::vector<CellWorker*> workers;
   std::vector<PlacementTarget> targets = PlacementTargets(aNow, workers);
-  FreeCapacityFilter freeCapacity;
-  int unplacedSteps = 0;
+  RoomFilter room(targets);
   for (const Candidate& candidate : candidates) {
     const StepSpec& spec = candidate.mJob->mSpec.mSteps[candidate.mStep];
-    if (freeCapacity.CannotFit(spec)) {
+    if (room.CannotFit(spec)) {
       continue;
     }
-    bool allPlaced = PlaceStep(candidate, targets, workers, aNow, aOrders);
-    unplacedSteps += allPlaced ? 0 : 1;
-    if (!allPlaced) {
-      freeCapacity.RecordFailure(spec, targets);
+    Placement placement = PlaceStep(candidate, targets, workers, aNow, aOrders);
+    if (placement == Placement::NoRoom) {
+      room.RecordFailure(spec);
     }
-    if (!allPlaced && candidate.mUrgency == Urgency::LongRunning) {
+    if (placement != Placement::AllPlaced && spec.mLongRunning) {
       ReserveTarget(candidate, targets);
     }
-    if (unplacedSteps > kMaxUnplacedSteps) {
+    if (room.FailedSizes() > kMaxUnplacedSizes) {
       return;
     }
   }
@@ -352,15 +395,12 @@
                     std::vector<PlacementTarget>& aTargets)
 {
   const StepSpec& spec = aCandidate.mJob->mSpec.mSteps[aCandidate.mStep];
-  TaskRequirements requirements;
-  requirements.mResources = ReservedResources(spec);
-  requirements.mRequiredLabel = spec.mRequiredLabel;
+  TaskRequirements requirements = RequirementsOf(spec);
   PlacementTarget* best = nullptr;
   for (PlacementTarget& target : aTargets) {
     bool full =
       spec.mMaxPerWorker > 0 && target.mStepTasks >= spec.mMaxPerWorker;
-    bool fits =
-      FitsWhenEmpty(std::span<const PlacementTarget>(&target, 1), requirements);
+    bool fits = FitsBesideLongRunning(target, requirements);
     bool better = best == nullptr ||
                   target.mCapacity.mCpuMillis - target.mReserved.mCpuMillis >
                     best->mCapacity.mCpuMillis - best->mReserved.mCpuMillis;
@@ -373,9 +413,8 @@
   }
 }
 
-// Places the idle tasks of a step; true if all were placed. A gang is placed as
-// a whole or not at all.
-bool
+// A gang is placed as a whole or not at all.
+Cell::Placement
 Cell::PlaceStep(const Candidate& aCandidate,
                 std::vector<PlacementTarget>& aTargets,
                 std::span<CellWorker* const> aWorkers,
@@ -391,14 +430,15 @@
   if (needsAdvice && aNow > step.mTicketExpiry) {
     step.mTickets.clear();
   }
-  if (spec.mGang && step.mActiveTasks > 0) {
-    return false;
+  bool anyDue =
+    std::any_of(step.mTasks.begin(), step.mTasks.end(), [&](auto& aTask) {
+      return aTask.mStage == TaskStage::Idle && aNow >= aTask.mNotBefore;
+    });
+  if (!anyDue || (spec.mGang && step.mActiveTasks > 0) ||
+      (needsAdvice && step.mTickets.empty())) {
+    return Placement::Waiting;
   }
-  TaskRequirements requirements;
-  requirements.mResources = ReservedResources(spec);
-  requirements.mRequiredLabel = spec.mRequiredLabel;
-  requirements.mPreferredRack = spec.mPreferredRack;
-  requirements.mMaxPerWorker = spec.mMaxPerWorker;
+  TaskRequirements requirements = RequirementsOf(spec);
 
   std::map<std::string_view, std::uint32_t> tasksByWorker;
   std::string_view rack = spec.mPreferredRack;
@@ -423,7 +463,7 @@
       target.mUnschedulable ||
       (needsAdvice && !step.mTickets.contains(target.mId));
   }
-  bool allPlaced = true;
+  Placement result = Placement::AllPlaced;
   std::uint64_t firstRun = (mTerm - job.mAcceptedTerm) * kMaxRunsPerTerm;
   std::uint32_t starts = step.mGangStarts;
   for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
@@ -432,7 +472,7 @@
       continue;
     }
     if (aNow < task.mNotBefore) {
-      allPlaced = false;
+      result = Placement::Waiting;
       continue;
     }
     requirements.mAvoidedWorker = task.mLastFailedWorker;
@@ -467,10 +507,13 @@
       continue;
     }
     if (!chosen) {
-      allPlaced = false;
+      result = Placement::NoRoom;
       break;
     }
     aTargets[*chosen].mReserved += requirements.mResources;
+    if (spec.mLongRunning) {
+      aTargets[*chosen].mLongRunning += requirements.mResources;
+    }
     ++aTargets[*chosen].mStepTasks;
     if (spec.mSameRack && rack.empty()) {
       rack = aTargets[*chosen].mRack;
@@ -480,11 +523,14 @@
   for (std::size_t w = 0; w < aTargets.size(); ++w) {
     aTargets[w].mUnschedulable = unschedulable[w];
   }
-  if (spec.mGang && !allPlaced) {
+  if (spec.mGang && result != Placement::AllPlaced) {
     for (auto [index, target] : placed) {
       aTargets[target].mReserved -= requirements.mResources;
+      if (spec.mLongRunning) {
+        aTargets[target].mLongRunning -= requirements.mResources;
+      }
     }
-    return false;
+    return result;
   }
   if (spec.mGang && !placed.empty()) {
     ++step.mGangStarts;
@@ -498,7 +544,13 @@
     aTargets[target].mUnschedulable =
       aTargets[target].mUnschedulable || aWorkers[target]->mIsolatedRuns > 0;
   }
-  return allPlaced;
+  // Others may have room where the step's own limits or tickets leave none.
+  TaskRequirements unlimited = requirements;
+  unlimited.mMaxPerWorker = 0;
+  if (result == Placement::NoRoom && PickWorker(aTargets, unlimited)) {
+    return Placement::Waiting;
+  }
+  return result;
 }
 
 // --- Stops
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -255,6 +255,9 @@
 CellWorker::AddRun(const TaskId& aTask, const ActiveRun& aRun)
 {
   mReserved += aRun.mReserved;
+  if (aRun.mLongRunning) {
+    mLongRunning += aRun.mReserved;
+  }
   mIsolatedRuns += aRun.mEarlierCrashes >= kCrashesUntilIsolated ? 1 : 0;
   mRuns.emplace(aTask, aRun);
 }
@@ -286,6 +289,9 @@
   auto it = aWorker.mRuns.find(aTask);
   if (it != aWorker.mRuns.end()) {
     aWorker.mReserved -= it->second.mReserved;
+    if (it->second.mLongRunning) {
+      aWorker.mLongRunning -= it->second.mReserved;
+    }
     aWorker.mIsolatedRuns -=
       it->second.mEarlierCrashes >= kCrashesUntilIsolated ? 1 : 0;
     aWorker.mRuns.erase(it);
--- a/src/decide/task_placement.cpp
+++ b/src/decide/task_placement.cpp
@@ -5,8 +5,6 @@
 
 namespace buckthornshunt {
 
-namespace {
-
 bool
 HasLabel(const PlacementTarget& aWorker, std::string_view aLabel)
 {
@@ -15,8 +13,6 @@
            aWorker.mLabels.end();
 }
 
-} // namespace
-
 Resources
 ReservedResources(const StepSpec& aStep)
 {
@@ -62,14 +58,33 @@
 }
 
 bool
-FitsWhenEmpty(std::span<const PlacementTarget> aWorkers,
-              const TaskRequirements& aRequirements)
+FitsBesideLongRunning(const PlacementTarget& aWorker,
+                      const TaskRequirements& aRequirements)
 {
-  return std::any_of(
-    aWorkers.begin(), aWorkers.end(), [&](const PlacementTarget& aWorker) {
-      return HasLabel(aWorker, aRequirements.mRequiredLabel) &&
-             Fits(aWorker.mCapacity, Resources{}, aRequirements.mResources);
-    });
+  return HasLabel(aWorker, aRequirements.mRequiredLabel) &&
+         Fits(
+           aWorker.mCapacity, aWorker.mLongRunning, aRequirements.mResources);
+}
+
+std::uint32_t
+CountSlots(std::span<const PlacementTarget> aWorkers,
+           const TaskRequirements& aRequirements,
+           std::uint32_t aMax)
+{
+  std::uint32_t slots = 0;
+  for (const PlacementTarget& worker : aWorkers) {
+    bool usable =
+      !worker.mUnschedulable && HasLabel(worker, aRequirements.mRequiredLabel);
+    std::uint32_t limit =
+      aRequirements.mMaxPerWorker == 0 ? aMax : aRequirements.mMaxPerWorker;
+    Resources reserved = worker.mReserved;
+    for (std::uint32_t i = 0; usable && i < limit && slots < aMax; ++i) {
+      usable = Fits(worker.mCapacity, reserved, aRequirements.mResources);
+      reserved += aRequirements.mResources;
+      slots += usable ? 1 : 0;
+    }
+  }
+  return slots;
 }
 
 } // namespace buckthornshunt
--- a/src/decide/task_placement.h
+++ b/src/decide/task_placement.h
@@ -19,6 +19,8 @@
   std::span<const std::string> mLabels;
   Resources mCapacity;
   Resources mReserved;
+  /// Part of mReserved that long-running tasks hold.
+  Resources mLongRunning;
   /// Gets no new tasks for now.
   bool mUnschedulable = false;
   /// Active tasks of the step that is being placed.
@@ -48,10 +50,20 @@
 PickWorker(std::span<const PlacementTarget> aWorkers,
            const TaskRequirements& aRequirements);
 
-/// Whether some worker could run the task if it were empty.
 bool
-FitsWhenEmpty(std::span<const PlacementTarget> aWorkers,
-              const TaskRequirements& aRequirements);
+HasLabel(const PlacementTarget& aWorker, std::string_view aLabel);
+
+/// Whether a worker could run the task if it ran nothing but its long-running
+/// tasks.
+bool
+FitsBesideLongRunning(const PlacementTarget& aWorker,
+                      const TaskRequirements& aRequirements);
+
+/// Number of equal tasks that the workers could take now, at most aMax.
+std::uint32_t
+CountSlots(std::span<const PlacementTarget> aWorkers,
+           const TaskRequirements& aRequirements,
+           std::uint32_t aMax);
 
 } // namespace buckthornshunt
 
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <functional>
+
 using namespace buckthornshunt;
 using namespace buckthornshunt::tests;
 using namespace std::chrono_literals;
@@ -731,6 +733,133 @@
   CHECK(std::get<StartRun>(orders[0].mCall).mTask.mJob == "small");
 }
 
+namespace {
+
+// Submits jobs of several steps each that no worker can ever run, and lets them
+// become overdue.
+void
+SubmitImpossibleJobs(SingleWorkerCell& aHarness,
+                     const std::function<void(StepSpec&, int)>& aChange)
+{
+  constexpr int kJobs = 30;
+  for (int i = 0; i < kJobs; ++i) {
+    JobSpec spec = ChainOf({ 1, 1, 1, 1 }, 100ms);
+    for (StepSpec& step : spec.mSteps) {
+      step.mDependencies.clear();
+      aChange(step, i);
+    }
+    spec.mOccurrences = 1;
+    aHarness.Submit("impossible" + std::to_string(i), spec);
+  }
+  aHarness.mNow += 60s;
+}
+
+// A job that is overdue as well, and younger.
+void
+CheckOverdueJobStarts(SingleWorkerCell& aHarness)
+{
+  JobSpec late = ChainOf({ 1 }, 100ms);
+  late.mOccurrences = 1;
+  aHarness.Submit("late", late);
+  aHarness.mNow += 30s;
+  std::vector<CellOrder> orders = aHarness.Plan();
+  REQUIRE(orders.size() == 1);
+  CHECK(std::get<StartRun>(orders[0].mCall).mTask.mJob == "late");
+}
+
+} // namespace
+
+// Guards against planning passes that end at steps which can never be placed.
+TEST_CASE("jobs that need a missing label keep an overdue one from starting")
+{
+  for (bool sameLabel : { true, false }) {
+    CAPTURE(sameLabel);
+    SingleWorkerCell harness;
+    SubmitImpossibleJobs(harness, [&](StepSpec& aStep, int aJob) {
+      aStep.mRequiredLabel = "missing";
+      aStep.mRequiredLabel += sameLabel ? "" : std::to_string(aJob);
+    });
+    CheckOverdueJobStarts(harness);
+  }
+}
+
+TEST_CASE("jobs that fit on no worker keep an overdue one from starting")
+{
+  SUBCASE("gangs that are too large for the pool")
+  {
+    SingleWorkerCell harness;
+    SubmitImpossibleJobs(harness, [](StepSpec& aStep, int aJob) {
+      aStep.mGang = true;
+      aStep.mTaskCount = 20 + static_cast<std::uint32_t>(aJob);
+    });
+    CheckOverdueJobStarts(harness);
+  }
+  SUBCASE("gangs that are limited to one task a worker")
+  {
+    SingleWorkerCell harness;
+    SubmitImpossibleJobs(harness, [](StepSpec& aStep, int) {
+      aStep.mGang = true;
+      aStep.mTaskCount = 2;
+      aStep.mMaxPerWorker = 1;
+    });
+    CheckOverdueJobStarts(harness);
+  }
+  SUBCASE("long-running tasks that are too large")
+  {
+    SingleWorkerCell harness;
+    SubmitImpossibleJobs(harness, [](StepSpec& aStep, int aJob) {
+      aStep.mLongRunning = true;
+      aStep.mTaskResources.mCpuMillis = 33000 + aJob;
+    });
+    CheckOverdueJobStarts(harness);
+  }
+}
+
+TEST_CASE("tasks that wait for their retry keep an overdue one from starting")
+{
+  SingleWorkerCell harness;
+  // Of each job one task has failed and waits. The other has succeeded, so that
+  // the worker isn't avoided.
+  std::vector<EndedRun> ends;
+  std::uint64_t sequence = 0;
+  for (int i = 0; i < 45; ++i) {
+    std::string id = "failed" + std::to_string(i);
+    JobSpec spec = ChainOf({ 2 }, 100ms);
+    spec.mSteps[0].mTaskResources = { 100, 100, 0 };
+    spec.mOccurrences = 1;
+    harness.Submit(id, spec);
+    ends.push_back({ ++sequence, { id, 0, 0, 0 }, 1, RunEnd::Failed, "" });
+    ends.push_back({ ++sequence, { id, 0, 0, 1 }, 1, RunEnd::Done, "" });
+  }
+  harness.mNow += 1s;
+  JobSpec late = ChainOf({ 1, 1 }, 100ms);
+  late.mOccurrences = 1;
+  harness.Submit("late", late);
+  ends.push_back({ ++sequence, { "late", 0, 0, 0 }, 1, RunEnd::Done, "" });
+  harness.mNow += 60s;
+  REQUIRE(harness.PlanAndAnswer().size() == 91);
+  harness.List({}, ends);
+  std::vector<CellOrder> orders = harness.Plan();
+  REQUIRE(orders.size() == 1);
+  CHECK(std::get<StartRun>(orders[0].mCall).mTask.mJob == "late");
+}
+
+// Guards against admission that counts the work of jobs that can't end.
+TEST_CASE("jobs that can never start make an idle pool refuse others")
+{
+  SingleWorkerCell harness;
+  for (int i = 0; i < 30; ++i) {
+    JobSpec spec = ChainOf({ 8 });
+    spec.mSteps[0].mRequiredLabel = "missing";
+    harness.mCell.Submit({ "m" + std::to_string(i), "q", spec, {} },
+                         harness.mNow);
+    harness.Commit();
+  }
+  harness.mNow += 1s;
+  CHECK(harness.mCell.Submit({ "new", "q", ChainOf({ 8 }), {} },
+                             harness.mNow) == SubmitResult::Accepted);
+}
+
 TEST_CASE("a task starts twice while a run of its worker can't be read")
 {
   SingleWorkerCell cell;
