Stop long-running tasks only where they can go, and bring VMs

Cause: tasks of draining workers were stopped without room elsewhere; the limit of unavailable tasks then kept the others there; a wave never gives a VM up, so that the only workers with room stayed closed; and long-running tasks that wait were no demand for VMs.

Four new tests of the cell and of the fleet plan fail on the sources before.

Fix: the cell packs the long-running tasks without a worker and those on draining ones beside the others. It stops only what has room, and reports the VMs that are missing, which the fleet brings; a pool that lacks VMs gives none away, and a wave gives up or leaves out its VMs.

Two tests drained the only worker and expected a stop, which is the fault. They have a second worker to which the task can go; their checks are the same.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -278,6 +278,8 @@
       }
     }
   }
+  LongRunningRoom room = FindLongRunningRoom(aNow);
+  use.mMissingVms = room.mMissingWorkers;
   for (const auto& [id, worker] : mWorkers) {
     WorkerUsage& workerUse = use.mWorkers[id];
     if (!worker.mListed) {
@@ -285,6 +287,9 @@
         UnlistedWorker{ worker.mReport.mVm, worker.mIncarnation };
     }
     workerUse.mRuns = static_cast<std::uint32_t>(worker.mRuns.size());
+    if (auto it = room.mExpectedRuns.find(id); it != room.mExpectedRuns.end()) {
+      workerUse.mRuns += it->second;
+    }
     workerUse.mSealed = worker.mDraining && worker.mTokenAccepted;
     for (const auto& [task, run] : worker.mRuns) {
       if (run.mLongRunning) {
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -347,6 +347,17 @@
     double mRuns = 0;
   };
   struct Candidate;
+  /// Where the long-running tasks can run that have no worker or are to leave
+  /// theirs.
+  struct LongRunningRoom
+  {
+    /// Those on draining workers that another worker has room for.
+    std::set<TaskId> mMovable;
+    /// Number of these tasks by the worker that has room for them.
+    std::map<std::string_view, std::uint32_t> mExpectedRuns;
+    /// Additional workers that the others need.
+    std::uint32_t mMissingWorkers = 0;
+  };
   /// Outcome of the placement of a step's idle tasks.
   enum class Placement : std::uint8_t
   {
@@ -417,6 +428,7 @@
   void OpenOccurrences(WallTime aWallNow);
   bool InheritedRunsKnown(TimePoint aNow) const;
   void PlanStops(TimePoint aNow, std::vector<CellOrder>& aOrders);
+  LongRunningRoom FindLongRunningRoom(TimePoint aNow) const;
   void PlanEvacuation(TimePoint aNow);
   void PlanRates(TimePoint aNow, std::vector<CellOrder>& aOrders);
   void PlanStarts(TimePoint aNow, std::vector<CellOrder>& aOrders);
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -588,12 +588,188 @@
   return unavailable;
 }
 
-// Stops the tasks on draining workers. Long-running tasks are stopped within
-// their step's limit of unavailable tasks, but at once on a worker that the
-// platform drains, where they end in any case.
+namespace {
+
+/// Places long-running tasks on the workers of a pool as if they ran no others,
+/// which end by themselves, and on additional workers.
+class LongRunningPacker
+{
+public:
+  explicit LongRunningPacker(std::vector<PlacementTarget> aTargets)
+    : mTargets(std::move(aTargets))
+  {
+  }
+
+  /// Sets the worker that additional ones equal.
+  void SetModel(PlacementTarget aModel) { mModel = std::move(aModel); }
+
+  /// Begins a step whose tasks run on the listed workers.
+  void BeginStep(const StepSpec& aSpec,
+                 const std::map<std::string_view, std::uint32_t>& aActive)
+  {
+    mRequirements = RequirementsOf(aSpec);
+    for (PlacementTarget& target : mTargets) {
+      auto it = aActive.find(target.mId);
+      target.mStepTasks = it == aActive.end() ? 0 : it->second;
+    }
+    for (PlacementTarget& target : mAdded) {
+      target.mStepTasks = 0;
+    }
+  }
+
+  /// Worker that has room for a task of the step; empty if none has.
+  std::string_view Place()
+  {
+    if (auto index = PickWorker(mTargets, mRequirements)) {
+      Reserve(mTargets[*index]);
+      return mTargets[*index].mId;
+    }
+    auto index = PickWorker(mAdded, mRequirements);
+    if (!index && mModel && PickWorker({ &*mModel, 1 }, mRequirements)) {
+      mAdded.push_back(*mModel);
+      index = mAdded.size() - 1;
+    }
+    if (index) {
+      Reserve(mAdded[*index]);
+    }
+    return {};
+  }
+
+  std::size_t AddedWorkers() const { return mAdded.size(); }
+
+private:
+  void Reserve(PlacementTarget& aTarget)
+  {
+    aTarget.mReserved += mRequirements.mResources;
+    ++aTarget.mStepTasks;
+  }
+
+  std::vector<PlacementTarget> mTargets;
+  std::vector<PlacementTarget> mAdded;
+  std::optional<PlacementTarget> mModel;
+  TaskRequirements mRequirements;
+};
+
+} // namespace
+
+// Tasks without a worker come before those that still run on a draining one.
+// While the runs of an earlier owner aren't known, neither are the tasks
+// without a worker.
+Cell::LongRunningRoom
+Cell::FindLongRunningRoom(TimePoint aNow) const
+{
+  struct Homeless
+  {
+    const StepSpec* mSpec;
+    const StepRecord* mStep;
+    std::vector<TaskId> mIdle;
+    std::vector<TaskId> mLeaving;
+  };
+  auto isLeaving = [&](const TaskRecord& aTask) {
+    auto worker = mWorkers.find(aTask.mWorker);
+    return aTask.mStage == TaskStage::Active && worker != mWorkers.end() &&
+           (worker->second.mDraining || worker->second.mReport.mDraining);
+  };
+  std::vector<Homeless> steps;
+  for (const std::string& id : mLiveJobs) {
+    const CellJob& job = mJobs.find(id)->second;
+    if (!job.mStored) {
+      continue;
+    }
+    for (const auto& [number, occurrence] : job.mOccurrences) {
+      for (std::uint32_t s = 0; s < occurrence.mSteps.size(); ++s) {
+        const StepSpec& spec = job.mSpec.mSteps[s];
+        const StepRecord& step = occurrence.mSteps[s];
+        if (!spec.mLongRunning || !IsStepReady(job.mSpec, occurrence, s)) {
+          continue;
+        }
+        Homeless homeless{ &spec, &step, {}, {} };
+        for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
+          if (step.mTasks[i].mStage == TaskStage::Idle) {
+            homeless.mIdle.push_back({ id, number, s, i });
+          } else if (isLeaving(step.mTasks[i])) {
+            homeless.mLeaving.push_back({ id, number, s, i });
+          }
+        }
+        if (!homeless.mIdle.empty() || !homeless.mLeaving.empty()) {
+          steps.push_back(std::move(homeless));
+        }
+      }
+    }
+  }
+  LongRunningRoom room;
+  if (steps.empty() || !InheritedRunsKnown(aNow)) {
+    return room;
+  }
+  std::vector<PlacementTarget> targets;
+  std::optional<PlacementTarget> model;
+  for (const auto& [id, worker] : mWorkers) {
+    const WorkerReport& report = worker.mReport;
+    PlacementTarget target{ id,
+                            report.mRack,
+                            report.mLabels,
+                            report.mCapacity,
+                            worker.mLongRunning,
+                            worker.mLongRunning,
+                            false,
+                            0 };
+    if (Usable(worker, aNow)) {
+      targets.push_back(target);
+    }
+    if (worker.mListed &&
+        (!model || target.mCapacity.mMemoryMb > model->mCapacity.mMemoryMb)) {
+      target.mReserved = {};
+      model = target;
+    }
+  }
+  LongRunningPacker packer(std::move(targets));
+  if (model) {
+    packer.SetModel(*model);
+  }
+  for (bool leaving : { false, true }) {
+    for (const Homeless& homeless : steps) {
+      const std::vector<TaskId>& tasks =
+        leaving ? homeless.mLeaving : homeless.mIdle;
+      std::map<std::string_view, std::uint32_t> active;
+      for (const TaskRecord& task : homeless.mStep->mTasks) {
+        if (!tasks.empty() && task.mStage == TaskStage::Active) {
+          ++active[task.mWorker];
+        }
+      }
+      packer.BeginStep(*homeless.mSpec, active);
+      for (const TaskId& task : tasks) {
+        std::string_view worker = packer.Place();
+        if (worker.empty()) {
+          continue;
+        }
+        ++room.mExpectedRuns[worker];
+        if (leaving) {
+          room.mMovable.insert(task);
+        }
+      }
+    }
+  }
+  room.mMissingWorkers = static_cast<std::uint32_t>(packer.AddedWorkers());
+  return room;
+}
+
+// Stops the tasks on draining workers. Long-running tasks are stopped if they
+// can run elsewhere, and within their step's limit of unavailable tasks, but at
+// once on a worker that the platform drains, where they end in any case. A task
+// that is stopped without room elsewhere would be away for as long as the
+// worker drains, and would keep its step's other tasks there.
 void
 Cell::PlanEvacuation(TimePoint aNow)
 {
+  bool evacuates =
+    std::any_of(mWorkers.begin(), mWorkers.end(), [](const auto& aEntry) {
+      const CellWorker& worker = aEntry.second;
+      return worker.mDraining && worker.mTokenAccepted && !worker.mRuns.empty();
+    });
+  LongRunningRoom room;
+  if (evacuates) {
+    room = FindLongRunningRoom(aNow);
+  }
   bool inheritedRunsKnown = InheritedRunsKnown(aNow);
   for (auto& [id, worker] : mWorkers) {
     bool draining = worker.mReport.mDraining && worker.mListed;
@@ -610,7 +786,8 @@
       Duration ran = aNow - run.mStageSince;
       if (spec.mLongRunning) {
         // A task of an earlier term can't be started elsewhere yet.
-        bool movable = inheritedRunsKnown || !job->mInherited;
+        bool movable = (inheritedRunsKnown || !job->mInherited) &&
+                       room.mMovable.contains(task);
         bool mayBecomeUnavailable =
           spec.mMaxUnavailable == 0 ||
           CountUnavailableTasks(
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -14,8 +14,9 @@
 /// Fraction of an even share of the fleet that every pool keeps: a burst is
 /// served by the VMs that are there until the first VM has moved.
 constexpr double kStandbyShare = 0.7;
-/// A move whose VM isn't empty within this time is cancelled.
-constexpr Duration kMoveDrainTimeout = std::chrono::seconds(4);
+/// A move whose VM isn't empty within this time is cancelled, and so is a
+/// maintenance in a pool without room for what runs there.
+constexpr Duration kDrainTimeout = std::chrono::seconds(4);
 /// Maximum fraction of a pool that may be leaving when a wave takes a VM.
 constexpr double kMaxLeavingShare = 0.34;
 /// Time to empty one VM, maintain it (2 s) and list it again, including as much
@@ -49,6 +50,10 @@
   int mLeaving = 0;
   /// VMs on their way to the pool.
   int mArriving = 0;
+  /// VMs that have arrived and that the cell's owner doesn't know yet.
+  int mUnreported = 0;
+  /// Additional VMs that long-running tasks need.
+  int mMissingVms = 0;
   double mUsableCores = 0;
   double mGrowThreshold = 0;
   double mShrinkThreshold = 0;
@@ -59,6 +64,7 @@
   int mStandbyVms = 0;
 
   int Staying() const { return mVms - mLeaving; }
+  bool LacksRoom() const { return mMissingVms > 0; }
 };
 
 /// One VM's state while a plan is made.
@@ -99,6 +105,7 @@
       pool.mLeaving += leaving ? 1 : 0;
       if (vm.mState == PoolVmState::Up && !leaving) {
         pool.mUsableCores += CoresOf(vm);
+        pool.mUnreported += mVms.back().mUsage == nullptr ? 1 : 0;
       }
     }
     for (std::size_t i = 0; i < mVms.size(); ++i) {
@@ -151,6 +158,7 @@
       pool.mUsage = &usage;
       pool.mGrowThreshold = GrowThresholdCores(usage);
       pool.mShrinkThreshold = ShrinkThresholdCores(usage);
+      pool.mMissingVms = static_cast<int>(usage.mMissingVms);
       pool.mMinVms =
         usage.mMinVms > 0 ? static_cast<int>(usage.mMinVms) + 1 : 0;
     }
@@ -189,8 +197,8 @@
       }
       bool empty = !vm->NeedsSeal() || (vm->IsIdle() && vm->mUsage->mSealed);
       bool stale = vm->mVm->mWorker != intent.mWorker || !vm->IsUp();
-      bool timedOut =
-        intent.mWave == 0 && mView.mNow > intent.mCreatedAt + kMoveDrainTimeout;
+      bool timedOut = (intent.mWave == 0 || vm->mPool->LacksRoom()) &&
+                      mView.mNow > intent.mCreatedAt + kDrainTimeout;
       if (stale || (timedOut && !empty)) {
         mPlan.mCancelledIntents.push_back(name);
       } else if (empty) {
@@ -311,10 +319,12 @@
         std::max(1.0, std::floor(pool.mVms * kMaxLeavingShare));
       bool tooManyLeaving = cost > 0 && pool.mLeaving >= maxLeaving;
       bool unknown = vm->NeedsSeal() && pool.mUsage == nullptr;
+      // Its long-running tasks would have to stay.
+      bool stuck = cost > 2 && pool.LacksRoom();
       // A pool in its peak goes last.
       bool needed = vm->NeedsSeal() && !unknown &&
                     pool.mUsableCores - CoresOf(*vm->mVm) < pool.mGrowThreshold;
-      if (unknown || ((tooManyLeaving || needed) && !urgent)) {
+      if (unknown || stuck || ((tooManyLeaving || needed) && !urgent)) {
         continue;
       }
       FleetIntent intent;
@@ -332,6 +342,10 @@
       if (pool.Staying() < pool.mMinVms) {
         deficit = std::max(deficit, 1.0);
       }
+      int missing = pool.mMissingVms - pool.mArriving - pool.mUnreported;
+      if (missing > 0) {
+        deficit = std::max(deficit, (missing - 1) * MeanCores() + 1);
+      }
       if (pool.mUsage != nullptr && !pool.mSpare && deficit > 0) {
         shortPools.emplace_back(-deficit, name);
       }
@@ -344,6 +358,15 @@
     }
   }
 
+  double MeanCores() const
+  {
+    double cores = 0;
+    for (const VmState& vm : mVms) {
+      cores += CoresOf(*vm.mVm);
+    }
+    return cores / static_cast<double>(std::max<std::size_t>(mVms.size(), 1));
+  }
+
   // Takes VMs that are switched off first, then idle ones of pools that stay
   // above their shrink thresholds; false if there aren't enough. What a pool
   // can give only falls while another grows, so that one pass over the VMs
@@ -365,7 +388,7 @@
       const PoolState& pool = *it->mPool;
       bool free =
         it->mPool != target && !pool.mSpare && it->IsMovable() &&
-        it->IsIdle() && pool.Staying() > pool.mMinVms &&
+        it->IsIdle() && !pool.LacksRoom() && pool.Staying() > pool.mMinVms &&
         pool.mUsableCores - CoresOf(*it->mVm) >= pool.mShrinkThreshold;
       if (free) {
         take(*it);
@@ -410,7 +433,7 @@
   {
     const PoolState& pool = *aVm.mPool;
     return !pool.mSpare && aVm.IsMovable() && aVm.IsIdle() &&
-           pool.Staying() > pool.mStandbyVms &&
+           !pool.LacksRoom() && pool.Staying() > pool.mStandbyVms &&
            pool.mUsableCores - CoresOf(*aVm.mVm) >= pool.mShrinkThreshold;
   }
 
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -29,7 +29,7 @@
 /// One worker's usage, as reported by the owner of the pool's cell.
 struct WorkerUsage
 {
-  /// Runs that are or may be on it.
+  /// Runs that are or may be on it, or that are to be started there.
   std::uint32_t mRuns = 0;
   /// Some of the runs are long-running.
   bool mHasLongRunning = false;
@@ -50,6 +50,8 @@
   double mMeanDemandCores = 0;
   /// Cores held by long-running tasks.
   double mLongRunningCores = 0;
+  /// Additional VMs needed for long-running tasks that have no room.
+  std::uint32_t mMissingVms = 0;
   /// Minimum VMs with which the jobs' limits on tasks per VM can be kept.
   std::uint32_t mMinVms = 0;
   std::map<std::string, WorkerUsage, std::less<>> mWorkers;
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -178,6 +178,7 @@
            { "mean", aUsage.mMeanDemandCores },
            { "lasting", aUsage.mLongRunningCores },
            { "vms", aUsage.mMinVms },
+           { "missing", aUsage.mMissingVms },
            { "workers", std::move(workers) } };
 }
 
@@ -191,6 +192,10 @@
   BOOST_LEAF_ASSIGN(usage.mMeanDemandCores, ReadCores(aJson, "mean"));
   BOOST_LEAF_ASSIGN(usage.mLongRunningCores, ReadCores(aJson, "lasting"));
   BOOST_LEAF_ASSIGN(usage.mMinVms, ReadUnsigned32(aJson, "vms"));
+  // Nodes of the previous version don't send this field.
+  if (aJson.contains("missing")) {
+    BOOST_LEAF_ASSIGN(usage.mMissingVms, ReadUnsigned32(aJson, "missing"));
+  }
   BOOST_LEAF_AUTO(workers, ReadArray(aJson, "workers"));
   // One malformed worker rejects the report: a worker that is left out would
   // look empty, and its VM would be taken away.
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -91,6 +91,18 @@
     mCell.OnListing("w", aListing, sent, mNow);
   }
 
+  /// Adds a worker without runs that equals the first one.
+  void AddIdleWorker(std::string_view aId)
+  {
+    WorkerReport report = mReports[0];
+    report.mId = aId;
+    report.mIncarnation = 5;
+    mReports.push_back(report);
+    mCell.SetWorkers(mReports, mNow);
+    mCell.OnListing(aId, { 0, 5, {}, {} }, mNow, mNow);
+    Commit();
+  }
+
   void Commit()
   {
     CellChanges changes = mCell.TakeChanges(mNow);
@@ -516,11 +528,69 @@
     present.push_back({ { "a", 0, 0, i }, 1, "", 100, std::nullopt });
   }
   harness.List(present, {});
+  harness.AddIdleWorker("v");
   harness.mCell.SetDraining("w", true);
   CHECK(harness.PlanAndAnswer().size() == 1);
   CHECK(harness.PlanAndAnswer().empty());
 }
 
+// Guards against tasks that are stopped for a maintenance and have no worker to
+// go to, while their step's limit keeps the other ones on the draining worker.
+TEST_CASE("a long-running task is stopped without room for it elsewhere")
+{
+  SingleWorkerCell harness;
+  JobSpec spec = ChainOf({ 3 });
+  spec.mSteps[0].mLongRunning = true;
+  spec.mSteps[0].mMaxUnavailable = 1;
+  spec.mSteps[0].mTaskResources = { 2000, 33000, 0 };
+  harness.Submit("a", spec);
+  REQUIRE(harness.PlanAndAnswer().size() == 3);
+  std::vector<ReportedRun> present;
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    present.push_back({ { "a", 0, 0, i }, 1, "", 100, std::nullopt });
+  }
+  harness.List(present, {});
+  CHECK(harness.mCell.Use(harness.mNow).mMissingVms == 0);
+  harness.mCell.SetDraining("w", true);
+  CHECK(harness.Plan().empty());
+  CHECK(harness.mCell.Use(harness.mNow).mMissingVms == 1);
+  harness.AddIdleWorker("v");
+  PoolUsage use = harness.mCell.Use(harness.mNow);
+  CHECK(use.mMissingVms == 0);
+  // The new worker isn't idle for the fleet, or it would be given away.
+  CHECK(use.mWorkers["v"].mRuns == 3);
+  std::vector<CellOrder> orders = harness.PlanAndAnswer();
+  REQUIRE(orders.size() == 1);
+  CHECK(std::holds_alternative<StopRun>(orders[0].mCall));
+}
+
+TEST_CASE("long-running tasks wait for room without asking for a VM")
+{
+  SingleWorkerCell harness;
+  JobSpec spec = ChainOf({ 7 });
+  spec.mSteps[0].mLongRunning = true;
+  spec.mSteps[0].mTaskResources = { 2000, 33000, 0 };
+  harness.Submit("a", spec);
+  CHECK(harness.PlanAndAnswer().size() == 3);
+  // Three tasks fit on a worker.
+  CHECK(harness.mCell.Use(harness.mNow).mMissingVms == 2);
+  // What no VM like those of the pool could hold needs none.
+  spec.mSteps[0].mTaskResources.mMemoryMb = 200000;
+  harness.Submit("b", spec);
+  CHECK(harness.mCell.Use(harness.mNow).mMissingVms == 2);
+  // An owner that doesn't know yet what runs asks for nothing.
+  SingleWorkerCell next;
+  std::vector<WorkerAddress> inherited = { { "gone", { "127.0.0.1", 9 } } };
+  next.mCell.RestoreWorkers(inherited, next.mNow);
+  StoredJob stored{ "a", "q", spec, 1, {} };
+  stored.mSpec.mSteps[0].mTaskResources.mMemoryMb = 33000;
+  next.mCell.Restore(RestoreJob(stored, {}), next.mNow, {});
+  next.Plan();
+  CHECK(next.mCell.Use(next.mNow).mMissingVms == 0);
+  CHECK(next.mCell.OnWorkerEnded("gone", 77, next.mNow));
+  CHECK(next.mCell.Use(next.mNow).mMissingVms == 2);
+}
+
 TEST_CASE("a worker reported gone is probed before its runs are dropped")
 {
   SingleWorkerCell harness;
@@ -569,6 +639,7 @@
   stored.mSpec.mSteps[0].mMaxUnavailable = 1;
   harness.mCell.Restore(RestoreJob(stored, {}), harness.mNow, {});
   harness.List({ { { "a", 0, 0, 0 }, 1, "", 100, std::nullopt } }, {});
+  harness.AddIdleWorker("v");
   harness.mCell.SetDraining("w", true);
   CHECK(harness.Plan().empty());
   CHECK(harness.mCell.OnWorkerEnded("gone", 77, harness.mNow));
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -146,6 +146,65 @@
   }
 }
 
+// Guards against tasks that last waiting for room beside idle VMs.
+TEST_CASE("long-running tasks without room bring no VMs into their pool")
+{
+  Fleet fleet;
+  for (auto& [id, worker] : fleet.mView.mPools["b"].mWorkers) {
+    worker.mRuns = 1;
+  }
+  fleet.mView.mPools["a"].mMissingVms = 2;
+  FleetPlan plan = PlanFleet(fleet.mView);
+  CHECK(plan.mNewIntents.size() == 2);
+  for (const auto& [vm, intent] : plan.mNewIntents) {
+    CHECK(intent.mTargetPool == "a");
+  }
+  // VMs on their way count, and so do those that the cell doesn't know yet.
+  fleet.mView.mIntents = plan.mNewIntents;
+  CHECK(PlanFleet(fleet.mView).mNewIntents.empty());
+  fleet.mView.mIntents.clear();
+  for (PoolVm& vm : fleet.mView.mVms) {
+    if (plan.mNewIntents.contains(vm.mVm)) {
+      vm.mPool = "a";
+      vm.mWorker += "-next";
+    }
+  }
+  CHECK(PlanFleet(fleet.mView).mNewIntents.empty());
+}
+
+// Guards against a wave and the limit of unavailable tasks holding each other
+// up: the wave keeps the workers sealed on which the tasks could start.
+TEST_CASE("a wave keeps VMs sealed whose tasks have no room elsewhere")
+{
+  Fleet fleet;
+  std::erase_if(fleet.mView.mVms,
+                [](const PoolVm& aVm) { return aVm.mPool != "a"; });
+  fleet.Wave({ "a0", "a1" }, 2);
+  PoolUsage& use = fleet.Report("a");
+  for (auto& [id, worker] : use.mWorkers) {
+    worker.mRuns = 3;
+    worker.mHasLongRunning = true;
+  }
+  FleetIntent intent;
+  intent.mWave = 1;
+  intent.mWorker = "w-a0";
+  intent.mCreatedAt = fleet.mView.mNow;
+  fleet.mView.mIntents["a0"] = intent;
+  fleet.mView.mNow += 5s;
+  use.mReportedAt = fleet.mView.mNow;
+  CHECK(PlanFleet(fleet.mView).mCancelledIntents.empty());
+  use.mMissingVms = 1;
+  FleetPlan plan = PlanFleet(fleet.mView);
+  CHECK(plan.mCancelledIntents == std::vector<std::string>{ "a0" });
+  // Nor does it take another one there, even if it is late.
+  fleet.mView.mNow += 60s;
+  use.mReportedAt = fleet.mView.mNow;
+  fleet.mView.mIntents.clear();
+  CHECK(CountInWave(PlanFleet(fleet.mView)) == 0);
+  use.mMissingVms = 0;
+  CHECK(CountInWave(PlanFleet(fleet.mView)) > 0);
+}
+
 TEST_CASE("a stream of jobs counts as demand, a single large job doesn't")
 {
   DemandEstimator meter;
