Log runs that are lost without a listing, and why

The users saw nine tasks with two runs each, both ordered by one node, and the logs don't say why it took the first run for ended: only crashes are logged. A line now names the cause (an expired lease, a restart, a proof that the worker has ended), the number of runs and how long it was silent.

Related: a worker that restarts at another address was taken for ended when a call to its former address was answered by another worker. "a worker that restarts at another address is taken for ended" plays that.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -211,6 +211,29 @@
   std::vector<Run> mRuns;
 };
 
+/// Why the runs of a worker were taken for ended without a listing.
+enum class RunLossCause : std::uint8_t
+{
+  LeaseExpired,
+  Restarted,
+  /// By the list of VMs, a confirmed move, or another worker at its address.
+  WorkerEnded
+};
+
+std::string_view
+ToString(RunLossCause aCause);
+
+/// Runs that a worker lost without listing their ends.
+struct RunLoss
+{
+  std::string mWorker;
+  std::int64_t mIncarnation = 0;
+  RunLossCause mCause = RunLossCause::LeaseExpired;
+  std::size_t mRuns = 0;
+  /// Time since the worker's last answer.
+  Duration mSilence{};
+};
+
 /// Cores of a pool.
 struct PoolSummary
 {
@@ -303,6 +326,8 @@
 
   /// Crashes of workers since the last call.
   std::vector<WorkerCrash> TakeCrashes();
+  /// Runs lost by workers since the last call.
+  std::vector<RunLoss> TakeRunLosses();
 
   /// Orders to send now.
   std::vector<CellOrder> Plan(TimePoint aNow, WallTime aWallNow);
@@ -396,6 +421,10 @@
   void EndIncarnation(CellWorker& aWorker, TimePoint aNow);
   void ReleaseRun(CellWorker& aWorker, const TaskId& aTask);
   void RemoveRun(CellWorker& aWorker, const TaskId& aTask);
+  void RecordRunLoss(const CellWorker& aWorker,
+                     RunLossCause aCause,
+                     std::size_t aRuns,
+                     TimePoint aNow);
   void ResetToIdle(const TaskId& aTask, std::string_view aWorker);
   void RecordCrash(CellWorker& aWorker,
                    std::span<const TaskId> aLost,
@@ -485,6 +514,7 @@
   std::map<std::string, TimePoint, std::less<>> mRejectedFirstSeen;
   DemandEstimator mDemand;
   std::vector<WorkerCrash> mCrashes;
+  std::vector<RunLoss> mRunLosses;
   double mIncomingCores = 0;
   PoolLoad mLoad;
   /// When mLoad was measured; none if it must be measured again.
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -186,6 +186,8 @@
     if (!worker.mListed) {
       RecordCrash(worker, worker.RunningTasks(), aNow);
     }
+    RecordRunLoss(
+      worker, RunLossCause::LeaseExpired, worker.mRuns.size(), aNow);
     while (!worker.mRuns.empty()) {
       RemoveRun(worker, worker.mRuns.begin()->first);
     }
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -420,6 +420,7 @@
   aWorker.mPersisted = false;
   aWorker.mInheritedRunsUnknown = false;
   aWorker.mLeaseExpiry = aNow;
+  RecordRunLoss(aWorker, RunLossCause::WorkerEnded, aWorker.mRuns.size(), aNow);
   while (!aWorker.mRuns.empty()) {
     RemoveRun(aWorker, aWorker.mRuns.begin()->first);
   }
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -210,6 +210,41 @@
   return std::exchange(mCrashes, {});
 }
 
+std::string_view
+ToString(RunLossCause aCause)
+{
+  switch (aCause) {
+    case RunLossCause::LeaseExpired:
+      return "lease_expired";
+    case RunLossCause::Restarted:
+      return "restarted";
+    case RunLossCause::WorkerEnded:
+      break;
+  }
+  return "worker_ended";
+}
+
+void
+Cell::RecordRunLoss(const CellWorker& aWorker,
+                    RunLossCause aCause,
+                    std::size_t aRuns,
+                    TimePoint aNow)
+{
+  if (aRuns > 0) {
+    mRunLosses.push_back({ aWorker.mReport.mId,
+                           aWorker.mIncarnation,
+                           aCause,
+                           aRuns,
+                           aNow - aWorker.mLastAnswerAt });
+  }
+}
+
+std::vector<RunLoss>
+Cell::TakeRunLosses()
+{
+  return std::exchange(mRunLosses, {});
+}
+
 // The lost runs ended with the earlier incarnation; other confirmed ones are
 // left to the next listing. An order in flight may still start its run in the
 // new incarnation, so that run is stopped first; what the earlier one has
@@ -220,6 +255,7 @@
                        TimePoint aNow)
 {
   RecordCrash(aWorker, aLost, aNow);
+  RecordRunLoss(aWorker, RunLossCause::Restarted, aLost.size(), aNow);
   for (const TaskId& task : aLost) {
     RemoveRun(aWorker, task);
   }
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -449,8 +449,12 @@
       WorkerAddress address{ aWorker, it->second.mReport.mEndpoint };
       TimePoint deadline =
         std::min(mClock.Now() + kOrderTimeout, mLease.Expiry());
+      Endpoint endpoint = address.mEndpoint;
       reply = co_await CallWorker(
         *mPorts.mWorkers, std::move(address), call, deadline);
+      if (IsFromFormerAddress(aWorker, endpoint, reply)) {
+        reply = Failure(ConnectFailure{ endpoint });
+      }
     }
     LogOrder(aWorker, call, reply);
     mCell->OnOrderReply(aWorker, call, reply, mClock.Now());
@@ -461,6 +465,20 @@
   --queue.mSenders;
 }
 
+// Another worker has the address that this one had before it restarted, which
+// says nothing about the present incarnation. It has not carried out the call.
+bool
+CellRuntime::IsFromFormerAddress(std::string_view aWorker,
+                                 const Endpoint& aEndpoint,
+                                 const Expected<WorkerReply>& aReply) const
+{
+  auto it = mCell->Workers().find(aWorker);
+  return Ok(aReply) &&
+         std::holds_alternative<IncarnationMismatch>(std::get<0>(aReply)) &&
+         it != mCell->Workers().end() &&
+         it->second.mReport.mEndpoint != aEndpoint;
+}
+
 namespace {
 
 struct OrderFormatter
@@ -594,6 +612,7 @@
 {
   const CellWorker& target = mCell->Workers().find(aWorker)->second;
   WorkerAddress address{ aWorker, target.mReport.mEndpoint };
+  Endpoint endpoint = address.mEndpoint;
   bool firstContact = !target.mTokenAccepted;
   TimePoint sent = mClock.Now();
   RenewLease renewal = mCell->NextRenewal(aWorker, kRenewalPollDuration, sent);
@@ -621,6 +640,9 @@
     }
     co_return false;
   }
+  if (IsFromFormerAddress(aWorker, endpoint, reply)) {
+    co_return false;
+  }
   if (std::holds_alternative<IncarnationMismatch>(workerReply)) {
     LogWarn(
       kPart, "renew worker={} pool={} outcome=other_worker", aWorker, mPool);
@@ -668,6 +690,16 @@
 void
 CellRuntime::RecordCrashes()
 {
+  for (const RunLoss& loss : mCell->TakeRunLosses()) {
+    LogInfo(kPart,
+            "runs lost worker={} pool={} born={} cause={} n={} silent_ms={}",
+            loss.mWorker,
+            mPool,
+            loss.mIncarnation,
+            ToString(loss.mCause),
+            loss.mRuns,
+            ToMillis(loss.mSilence));
+  }
   for (const WorkerCrash& crash : mCell->TakeCrashes()) {
     mCommitDue.Set();
     mKernel.GetMetrics().GetCounter("worker_crashes_total").Add();
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -145,6 +145,9 @@
   void RecordCrashes();
   void LogEndedRuns(const CellWorker& aWorker,
                     const WorkerStatus& aListing) const;
+  bool IsFromFormerAddress(std::string_view aWorker,
+                           const Endpoint& aEndpoint,
+                           const Expected<WorkerReply>& aReply) const;
   void LogOrder(std::string_view aWorker,
                 const WorkerCall& aCall,
                 const Expected<WorkerReply>& aReply) const;
--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -46,8 +46,8 @@
   Workers Port()
   {
     return InProcessWorkers{
-      [this](const WorkerAddress&, WorkerCall aCall, TimePoint) {
-        return Call(std::move(aCall));
+      [this](const WorkerAddress& aWorker, WorkerCall aCall, TimePoint) {
+        return Call(aWorker.mEndpoint.mPort, std::move(aCall));
       }
     };
   }
@@ -77,6 +77,9 @@
   }
 
   Duration mDelay = 2ms;
+  std::int64_t mIncarnation = 5;
+  /// Calls to other ports are answered by another worker.
+  std::uint16_t mPort = 9;
   /// A cancelled call ends with its answer.
   bool mIgnoresCancellation = false;
   std::map<TaskId, std::uint64_t> mRuns;
@@ -117,7 +120,7 @@
         return aEnd.mSequence <= aCall.mAcknowledgedSequence;
       });
       WorkerStatus status;
-      status.mIncarnation = 5;
+      status.mIncarnation = mWorkers.mIncarnation;
       for (const auto& [task, run] : mWorkers.mRuns) {
         status.mActiveRuns.push_back({ task, run, "", 100, std::nullopt });
       }
@@ -134,13 +137,16 @@
     FakeWorkers& mWorkers;
   };
 
-  Task<Expected<WorkerReply>> Call(WorkerCall aCall)
+  Task<Expected<WorkerReply>> Call(std::uint16_t aPort, WorkerCall aCall)
   {
     if (mIgnoresCancellation) {
       co_await asio::this_coro::reset_cancellation_state(
         asio::disable_cancellation());
     }
     co_await mClock.Sleep(mDelay);
+    if (aPort != mPort) {
+      co_return WorkerReply(IncarnationMismatch{});
+    }
     co_return std::visit(Visitor{ *this }, aCall);
   }
 
@@ -209,15 +215,7 @@
     , mWorkers(mFakeWorkers.Port())
   {
     WriteConfig(aPools, std::string(kPool));
-    AddRow("servers",
-           "w",
-           { { "service", kPool },
-             { "address", "127.0.0.1:9" },
-             { "zone", "z" },
-             { "state", "ready" },
-             { "machine", "m" },
-             { "born", 5 },
-             { "capacity", { { "cpu", 1000000 }, { "mem_mb", 1000000 } } } });
+    WriteWorker();
   }
 
   ~CellFleet()
@@ -254,6 +252,21 @@
              { "services", services } });
   }
 
+  /// Writes the worker's present entry.
+  void WriteWorker()
+  {
+    std::string port = std::to_string(mFakeWorkers.mPort);
+    AddRow("servers",
+           "w",
+           { { "service", kPool },
+             { "address", "127.0.0.1:" + port },
+             { "zone", "z" },
+             { "state", "ready" },
+             { "machine", "m" },
+             { "born", mFakeWorkers.mIncarnation },
+             { "capacity", { { "cpu", 1000000 }, { "mem_mb", 1000000 } } } });
+  }
+
   void AddRow(std::string_view aTable, std::string_view aKey, const Json& aBody)
   {
     RowName name{ std::string(aTable), "", std::string(aKey) };
@@ -718,6 +731,27 @@
   CHECK(fleet.mFakeWorkers.mRuns.size() == 1);
 }
 
+// Guards against a reply from the former address of a worker ending its present
+// incarnation.
+TEST_CASE("a worker that restarts at another address is taken for ended")
+{
+  CellFleet fleet;
+  CellNode& node = fleet.AddOwner();
+  auto submitted = fleet.Submit(node, "a", true);
+  fleet.mManual.Advance(1s);
+  REQUIRE(submitted->Is<JobAccepted>());
+  REQUIRE(fleet.mFakeWorkers.mRuns.size() == 1);
+  // The renewal that is under way is answered by another worker.
+  fleet.mFakeWorkers.mDelay = 300ms;
+  fleet.mManual.Advance(500ms);
+  fleet.mFakeWorkers.mRuns.clear();
+  fleet.mFakeWorkers.mPort = 10;
+  fleet.mFakeWorkers.mIncarnation = 6;
+  fleet.WriteWorker();
+  fleet.mManual.Advance(4s);
+  CHECK(fleet.mFakeWorkers.mRuns.size() == 1);
+}
+
 // Guards against nodes that start after the move not knowing where the jobs
 // are.
 TEST_CASE("the owner row lists the queues that have left the cell")
