Keep runs that are younger than the list of VMs

Cause found: the platform's list of VMs shows a worker's earlier process as down while the next one, under the same id, has confirmed starts. If one renewal went unanswered, the cell believed the list and dropped all runs of the worker.

Fix: the list doesn't end orders in flight, nor runs that were confirmed less than 3 s before and that no listing has shown. A move ends its worker only in the pool that the VM has left. "a reported worker end applies only to its incarnation" took a reply for a proof; the run is listed there now.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -135,6 +135,9 @@
   void AddRun(const TaskId& aTask, const ActiveRun& aRun);
   /// Tasks whose runs are confirmed.
   std::vector<TaskId> RunningTasks() const;
+  /// Whether the run may belong to an incarnation after the known one, of which
+  /// the platform's list of VMs shows at aNow that it has ended.
+  static bool MayOutliveIncarnation(const ActiveRun& aRun, TimePoint aNow);
   /// Whether some run is confirmed, but not known to belong to the known
   /// incarnation.
   bool HasUnreportedRun() const;
@@ -303,7 +306,8 @@
   void OnNoAnswer(std::string_view aWorker);
   void OnOtherWorker(std::string_view aWorker, TimePoint aNow);
   /// Handles the platform's report that an incarnation has ended; false if that
-  /// was known, the worker answers or another incarnation is registered.
+  /// was known, the worker answers, another incarnation is registered or some
+  /// run may belong to the next one.
   bool OnWorkerEnded(std::string_view aWorker,
                      std::int64_t aIncarnation,
                      TimePoint aNow);
@@ -483,6 +487,7 @@
                  TimePoint aNow,
                  std::vector<CellOrder>& aOrders);
   std::int64_t GrantLease(CellWorker& aWorker, TimePoint aNow);
+  void ExtendLease(CellWorker& aWorker, TimePoint aNow) const;
   std::uint32_t CountUnavailableTasks(const CellJob& aJob,
                                       std::uint32_t aOccurrence,
                                       std::uint32_t aStep,
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -449,8 +449,31 @@
   if (!matches) {
     return false;
   }
-  EndIncarnation(*worker, aNow);
-  return true;
+  // The worker may have restarted since, and carried out orders that the cell
+  // sent to the incarnation that has ended. It gets no new ones until a listing
+  // tells, or until the list of VMs is younger than these runs.
+  std::vector<TaskId> lost;
+  for (const auto& [task, run] : worker->mRuns) {
+    if (!CellWorker::MayOutliveIncarnation(run, aNow)) {
+      lost.push_back(task);
+    }
+  }
+  if (lost.size() == worker->mRuns.size()) {
+    EndIncarnation(*worker, aNow);
+    return true;
+  }
+  std::erase_if(lost, [&](const TaskId& aTask) {
+    return worker->mRuns.find(aTask)->second.mStage !=
+           ActiveRun::Stage::Running;
+  });
+  RecordCrash(*worker, lost, aNow);
+  RecordRunLoss(*worker, RunLossCause::WorkerEnded, lost.size(), aNow);
+  for (const TaskId& task : lost) {
+    RemoveRun(*worker, task);
+  }
+  worker->mTokenAccepted = false;
+  ExtendLease(*worker, aNow);
+  return false;
 }
 
 // Unlike the list of VMs, the confirmation can't be out of date, so that the
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -16,6 +16,8 @@
 /// The directory drops a worker after three silent heartbeats. One that is
 /// still listed by then is contacted like a new one.
 constexpr Duration kEndedWorkerRetention = std::chrono::seconds(10);
+/// Maximum age of what the list of VMs says by the time a cell hears of it.
+constexpr Duration kMaxVmListAge = std::chrono::seconds(3);
 
 } // namespace
 
@@ -66,6 +68,7 @@
     aWorker.mTokenAccepted = false;
     if (aReport.mIncarnation > aWorker.mReport.mIncarnation) {
       aWorker.mDrainedBeforeRestart = aWorker.mReport.mDraining;
+      ExtendLease(aWorker, aNow);
     }
     return;
   }
@@ -85,13 +88,26 @@
   }
 }
 
-// The worker may have begun to drain while the order was queued.
+// Orders that were meant for an earlier incarnation carry leases by its clock,
+// which the next one may shorten only to the maximum.
+void
+Cell::ExtendLease(CellWorker& aWorker, TimePoint aNow) const
+{
+  TimePoint expiry = aNow +
+                     std::chrono::duration_cast<Duration>(
+                       mTimes.mMaxRunLeaseDuration / (1 - kMaxClockDrift)) +
+                     kLeaseGracePeriod;
+  aWorker.mLeaseExpiry = std::max(aWorker.mLeaseExpiry, expiry);
+}
+
+// The worker may have begun to drain, or restarted, while the order was queued.
 bool
 Cell::MayStartOn(std::string_view aWorker) const
 {
   auto it = mWorkers.find(aWorker);
   return it != mWorkers.end() && it->second.mListed &&
-         !it->second.mReport.mDraining && !it->second.mDraining;
+         it->second.mTokenAccepted && !it->second.mReport.mDraining &&
+         !it->second.mDraining;
 }
 
 bool
@@ -267,14 +283,8 @@
       run.mStopAcknowledgedAt.reset();
     }
   }
-  // Orders that were meant for the earlier incarnation carry leases by its
-  // clock, which the new one may shorten only to the maximum.
   if (!aWorker.mRuns.empty()) {
-    TimePoint expiry = aNow +
-                       std::chrono::duration_cast<Duration>(
-                         mTimes.mMaxRunLeaseDuration / (1 - kMaxClockDrift)) +
-                       kLeaseGracePeriod;
-    aWorker.mLeaseExpiry = std::max(aWorker.mLeaseExpiry, expiry);
+    ExtendLease(aWorker, aNow);
   }
   aWorker.mTokenAccepted = false;
   aWorker.mDrainedBeforeRestart = false;
@@ -310,6 +320,15 @@
   return tasks;
 }
 
+bool
+CellWorker::MayOutliveIncarnation(const ActiveRun& aRun, TimePoint aNow)
+{
+  bool starting = aRun.mStage == ActiveRun::Stage::Starting;
+  bool confirmed = aRun.mStage == ActiveRun::Stage::Running;
+  return starting || (confirmed && !aRun.mReported &&
+                      aNow < aRun.mStageSince + kMaxVmListAge);
+}
+
 bool
 CellWorker::HasUnreportedRun() const
 {
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -500,14 +500,15 @@
 }
 
 // The worker lived in another pool, so the VM can't have left that pool
-// before it.
+// before it. The next worker of the VM may have the same id.
 bool
 MoveProvesWorkerEnded(std::string_view aWorker,
+                      std::string_view aPool,
                       const WorkerIncarnation& aIncarnation,
                       const FleetIntent& aIntent)
 {
   return aIntent.mConfirmed && !aIntent.mTargetPool.empty() &&
-         aIntent.mWorker == aWorker &&
+         aIntent.mTargetPool != aPool && aIntent.mWorker == aWorker &&
          aIncarnation.mFirstSeen < aIntent.mConfirmedAt;
 }
 
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -124,9 +124,11 @@
                       const PoolVm* aVm,
                       TimePoint aListed);
 
-/// Whether the confirmed move of its VM has ended a worker's incarnation.
+/// Whether the confirmed move of its VM has ended a worker's incarnation in
+/// aPool.
 bool
 MoveProvesWorkerEnded(std::string_view aWorker,
+                      std::string_view aPool,
                       const WorkerIncarnation& aIncarnation,
                       const FleetIntent& aIntent);
 
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -496,7 +496,7 @@
     }
     auto intent = mView.mIntents.find(incarnation->mVm);
     if (intent != mView.mIntents.end() &&
-        MoveProvesWorkerEnded(id, *incarnation, intent->second)) {
+        MoveProvesWorkerEnded(id, aPool, *incarnation, intent->second)) {
       sync.mMoved.emplace(id, incarnation->mId);
       continue;
     }
--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -203,6 +203,13 @@
 CellSimulation::Restart(SimWorker& aWorker)
 {
   Reset(aWorker);
+  // The list of VMs shows the VM as down for some time after it is up again.
+  std::int64_t ended = aWorker.mIncarnation;
+  auto listMillis = std::uniform_int_distribution<int>(0, 1500)(mRandom);
+  ScheduleIn(std::chrono::milliseconds(listMillis),
+             [this, id = aWorker.mId, ended] {
+               mOwner->OnWorkerEnded(id, ended, mNow);
+             });
   aWorker.mIncarnation += 1000;
   // The pending renewal is lost with its connection.
   mOwner->OnNoAnswer(aWorker.mId);
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -366,6 +366,7 @@
   SingleWorkerCell harness;
   harness.Submit("a", ChainOf({ 1 }));
   REQUIRE(harness.PlanAndAnswer().size() == 1);
+  harness.List({ { { "a", 0, 0, 0 }, 1, "", 100, {} } }, {});
   // A worker that answers is alive, whatever the platform confirmed.
   CHECK_FALSE(harness.mCell.OnWorkerEnded("w", 5, harness.mNow));
   harness.mCell.OnNoAnswer("w");
@@ -378,6 +379,28 @@
   CHECK_FALSE(harness.mCell.OnWorkerEnded("w", 5, harness.mNow));
 }
 
+// Guards against a list of VMs that is older than a run ending that run, which
+// the worker has started since under its id.
+TEST_CASE("a late report of a worker's end drops what runs there since")
+{
+  SingleWorkerCell harness;
+  harness.Submit("a", ChainOf({ 1 }));
+  REQUIRE(harness.PlanAndAnswer().size() == 1);
+  harness.mCell.OnNoAnswer("w");
+  CHECK_FALSE(harness.mCell.OnWorkerEnded("w", 5, harness.mNow));
+  CHECK(harness.mCell.Workers().find("w")->second.mRuns.size() == 1);
+  CHECK_FALSE(harness.mCell.MayStartOn("w"));
+  CHECK(harness.Plan().empty());
+  // By then the list is younger than the run.
+  harness.mNow += 3s;
+  CHECK(harness.mCell.OnWorkerEnded("w", 5, harness.mNow));
+  CHECK(harness.mCell.Workers().find("w")->second.mRuns.empty());
+  std::vector<RunLoss> losses = harness.mCell.TakeRunLosses();
+  REQUIRE(losses.size() == 1);
+  CHECK(losses[0].mCause == RunLossCause::WorkerEnded);
+  CHECK(losses[0].mRuns == 1);
+}
+
 TEST_CASE("a worker that has ended isn't used again while it is listed")
 {
   SingleWorkerCell harness;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -371,17 +371,19 @@
   move.mWorker = "w-a0";
   WorkerIncarnation before{ "a0", 5, confirmedAt - 10s };
   WorkerIncarnation after{ "a0", 6, confirmedAt + 2s };
-  CHECK_FALSE(MoveProvesWorkerEnded("w-a0", before, move));
+  CHECK_FALSE(MoveProvesWorkerEnded("w-a0", "a", before, move));
   move.mConfirmed = true;
   move.mConfirmedAt = confirmedAt;
-  CHECK(MoveProvesWorkerEnded("w-a0", before, move));
-  CHECK_FALSE(MoveProvesWorkerEnded("w-a0", after, move));
-  CHECK_FALSE(MoveProvesWorkerEnded("w-a1", before, move));
+  CHECK(MoveProvesWorkerEnded("w-a0", "a", before, move));
+  CHECK_FALSE(MoveProvesWorkerEnded("w-a0", "a", after, move));
+  CHECK_FALSE(MoveProvesWorkerEnded("w-a1", "a", before, move));
+  // The VM's worker in the pool to which it has moved may have the same id.
+  CHECK_FALSE(MoveProvesWorkerEnded("w-a0", "b", before, move));
 
   FleetIntent maintenance = move;
   maintenance.mTargetPool.clear();
   maintenance.mWave = 1;
-  CHECK_FALSE(MoveProvesWorkerEnded("w-a0", before, maintenance));
+  CHECK_FALSE(MoveProvesWorkerEnded("w-a0", "a", before, maintenance));
   fleet.mView.mIntents["a0"] = maintenance;
   std::vector<std::string> sealed = { "w-a0" };
   CHECK(WorkersToSeal(fleet.mView, confirmedAt + 1s) == sealed);
