Bring VMs for long-running tasks before those for demand

Cause: the VMs that evacuated tasks need were ordered behind a pool's demand at its peak, which takes all VMs for seconds, and a wave gave up its VM after 4 s, before those that it needs could arrive.

Change: missing VMs are taken first, and a wave waits for 6 s. The report's missing VMs are in the log of the fleet's view.

--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -603,7 +603,7 @@
   }
 
   /// Sets the worker that additional ones equal.
-  void SetModel(PlacementTarget aModel) { mModel = std::move(aModel); }
+  void SetModel(const PlacementTarget& aModel) { mModel = aModel; }
 
   /// Begins a step whose tasks run on the listed workers.
   void BeginStep(const StepSpec& aSpec,
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -14,9 +14,11 @@
 /// Fraction of an even share of the fleet that every pool keeps: a burst is
 /// served by the VMs that are there until the first VM has moved.
 constexpr double kStandbyShare = 0.7;
-/// A move whose VM isn't empty within this time is cancelled, and so is a
-/// maintenance in a pool without room for what runs there.
-constexpr Duration kDrainTimeout = std::chrono::seconds(4);
+/// A move whose VM isn't empty within this time is cancelled.
+constexpr Duration kMoveDrainTimeout = std::chrono::seconds(4);
+/// As kMoveDrainTimeout, for a maintenance in a pool without room for what runs
+/// on the VM; the VMs that it needs take some seconds to arrive.
+constexpr Duration kWaveDrainTimeout = std::chrono::seconds(6);
 /// Maximum fraction of a pool that may be leaving when a wave takes a VM.
 constexpr double kMaxLeavingShare = 0.34;
 /// Time to empty one VM, maintain it (2 s) and list it again, including as much
@@ -197,8 +199,10 @@
       }
       bool empty = !vm->NeedsSeal() || (vm->IsIdle() && vm->mUsage->mSealed);
       bool stale = vm->mVm->mWorker != intent.mWorker || !vm->IsUp();
-      bool timedOut = (intent.mWave == 0 || vm->mPool->LacksRoom()) &&
-                      mView.mNow > intent.mCreatedAt + kDrainTimeout;
+      bool wave = intent.mWave != 0;
+      Duration timeout = wave ? kWaveDrainTimeout : kMoveDrainTimeout;
+      bool timedOut = (!wave || vm->mPool->LacksRoom()) &&
+                      mView.mNow > intent.mCreatedAt + timeout;
       if (stale || (timedOut && !empty)) {
         mPlan.mCancelledIntents.push_back(name);
       } else if (empty) {
@@ -334,18 +338,22 @@
     }
   }
 
+  // Long-running tasks without room come before the demand for short work,
+  // which may take all VMs for seconds.
   void GrowPools()
   {
+    for (const auto& [name, pool] : mPools) {
+      int missing = pool.mMissingVms - pool.mArriving - pool.mUnreported;
+      if (missing > 0 && !Grow(name, (missing - 1) * MeanCores() + 1)) {
+        return;
+      }
+    }
     std::vector<std::pair<double, std::string_view>> shortPools;
     for (const auto& [name, pool] : mPools) {
       double deficit = pool.mGrowThreshold - pool.mUsableCores;
       if (pool.Staying() < pool.mMinVms) {
         deficit = std::max(deficit, 1.0);
       }
-      int missing = pool.mMissingVms - pool.mArriving - pool.mUnreported;
-      if (missing > 0) {
-        deficit = std::max(deficit, (missing - 1) * MeanCores() + 1);
-      }
       if (pool.mUsage != nullptr && !pool.mSpare && deficit > 0) {
         shortPools.emplace_back(-deficit, name);
       }
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -626,7 +626,8 @@
       });
     LogInfo(kPart,
             "pool={} vms={} asked={} asked_mean={} busy_cores={} "
-            "waiting_cores={} lasting_cores={} report_age_ms={}",
+            "waiting_cores={} lasting_cores={} missing_vms={} "
+            "report_age_ms={}",
             pool,
             vms,
             use.mForecastDemandCores,
@@ -634,6 +635,7 @@
             use.mBusyCores,
             use.mWaitingCores,
             use.mLongRunningCores,
+            use.mMissingVms,
             ToMillis(now - use.mReportedAt));
   }
 }
