Let a wave go on while the VMs that a pool lacks are on their way

Cause: a wave left out every VM with long-running tasks of a pool that lacks VMs, also when these had been ordered, so that its VMs went one batch after the other; the store's outage from 18 s on met the second batch.

Change: only missing VMs that aren't on their way hold a wave up or make it give a VM up.

--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -67,6 +67,8 @@
 
   int Staying() const { return mVms - mLeaving; }
   bool LacksRoom() const { return mMissingVms > 0; }
+  /// Missing VMs that aren't on their way.
+  int UnorderedVms() const { return mMissingVms - mArriving - mUnreported; }
 };
 
 /// One VM's state while a plan is made.
@@ -201,7 +203,7 @@
       bool stale = vm->mVm->mWorker != intent.mWorker || !vm->IsUp();
       bool wave = intent.mWave != 0;
       Duration timeout = wave ? kWaveDrainTimeout : kMoveDrainTimeout;
-      bool timedOut = (!wave || vm->mPool->LacksRoom()) &&
+      bool timedOut = (!wave || vm->mPool->UnorderedVms() > 0) &&
                       mView.mNow > intent.mCreatedAt + timeout;
       if (stale || (timedOut && !empty)) {
         mPlan.mCancelledIntents.push_back(name);
@@ -324,7 +326,7 @@
       bool tooManyLeaving = cost > 0 && pool.mLeaving >= maxLeaving;
       bool unknown = vm->NeedsSeal() && pool.mUsage == nullptr;
       // Its long-running tasks would have to stay.
-      bool stuck = cost > 2 && pool.LacksRoom();
+      bool stuck = cost > 2 && pool.UnorderedVms() > 0;
       // A pool in its peak goes last.
       bool needed = vm->NeedsSeal() && !unknown &&
                     pool.mUsableCores - CoresOf(*vm->mVm) < pool.mGrowThreshold;
@@ -343,7 +345,7 @@
   void GrowPools()
   {
     for (const auto& [name, pool] : mPools) {
-      int missing = pool.mMissingVms - pool.mArriving - pool.mUnreported;
+      int missing = pool.UnorderedVms();
       if (missing > 0 && !Grow(name, (missing - 1) * MeanCores() + 1)) {
         return;
       }
