Log what an owner does and how late, once a second

Callers of the large fleet's turns get too little (SHORT), and nothing tells whether their owner's processor is full, its own pauses are long, or VMs are missing: the only measure was the worst delay of a timer. An owner now logs its renewals, commits and plans with their pauses and waits, and how long ready work waits for the processor; histograms hold the same. Nothing is decided by it yet.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -28,6 +28,13 @@
          mExpiredJobs.empty() && !mWorkers;
 }
 
+std::size_t
+CellChanges::Rows() const
+{
+  return mNewJobs.size() + mProgress.size() + mEndedJobs.size() +
+         mExpiredJobs.size();
+}
+
 Cell::Cell(CellDurations aTimes,
            FencingToken aToken,
            std::uint32_t aTerm,
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -169,6 +169,8 @@
   std::map<std::string, std::uint64_t> mLastEnds;
 
   bool Empty() const;
+  /// Number of rows of jobs.
+  std::size_t Rows() const;
 };
 
 /// A job submitted to a cell.
@@ -340,8 +342,8 @@
   CellChanges TakeChanges(TimePoint aNow);
   /// Whether TakeChanges would return the changes of all jobs.
   bool FitsOneCommit() const;
-  /// Whether changes of jobs wait for a commit.
-  bool HasUncommittedJobs() const { return !mDirtyJobs.empty(); }
+  /// Number of jobs with changes that wait for a commit.
+  std::size_t UncommittedJobs() const { return mDirtyJobs.size(); }
   /// As TakeChanges, for an owner that sends no more orders: the worker set
   /// holds only those that may still run something. All changes must fit.
   CellChanges TakeReleaseChanges(TimePoint aNow);
--- a/src/kernel/clock.cpp
+++ b/src/kernel/clock.cpp
@@ -8,6 +8,14 @@
 
 namespace buckthornshunt {
 
+Duration
+TimerDelays::MeanSince(const TimerDelays& aEarlier) const
+{
+  std::uint64_t n = mCount - aEarlier.mCount;
+  return n == 0 ? Duration::zero()
+                : (mSum - aEarlier.mSum) / static_cast<std::int64_t>(n);
+}
+
 TimerId
 TimerQueue::Add(TimePoint aDue, std::function<void()> aCallback)
 {
@@ -28,7 +36,10 @@
 {
   while (!mCallbacks.empty() && mCallbacks.begin()->first.first <= aNow) {
     auto node = mCallbacks.extract(mCallbacks.begin());
-    mWorstDelay = std::max(mWorstDelay, aNow - node.key().first);
+    Duration delay = aNow - node.key().first;
+    mWorstDelay = std::max(mWorstDelay, delay);
+    ++mDelays.mCount;
+    mDelays.mSum += delay;
     node.mapped()();
   }
 }
@@ -204,6 +215,14 @@
                    [](auto& aConcrete) { return aConcrete.TakeWorstDelay(); });
 }
 
+const TimerDelays&
+Clock::Delays() const
+{
+  return WithClock(mClock, [](auto& aConcrete) -> const TimerDelays& {
+    return aConcrete.Delays();
+  });
+}
+
 // Waits on a timer that never expires; a callback of this clock cancels it.
 Task<void>
 Clock::SleepUntil(TimePoint aDue)
--- a/src/kernel/clock.h
+++ b/src/kernel/clock.h
@@ -14,6 +14,17 @@
 /// Identifies a pending callback of a timer queue.
 using TimerId = std::pair<TimePoint, std::uint64_t>;
 
+/// Delays from the due times of callbacks to their runs, since the start.
+struct TimerDelays
+{
+  std::uint64_t mCount = 0;
+  Duration mSum{};
+
+  /// Mean delay of the callbacks that ran after aEarlier was taken; zero if
+  /// none did.
+  Duration MeanSince(const TimerDelays& aEarlier) const;
+};
+
 /// Callbacks ordered by due time.
 class TimerQueue
 {
@@ -30,8 +41,11 @@
   /// Longest delay from a callback's due time to its run since the last call.
   Duration TakeWorstDelay();
 
+  const TimerDelays& Delays() const { return mDelays; }
+
 private:
   Duration mWorstDelay{};
+  TimerDelays mDelays;
   std::uint64_t mNextSequence = 0;
   std::map<TimerId, std::function<void()>> mCallbacks;
 };
@@ -47,6 +61,7 @@
   TimerId CallAt(TimePoint aDue, std::function<void()> aCallback);
   void Remove(const TimerId& aId);
   Duration TakeWorstDelay() { return mTimers.TakeWorstDelay(); }
+  const TimerDelays& Delays() const { return mTimers.Delays(); }
 
 private:
   void Arm();
@@ -67,6 +82,7 @@
   TimerId CallAt(TimePoint aDue, std::function<void()> aCallback);
   void Remove(const TimerId& aId);
   Duration TakeWorstDelay() { return mTimers.TakeWorstDelay(); }
+  const TimerDelays& Delays() const { return mTimers.Delays(); }
 
   /// Advances the time from one due callback to the next and runs all ready
   /// handlers after each step.
@@ -97,6 +113,9 @@
   /// executor is behind.
   Duration TakeWorstDelay();
 
+  /// Delays of all callbacks; shows how long ready work waits for the executor.
+  const TimerDelays& Delays() const;
+
   /// Suspends the calling coroutine until aDue.
   Task<void> SleepUntil(TimePoint aDue);
   Task<void> Sleep(Duration aDuration);
--- /dev/null
+++ b/src/services/cell_activity.cpp
@@ -0,0 +1,116 @@
+#include "services/cell_activity.h"
+
+#include "kernel/log.h"
+
+#include <algorithm>
+
+namespace buckthornshunt {
+
+namespace {
+
+constexpr Duration kLogInterval = std::chrono::seconds(1);
+
+std::int64_t
+ToMicros(Duration aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::microseconds>(aDuration)
+    .count();
+}
+
+} // namespace
+
+void
+CellActivity::Sample::Add(Duration aValue)
+{
+  ++mCount;
+  mSum += aValue;
+  mWorst = std::max(mWorst, aValue);
+}
+
+Duration
+CellActivity::Sample::Mean() const
+{
+  return mCount == 0 ? Duration::zero()
+                     : mSum / static_cast<std::int64_t>(mCount);
+}
+
+CellActivity::CellActivity(Metrics& aMetrics)
+  : mRenewalPauses(aMetrics.GetHistogram("cell_renewal_pause"))
+  , mStoreWaits(aMetrics.GetHistogram("cell_store_wait"))
+  , mPlanGaps(aMetrics.GetHistogram("cell_plan_gap"))
+{
+}
+
+void
+CellActivity::OnRenewal(Duration aPause, std::size_t aEnds)
+{
+  mRenewalPauses.Record(aPause);
+  mRenewals.Add(aPause);
+  mEnds += aEnds;
+}
+
+void
+CellActivity::OnJobStored(Duration aWait)
+{
+  mStoreWaits.Record(aWait);
+  mStored.Add(aWait);
+}
+
+void
+CellActivity::OnCommit(Duration aTook, std::size_t aRows, std::size_t aLeft)
+{
+  mCommits.Add(aTook);
+  mRows += aRows;
+  mMostLeft = std::max(mMostLeft, aLeft);
+}
+
+void
+CellActivity::OnPlan(Duration aTook, Duration aGap, std::size_t aOrders)
+{
+  mPlanGaps.Record(aGap);
+  mPlans.Add(aTook);
+  mGaps.Add(aGap);
+  mOrders += aOrders;
+}
+
+void
+CellActivity::Log(std::string_view aPool,
+                  int aWorkersInUse,
+                  const TimerDelays& aDelays,
+                  TimePoint aNow)
+{
+  if (aNow < mLoggedAt + kLogInterval) {
+    return;
+  }
+  if (mOrders + mEnds + mRows > 0) {
+    LogInfo("cell",
+            "pool={} activity in_use={} queue_delay_us={} renewals={} "
+            "renewal_pause_ms={} ends={} commits={} rows={} left_jobs={} "
+            "commit_ms={} stored={} store_wait_ms={} worst_store_wait_ms={} "
+            "plans={} plan_ms={} plan_gap_ms={} worst_plan_gap_ms={} orders={}",
+            aPool,
+            aWorkersInUse,
+            ToMicros(aDelays.MeanSince(mDelays)),
+            mRenewals.mCount,
+            ToMillis(mRenewals.Mean()),
+            mEnds,
+            mCommits.mCount,
+            mRows,
+            mMostLeft,
+            ToMillis(mCommits.Mean()),
+            mStored.mCount,
+            ToMillis(mStored.Mean()),
+            ToMillis(mStored.mWorst),
+            mPlans.mCount,
+            ToMillis(mPlans.Mean()),
+            ToMillis(mGaps.Mean()),
+            ToMillis(mGaps.mWorst),
+            mOrders);
+  }
+  mRenewals = mStored = mCommits = mPlans = mGaps = Sample{};
+  mEnds = mRows = mMostLeft = mOrders = 0;
+  mDelays = aDelays;
+  mLoggedAt = aNow;
+}
+
+} // namespace buckthornshunt
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -76,6 +76,7 @@
   , mCommitDue(aKernel.Context())
   , mCommitted(aKernel.Context())
   , mMalformed(aKernel.GetMetrics(), kPart)
+  , mActivity(aKernel.GetMetrics())
 {
 }
 
@@ -355,11 +356,14 @@
 Task<void>
 CellRuntime::PlanLoop()
 {
+  TimePoint planned = mClock.Now();
   while (Active()) {
     TimePoint began = mClock.Now();
     if (HoldsLease()) {
       std::vector<CellOrder> orders =
         mCell->Plan(mClock.Now(), mClock.WallNow());
+      mActivity.OnPlan(mClock.Now() - began, began - planned, orders.size());
+      planned = began;
       RecordCrashes();
       if (mCell->Fenced()) {
         MarkLost("a worker has seen a higher fencing token");
@@ -375,6 +379,7 @@
       }
     }
     Duration took = mClock.Now() - began;
+    mActivity.Log(mPool, mWorkersInUse, mClock.Delays(), mClock.Now());
     TimePoint deadline = mClock.Now() + kMaxPlanInterval;
     co_await mPlanDue.WaitAndReset(mClock, deadline);
     co_await mClock.Sleep(std::clamp(
@@ -570,16 +575,19 @@
 Task<void>
 CellRuntime::MonitorWorker(std::string aWorker)
 {
+  TimePoint idleSince = mClock.Now();
   while (Active() && mCell->Workers().contains(aWorker)) {
     bool inUse = mCell->NeedsRenewal(aWorker) && HoldsLease();
     SetInUse(QueueOf(aWorker), inUse);
     if (!inUse) {
       TimePoint deadline = mClock.Now() + kOwnerRenewalInterval;
       co_await WaitUntil(QueueOf(aWorker).mChanged, mClock, deadline);
+      idleSince = mClock.Now();
       continue;
     }
     TimePoint began = mClock.Now();
-    bool answered = co_await RenewWorkerLeases(aWorker);
+    bool answered = co_await RenewWorkerLeases(aWorker, began - idleSince);
+    idleSince = mClock.Now();
     Duration interval = std::max(kMinRenewalInterval,
                                  kMinRenewalIntervalPerWorker * mWorkersInUse);
     TimePoint next =
@@ -608,7 +616,7 @@
 }
 
 Task<bool>
-CellRuntime::RenewWorkerLeases(const std::string& aWorker)
+CellRuntime::RenewWorkerLeases(const std::string& aWorker, Duration aPause)
 {
   const CellWorker& target = mCell->Workers().find(aWorker)->second;
   WorkerAddress address{ aWorker, target.mReport.mEndpoint };
@@ -668,6 +676,7 @@
   }
   RecordMalformedRuns(aWorker, *listing);
   LogEndedRuns(worker, *listing);
+  mActivity.OnRenewal(aPause, CountNewEnds(worker, *listing));
   mCell->OnListing(aWorker, *listing, sent, now);
   mPlanDue.Set();
   mCommitDue.Set();
@@ -728,6 +737,17 @@
   }
 }
 
+std::size_t
+CellRuntime::CountNewEnds(const CellWorker& aWorker,
+                          const WorkerStatus& aListing)
+{
+  auto isNew = [&](const EndedRun& aEnd) {
+    return !aWorker.HasSeenEnd(aEnd.mSequence);
+  };
+  return static_cast<std::size_t>(std::count_if(
+    aListing.mEndedRuns.begin(), aListing.mEndedRuns.end(), isNew));
+}
+
 // Logs the newly ended runs of a listing, split into lines of limited length.
 void
 CellRuntime::LogEndedRuns(const CellWorker& aWorker,
@@ -801,6 +821,7 @@
       bool withSeals = mCommitRequested;
       mCommitRequested = false;
       mInFlightChanges = changes;
+      std::size_t rows = changes.Rows();
       bool held = HoldsLease();
       bool ok =
         co_await CommitChanges(std::move(changes), false, TimePoint::max());
@@ -810,12 +831,13 @@
         co_return;
       }
       renewed = began;
+      mActivity.OnCommit(mClock.Now() - began, rows, mCell->UncommittedJobs());
       if (!held) {
         NotifyWorkers();
       }
       // Seals set during this commit are stored by the next one.
       mSealsCommitted = mSealsCommitted || (withSeals && !mCommitRequested);
-      if (mCell->HasUncommittedJobs()) {
+      if (mCell->UncommittedJobs() > 0) {
         mCommitDue.Set();
       }
     } else {
@@ -1077,7 +1099,11 @@
             ToMillis(retry));
     co_return JobRefused{ retry };
   }
+  TimePoint taken = mClock.Now();
   ChangeState state = co_await AwaitStored(id, aDeadline);
+  if (state == ChangeState::Stored) {
+    mActivity.OnJobStored(mClock.Now() - taken);
+  }
   if (state == ChangeState::NotStored) {
     LogInfo(
       kPart, "job={} pool={} unavailable, the cell was released", id, mPool);
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -8,6 +8,7 @@
 #include "ports/caller_calls.h"
 #include "ports/store.h"
 #include "ports/workers.h"
+#include "services/cell_activity.h"
 #include "services/cell_lease.h"
 #include "services/directory_service.h"
 
@@ -129,7 +130,7 @@
                            TimePoint aDeadline);
   ConditionalCommit MakeCommit(const CellChanges& aChanges) const;
   Task<void> MonitorWorker(std::string aWorker);
-  Task<bool> RenewWorkerLeases(const std::string& aWorker);
+  Task<bool> RenewWorkerLeases(const std::string& aWorker, Duration aPause);
   Duration RenewalBackoff(std::string_view aWorker) const;
   Task<void> SendOrders(std::string aWorker);
   Task<void> FetchAdvice(AdviceRequest aRequest);
@@ -143,6 +144,8 @@
   void RecordMalformedRuns(std::string_view aWorker,
                            const WorkerStatus& aListing);
   void RecordCrashes();
+  static std::size_t CountNewEnds(const CellWorker& aWorker,
+                                  const WorkerStatus& aListing);
   void LogEndedRuns(const CellWorker& aWorker,
                     const WorkerStatus& aListing) const;
   bool IsFromFormerAddress(std::string_view aWorker,
@@ -186,6 +189,7 @@
   /// Jobs of which a row can't be read.
   std::set<std::string, std::less<>> mUnreadableJobs;
   MalformedEntryLog mMalformed;
+  CellActivity mActivity;
 };
 
 } // namespace buckthornshunt
