Acknowledge ends while more jobs change than a commit holds

Cause: ends were acknowledged only by a commit that left no changed job. Change: changes are numbered; a commit acknowledges the ends that were processed before the oldest change that it leaves. Evidence: the new test failed with the old condition put back (nothing acknowledged), and holds now.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -8,6 +8,7 @@
 #include "decide/task_placement.h"
 #include "ports/worker_calls.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -81,6 +82,14 @@
 /// Crashes during runs of a task from which it runs without short neighbours.
 constexpr std::uint32_t kCrashesUntilIsolated = 2;
 
+/// Ends of a worker's runs that have been processed by some moment.
+struct ProcessedEnds
+{
+  /// Number of the cell's last change by then.
+  std::uint64_t mLastChange = 0;
+  std::uint64_t mSequence = 0;
+};
+
 /// A worker's state, as known to the cell's owner.
 struct CellWorker
 {
@@ -120,6 +129,8 @@
   /// Later ones that have been, beyond one that can't be read.
   std::set<std::uint64_t> mEndsSeenAhead;
   std::uint64_t mLastCommittedEnd = 0;
+  /// Later ones, oldest first.
+  std::deque<ProcessedEnds> mUncommittedEnds;
   Resources mReserved;
   /// Part of mReserved that long-running tasks hold.
   Resources mLongRunning;
@@ -415,6 +426,7 @@
   CellJob& AddJob(CellJob aJob);
   void MarkDirty(CellJob& aJob);
   std::vector<CellJob*> TakeDirtyJobs();
+  std::uint64_t LastCoveredChange() const;
   /// Finds or creates an occurrence's record; null if it is done or out of
   /// range.
   OccurrenceRecord* OpenOccurrence(CellJob& aJob, std::uint32_t aNumber);
@@ -514,6 +526,8 @@
   std::set<std::string, std::less<>> mLiveJobs;
   /// Jobs with changes that no commit holds yet, in the order of the changes.
   std::vector<std::string> mDirtyJobs;
+  /// Number of the last change that made a job dirty.
+  std::uint64_t mLastChange = 0;
   TimePoint mNextExpirySearch = TimePoint::min();
   bool mWorkersDirty = false;
   std::map<std::string, QueueStats, std::less<>> mQueueStats;
--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -109,6 +109,18 @@
   return taken;
 }
 
+// All changes up to this one are committed or taken for the commit.
+std::uint64_t
+Cell::LastCoveredChange() const
+{
+  std::uint64_t covered = mLastChange;
+  for (const std::string& id : mDirtyJobs) {
+    std::uint64_t since = mJobs.find(id)->second.mDirtySince;
+    covered = std::min(covered, since == 0 ? 0 : since - 1);
+  }
+  return covered;
+}
+
 CellChanges
 Cell::TakeChanges(TimePoint aNow)
 {
@@ -157,9 +169,13 @@
       }
     }
   }
-  if (mDirtyJobs.empty()) {
-    for (const auto& [id, worker] : mWorkers) {
-      changes.mLastEnds[id] = worker.mLastSeenEnd;
+  std::uint64_t covered = LastCoveredChange();
+  for (const auto& [id, worker] : mWorkers) {
+    for (const ProcessedEnds& ends : worker.mUncommittedEnds) {
+      if (ends.mLastChange > covered) {
+        break;
+      }
+      changes.mLastEnds[id] = ends.mSequence;
     }
   }
   return changes;
@@ -231,6 +247,9 @@
     CellWorker* worker = FindWorker(id);
     if (worker != nullptr && worker->mLastSeenEnd >= sequence) {
       worker->mLastCommittedEnd = std::max(worker->mLastCommittedEnd, sequence);
+      std::erase_if(worker->mUncommittedEnds, [&](const ProcessedEnds& aEnds) {
+        return aEnds.mSequence <= worker->mLastCommittedEnd;
+      });
     }
   }
 }
@@ -241,11 +260,13 @@
   for (const StoredJob& stored : aChanges.mNewJobs) {
     if (CellJob* job = FindJob(stored.mId)) {
       MarkDirty(*job);
+      job->mDirtySince = 0;
     }
   }
   for (const auto& [id, progress] : aChanges.mProgress) {
     if (CellJob* job = FindJob(id)) {
       MarkDirty(*job);
+      job->mDirtySince = 0;
     }
   }
   mWorkersDirty = mWorkersDirty || aChanges.mWorkers.has_value();
--- a/src/decide/cell_job.h
+++ b/src/decide/cell_job.h
@@ -108,6 +108,9 @@
   bool mStarted = false;
   /// Changed since the last commit began.
   bool mDirty = false;
+  /// Number of the cell's change that made it dirty; 0 if a commit of it
+  /// failed.
+  std::uint64_t mDirtySince = 0;
   /// A commit of its latest change is in flight.
   bool mCommitting = false;
   /// Restored from the rows of an earlier owner.
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -311,6 +311,12 @@
   if (!gap) {
     aWorker.mEndsSeenAhead.clear();
   }
+  std::deque<ProcessedEnds>& uncommitted = aWorker.mUncommittedEnds;
+  std::uint64_t last = uncommitted.empty() ? aWorker.mLastCommittedEnd
+                                           : uncommitted.back().mSequence;
+  if (aWorker.mLastSeenEnd > last) {
+    uncommitted.push_back({ mLastChange, aWorker.mLastSeenEnd });
+  }
 }
 
 namespace {
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -292,6 +292,7 @@
   aWorker.mInheritedRunsUnknown = false;
   aWorker.mLastSeenEnd = 0;
   aWorker.mLastCommittedEnd = 0;
+  aWorker.mUncommittedEnds.clear();
   aWorker.mEndsSeenAhead.clear();
   aWorker.mMissedAnswers = 0;
   aWorker.mConsecutiveFailures = 0;
@@ -426,6 +427,7 @@
 {
   if (!aJob.mDirty) {
     aJob.mDirty = true;
+    aJob.mDirtySince = ++mLastChange;
     mDirtyJobs.push_back(aJob.mId);
   }
 }
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -228,6 +228,45 @@
   CHECK(harness.Acknowledged() == 1);
 }
 
+TEST_CASE("ends aren't acknowledged while more jobs change than a commit holds")
+{
+  SingleWorkerCell harness;
+  harness.Submit("a", ChainOf({ 1, 1 }));
+  REQUIRE(harness.PlanAndAnswer().size() == 1);
+  harness.List({}, { DoneEnd(1, 0) });
+  // Jobs whose time hasn't come.
+  JobSpec spec = ChainOf({ 1 });
+  spec.mOccurrences = 1;
+  spec.mFirstStartTime = WallTime{ 1000 };
+  for (int i = 0; i < 200; ++i) {
+    harness.mCell.Submit({ "b" + std::to_string(i), "q", spec, {} },
+                         harness.mNow);
+  }
+  auto holdsA = [](const CellChanges& aChanges) {
+    return std::any_of(aChanges.mProgress.begin(),
+                       aChanges.mProgress.end(),
+                       [](const auto& aEntry) { return aEntry.first == "a"; });
+  };
+  CellChanges changes = harness.mCell.TakeChanges(harness.mNow);
+  REQUIRE(holdsA(changes));
+  REQUIRE_FALSE(harness.mCell.FitsOneCommit());
+  CHECK(harness.Acknowledged() == 0);
+  harness.mCell.OnCommitted(changes, harness.mNow);
+  CHECK(harness.Acknowledged() == 1);
+  // The end of a job whose change is left to a later commit has to wait.
+  REQUIRE(harness.PlanAndAnswer().size() == 1);
+  harness.List({}, { { 2, { "a", 0, 1, 0 }, 1, RunEnd::Done, "" } });
+  changes = harness.mCell.TakeChanges(harness.mNow);
+  REQUIRE_FALSE(holdsA(changes));
+  harness.mCell.OnCommitted(changes, harness.mNow);
+  CHECK(harness.Acknowledged() == 1);
+  for (int i = 0; i < 4; ++i) {
+    harness.Commit();
+  }
+  CHECK(harness.mCell.PhaseOf("a") == JobPhase::Completed);
+  CHECK(harness.Acknowledged() == 2);
+}
+
 TEST_CASE("a cancellation is stored only after its commit")
 {
   SingleWorkerCell harness;
