Pace an owner by its queue's delay and not by its workers

Cause: the pauses between renewals and before commits grew with the number of workers, whatever the processor had left. At 777 workers a worker wasn't asked for 0.9 s while its runs took 0.54 s, and five commits a second stored 485 rows where 1,022 had been stored with 263 workers; ready work waited 15 ms at most on average. The more there was to do, the less was done. Change: renewals, commits and plans follow the mean delay of all timers. A commit doesn't wait for more changes than it holds.

--- a/src/kernel/clock.cpp
+++ b/src/kernel/clock.cpp
@@ -153,7 +153,7 @@
     mContext.restart();
     mContext.poll();
   }
-  mNow = end;
+  mNow = std::max(mNow, end);
 }
 
 namespace {
--- a/src/kernel/clock.h
+++ b/src/kernel/clock.h
@@ -88,6 +88,10 @@
   /// handlers after each step.
   void Advance(Duration aDuration);
 
+  /// Advances the time as work does that holds the executor: what becomes due
+  /// runs later.
+  void Occupy(Duration aDuration) { mNow += aDuration; }
+
 private:
   asio::io_context& mContext;
   TimerQueue mTimers;
--- a/src/services/cell_activity.cpp
+++ b/src/services/cell_activity.cpp
@@ -76,6 +76,7 @@
 void
 CellActivity::Log(std::string_view aPool,
                   int aWorkersInUse,
+                  double aSpacing,
                   const TimerDelays& aDelays,
                   TimePoint aNow)
 {
@@ -83,29 +84,31 @@
     return;
   }
   if (mOrders + mEnds + mRows > 0) {
-    LogInfo("cell",
-            "pool={} activity in_use={} queue_delay_us={} renewals={} "
-            "renewal_pause_ms={} ends={} commits={} rows={} left_jobs={} "
-            "commit_ms={} stored={} store_wait_ms={} worst_store_wait_ms={} "
-            "plans={} plan_ms={} plan_gap_ms={} worst_plan_gap_ms={} orders={}",
-            aPool,
-            aWorkersInUse,
-            ToMicros(aDelays.MeanSince(mDelays)),
-            mRenewals.mCount,
-            ToMillis(mRenewals.Mean()),
-            mEnds,
-            mCommits.mCount,
-            mRows,
-            mMostLeft,
-            ToMillis(mCommits.Mean()),
-            mStored.mCount,
-            ToMillis(mStored.Mean()),
-            ToMillis(mStored.mWorst),
-            mPlans.mCount,
-            ToMillis(mPlans.Mean()),
-            ToMillis(mGaps.Mean()),
-            ToMillis(mGaps.mWorst),
-            mOrders);
+    LogInfo(
+      "cell",
+      "pool={} activity in_use={} spacing={} queue_delay_us={} renewals={} "
+      "renewal_pause_ms={} ends={} commits={} rows={} left_jobs={} "
+      "commit_ms={} stored={} store_wait_ms={} worst_store_wait_ms={} "
+      "plans={} plan_ms={} plan_gap_ms={} worst_plan_gap_ms={} orders={}",
+      aPool,
+      aWorkersInUse,
+      aSpacing,
+      ToMicros(aDelays.MeanSince(mDelays)),
+      mRenewals.mCount,
+      ToMillis(mRenewals.Mean()),
+      mEnds,
+      mCommits.mCount,
+      mRows,
+      mMostLeft,
+      ToMillis(mCommits.Mean()),
+      mStored.mCount,
+      ToMillis(mStored.Mean()),
+      ToMillis(mStored.mWorst),
+      mPlans.mCount,
+      ToMillis(mPlans.Mean()),
+      ToMillis(mGaps.Mean()),
+      ToMillis(mGaps.mWorst),
+      mOrders);
   }
   mRenewals = mStored = mCommits = mPlans = mGaps = Sample{};
   mEnds = mRows = mMostLeft = mOrders = 0;
--- a/src/services/cell_activity.h
+++ b/src/services/cell_activity.h
@@ -28,6 +28,7 @@
   /// Logs what has been noted since the last line.
   void Log(std::string_view aPool,
            int aWorkersInUse,
+           double aSpacing,
            const TimerDelays& aDelays,
            TimePoint aNow);
 
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -17,26 +17,12 @@
 constexpr Duration kOwnerRenewalInterval = std::chrono::milliseconds(500);
 constexpr Duration kLoadRetryInterval = std::chrono::milliseconds(100);
 constexpr Duration kScanTimeout = std::chrono::milliseconds(1500);
-/// Delay before a commit, so that the changes of a burst share it.
-constexpr Duration kCommitBatchDelay = std::chrono::milliseconds(4);
-constexpr Duration kPlanBatchDelay = std::chrono::milliseconds(3);
-/// Planning takes at most 1/kPlanTimeDivisor of the owner's time.
-constexpr int kPlanTimeDivisor = 5;
-/// Addition for each worker of the cell: with 80 of them a commit holds the
-/// changes of 20 ms.
-constexpr Duration kCommitBatchDelayPerWorker = std::chrono::microseconds(200);
-/// Addition for each worker in use: all together get at most 600 renewals a
-/// second.
-constexpr Duration kMinRenewalIntervalPerWorker =
-  std::chrono::microseconds(1700);
-/// Maximum pause between two planning rounds.
+/// Maximum time between two planning passes of an idle cell.
 constexpr Duration kMaxPlanInterval = std::chrono::milliseconds(150);
 /// A renewal is a long poll: the worker holds it until a run ends, at most this
 /// long.
 constexpr Duration kRenewalPollDuration = std::chrono::milliseconds(1500);
 constexpr Duration kRenewalGracePeriod = std::chrono::milliseconds(900);
-/// Bounds the rate of renewals at a worker.
-constexpr Duration kMinRenewalInterval = std::chrono::milliseconds(60);
 constexpr Duration kRenewalRetryInterval = std::chrono::milliseconds(250);
 constexpr int kMaxRenewalBackoffFactor = 4;
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(800);
@@ -254,6 +240,7 @@
   OnDirectoryChange();
   mTasks.Spawn("commit", CommitLoop());
   mTasks.Spawn("plan", PlanLoop());
+  mTasks.Spawn("pace", PaceLoop());
   mCommitted.NotifyAll();
 }
 
@@ -379,11 +366,23 @@
       }
     }
     Duration took = mClock.Now() - began;
-    mActivity.Log(mPool, mWorkersInUse, mClock.Delays(), mClock.Now());
+    mActivity.Log(
+      mPool, mWorkersInUse, mPace.Spacing(), mClock.Delays(), mClock.Now());
     TimePoint deadline = mClock.Now() + kMaxPlanInterval;
     co_await mPlanDue.WaitAndReset(mClock, deadline);
-    co_await mClock.Sleep(std::clamp(
-      took * (kPlanTimeDivisor - 1), kPlanBatchDelay, kMaxPlanInterval));
+    co_await mClock.Sleep(mPace.PlanPause(took));
+  }
+}
+
+Task<void>
+CellRuntime::PaceLoop()
+{
+  TimerDelays before = mClock.Delays();
+  while (Active()) {
+    co_await mClock.Sleep(WorkPace::kAdjustInterval);
+    TimerDelays delays = mClock.Delays();
+    mPace.OnQueueDelay(delays.MeanSince(before));
+    before = delays;
   }
 }
 
@@ -588,10 +587,8 @@
     TimePoint began = mClock.Now();
     bool answered = co_await RenewWorkerLeases(aWorker, began - idleSince);
     idleSince = mClock.Now();
-    Duration interval = std::max(kMinRenewalInterval,
-                                 kMinRenewalIntervalPerWorker * mWorkersInUse);
-    TimePoint next =
-      answered ? began + interval : mClock.Now() + RenewalBackoff(aWorker);
+    TimePoint next = answered ? began + mPace.RenewalInterval(mWorkersInUse)
+                              : mClock.Now() + RenewalBackoff(aWorker);
     if (mClock.Now() < next) {
       co_await mClock.SleepUntil(next);
     }
@@ -809,10 +806,9 @@
   while (Active()) {
     TimePoint deadline = renewed + kOwnerRenewalInterval;
     bool set = co_await mCommitDue.WaitAndReset(mClock, deadline);
-    if (set) {
-      auto workers = static_cast<int>(mCell->Workers().size());
-      co_await mClock.Sleep(kCommitBatchDelay +
-                            kCommitBatchDelayPerWorker * workers);
+    // What doesn't fit one commit has nothing to wait for.
+    if (set && mCell->FitsOneCommit()) {
+      co_await mClock.Sleep(mPace.CommitDelay());
     }
     CellChanges changes = mCell->TakeChanges(mClock.Now());
     bool renew = mClock.Now() >= deadline || mCommitRequested;
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNSHUNT_SERVICES_CELL_RUNTIME_H
 
 #include "decide/cell.h"
+#include "decide/work_pace.h"
 #include "kernel/entry_log.h"
 #include "kernel/kernel.h"
 #include "kernel/wait.h"
@@ -123,6 +124,7 @@
                const std::vector<StoredRow>& aCells);
   void HoldUnreadableJob(const StoredRow& aRow, const Failure& aFailure);
   Task<void> PlanLoop();
+  Task<void> PaceLoop();
   Task<void> CommitLoop();
   Task<bool> Release(TimePoint aDeadline);
   Task<bool> CommitChanges(CellChanges aChanges,
@@ -189,6 +191,7 @@
   /// Jobs of which a row can't be read.
   std::set<std::string, std::less<>> mUnreadableJobs;
   MalformedEntryLog mMalformed;
+  WorkPace mPace;
   CellActivity mActivity;
 };
 
