Make the test of a single long pass able to fail

It passed with the smoothing of the delay switched off. It now also checks the interval right after the pass, and fails then. The other three tests of the pace fail with a constant spacing, two of them with one that is adjusted step by step; all four pass on the sources as they are.

--- a/tests/work_pace_test.cpp
+++ b/tests/work_pace_test.cpp
@@ -59,6 +59,7 @@
 {
   WorkPace pace = PaceAt(2ms);
   pace.OnQueueDelay(60ms);
+  CHECK(pace.RenewalInterval(300) < PaceAt(60ms).RenewalInterval(300) / 2);
   for (int i = 0; i < 3; ++i) {
     pace.OnQueueDelay(2ms);
   }
