Log how long orders and silent workers keep an owner waiting

Nothing told a worker that is gone from one whose answer was lost, nor how long an order waits behind others of its worker. An owner's activity has the waits and answers of its orders, those without an answer, and the time from the first renewal in vain to the next answer; the same as histograms. No logic changes.

--- a/src/services/cell_activity.cpp
+++ b/src/services/cell_activity.cpp
@@ -38,6 +38,8 @@
   : mRenewalPauses(aMetrics.GetHistogram("cell_renewal_pause"))
   , mStoreWaits(aMetrics.GetHistogram("cell_store_wait"))
   , mPlanGaps(aMetrics.GetHistogram("cell_plan_gap"))
+  , mSilences(aMetrics.GetHistogram("cell_worker_silence"))
+  , mOrderTimes(aMetrics.GetHistogram("cell_order"))
 {
 }
 
@@ -49,6 +51,25 @@
   mEnds += aEnds;
 }
 
+void
+CellActivity::OnSilence(Duration aSilence)
+{
+  mSilences.Record(aSilence);
+  mSilent.Add(aSilence);
+}
+
+void
+CellActivity::OnOrder(Duration aWait, Duration aTook, bool aAnswered)
+{
+  mOrderTimes.Record(aWait + aTook);
+  mOrderWaits.Add(aWait);
+  if (aAnswered) {
+    mAnswered.Add(aTook);
+  } else {
+    ++mUnanswered;
+  }
+}
+
 void
 CellActivity::OnJobStored(Duration aWait)
 {
@@ -89,7 +110,10 @@
       "pool={} activity in_use={} spacing={} queue_delay_us={} renewals={} "
       "renewal_pause_ms={} ends={} commits={} rows={} left_jobs={} "
       "commit_ms={} stored={} store_wait_ms={} worst_store_wait_ms={} "
-      "plans={} plan_ms={} plan_gap_ms={} worst_plan_gap_ms={} orders={}",
+      "plans={} plan_ms={} plan_gap_ms={} worst_plan_gap_ms={} orders={} "
+      "order_wait_ms={} worst_order_wait_ms={} answer_ms={} "
+      "worst_answer_ms={} unanswered={} silent={} silence_ms={} "
+      "worst_silence_ms={}",
       aPool,
       aWorkersInUse,
       aSpacing,
@@ -108,10 +132,19 @@
       ToMillis(mPlans.Mean()),
       ToMillis(mGaps.Mean()),
       ToMillis(mGaps.mWorst),
-      mOrders);
+      mOrders,
+      ToMillis(mOrderWaits.Mean()),
+      ToMillis(mOrderWaits.mWorst),
+      ToMillis(mAnswered.Mean()),
+      ToMillis(mAnswered.mWorst),
+      mUnanswered,
+      mSilent.mCount,
+      ToMillis(mSilent.Mean()),
+      ToMillis(mSilent.mWorst));
   }
   mRenewals = mStored = mCommits = mPlans = mGaps = Sample{};
-  mEnds = mRows = mMostLeft = mOrders = 0;
+  mSilent = mOrderWaits = mAnswered = Sample{};
+  mEnds = mRows = mMostLeft = mOrders = mUnanswered = 0;
   mDelays = aDelays;
   mLoggedAt = aNow;
 }
--- a/src/services/cell_activity.h
+++ b/src/services/cell_activity.h
@@ -18,6 +18,11 @@
 
   /// A worker in use was asked after aPause without a request in flight.
   void OnRenewal(Duration aPause, std::size_t aEnds);
+  /// A worker in use answered aSilence after it was first asked in vain.
+  void OnSilence(Duration aSilence);
+  /// An order left its queue aWait after its decision, and its outcome was
+  /// known, or given up, aTook later.
+  void OnOrder(Duration aWait, Duration aTook, bool aAnswered);
   /// A new job was stored after its submission had waited for aWait.
   void OnJobStored(Duration aWait);
   /// A commit took aTook; aLeft jobs have changes for the next ones.
@@ -46,11 +51,17 @@
   LatencyHistogram& mRenewalPauses;
   LatencyHistogram& mStoreWaits;
   LatencyHistogram& mPlanGaps;
+  LatencyHistogram& mSilences;
+  LatencyHistogram& mOrderTimes;
   Sample mRenewals;
   Sample mStored;
   Sample mCommits;
   Sample mPlans;
   Sample mGaps;
+  Sample mSilent;
+  Sample mOrderWaits;
+  Sample mAnswered;
+  std::size_t mUnanswered = 0;
   std::size_t mEnds = 0;
   std::size_t mRows = 0;
   std::size_t mMostLeft = 0;
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -427,7 +427,7 @@
   for (CellOrder& order : aOrders) {
     WorkerQueue& queue = QueueOf(order.mWorker);
     queue.mChanged.NotifyAll();
-    queue.mOrders.push_back(std::move(order.mCall));
+    queue.mOrders.push_back({ std::move(order.mCall), mClock.Now() });
     auto waiting = static_cast<int>(queue.mOrders.size());
     if (queue.mSenders < std::min(kMaxSendersPerWorker, waiting)) {
       ++queue.mSenders;
@@ -443,8 +443,10 @@
 {
   WorkerQueue& queue = QueueOf(aWorker);
   while (!queue.mOrders.empty() && Active()) {
-    WorkerCall call = std::move(queue.mOrders.front());
+    QueuedOrder order = std::move(queue.mOrders.front());
     queue.mOrders.pop_front();
+    const WorkerCall& call = order.mCall;
+    TimePoint taken = mClock.Now();
     auto it = mCell->Workers().find(aWorker);
     Expected<WorkerReply> reply = Failure(ConnectFailure{});
     bool isStart = std::holds_alternative<StartRun>(call);
@@ -460,6 +462,8 @@
         reply = Failure(ConnectFailure{ endpoint });
       }
     }
+    mActivity.OnOrder(
+      taken - order.mDecidedAt, mClock.Now() - taken, Ok(reply));
     LogOrder(aWorker, call, reply);
     mCell->OnOrderReply(aWorker, call, reply, mClock.Now());
     if (!Ok(reply) || !std::holds_alternative<OrderDone>(std::get<0>(reply))) {
@@ -632,6 +636,8 @@
             mPool,
             FailureName(std::get<Failure>(reply)),
             ToMillis(now - sent));
+    WorkerQueue& queue = QueueOf(aWorker);
+    queue.mSilentSince = queue.mSilentSince.value_or(sent);
     mCell->OnNoAnswer(aWorker);
     mPlanDue.Set();
     co_return false;
@@ -674,6 +680,11 @@
   RecordMalformedRuns(aWorker, *listing);
   LogEndedRuns(worker, *listing);
   mActivity.OnRenewal(aPause, CountNewEnds(worker, *listing));
+  WorkerQueue& queue = QueueOf(aWorker);
+  if (queue.mSilentSince) {
+    mActivity.OnSilence(now - *queue.mSilentSince);
+    queue.mSilentSince.reset();
+  }
   mCell->OnListing(aWorker, *listing, sent, now);
   mPlanDue.Set();
   mCommitDue.Set();
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -101,6 +101,12 @@
     Unknown
   };
 
+  struct QueuedOrder
+  {
+    WorkerCall mCall;
+    TimePoint mDecidedAt;
+  };
+
   /// Unsent orders to a worker, in the order they were decided.
   struct WorkerQueue
   {
@@ -110,11 +116,13 @@
     }
     /// Notified when the worker may need a renewal.
     Event mChanged;
-    std::deque<WorkerCall> mOrders;
+    std::deque<QueuedOrder> mOrders;
     int mSenders = 0;
     bool mMonitored = false;
     /// Renewed again and again, and not only watched.
     bool mInUse = false;
+    /// When it was first asked in vain since its last answer.
+    std::optional<TimePoint> mSilentSince;
   };
 
   Task<void> Load();
