Ask a worker again once its answer is overdue

The time after which an answer is overdue follows the worker's own answers, as TCP's retransmission timer does. An overdue renewal is repeated at once without a wait, and renewals wait for an end only until one is due. A start or stop is repeated under its number, which has no effect on a worker that has carried it out. After an attempt without an answer only a success or a stop settles a start, since the attempt may still be carried out. A worker is taken for silent as late as before.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -77,6 +77,8 @@
   std::optional<double> mGauge;
   Duration mTailLatencyTarget{};
   TimePoint mStartedAt;
+  /// Expected run time; of no meaning for a long-running task.
+  Duration mExpectedRunTime{};
 };
 
 /// Crashes during runs of a task from which it runs without short neighbours.
@@ -146,6 +148,8 @@
   void AddRun(const TaskId& aTask, const ActiveRun& aRun);
   /// Tasks whose runs are confirmed.
   std::vector<TaskId> RunningTasks() const;
+  /// Time until the next end of a short run is due.
+  Duration TimeToNextEnd(TimePoint aNow) const;
   /// Whether the run may belong to an incarnation after the known one, of which
   /// the platform's list of VMs shows at aNow that it has ended.
   static bool MayOutliveIncarnation(const ActiveRun& aRun, TimePoint aNow);
@@ -309,8 +313,9 @@
   // Workers.
   void SetWorkers(std::span<const WorkerReport> aReports, TimePoint aNow);
   void SetDraining(std::string_view aWorker, bool aDraining);
+  /// Renewal that waits for an end until one is due, at most for aMaxWait.
   RenewLease NextRenewal(std::string_view aWorker,
-                         Duration aWait,
+                         Duration aMaxWait,
                          TimePoint aNow);
   void OnListing(std::string_view aWorker,
                  const WorkerStatus& aListing,
@@ -364,6 +369,8 @@
 
   /// Whether a planned start may still be sent to the worker.
   bool MayStartOn(std::string_view aWorker) const;
+  /// Whether the outcome of the start is unknown and the run still wanted.
+  bool AwaitsStart(std::string_view aWorker, const StartRun& aStart) const;
 
   bool Fenced() const { return mFenced; }
   const std::map<std::string, CellWorker, std::less<>>& Workers() const
--- a/src/decide/cell_job.cpp
+++ b/src/decide/cell_job.cpp
@@ -13,14 +13,6 @@
 // A task with an estimate of zero still takes some time.
 constexpr Duration kMinEstimate = std::chrono::milliseconds(50);
 
-Duration
-ExpectedRunTime(const RunTimeModel& aModel, Duration aEstimate)
-{
-  auto expected = std::chrono::duration_cast<Duration>(
-    std::chrono::duration<double>(aModel.ExpectedSeconds(aEstimate)));
-  return std::max(expected, kMinEstimate);
-}
-
 std::uint32_t
 RemainingTasks(const StepSpec& aStep,
                const OccurrenceRecord* aOccurrence,
@@ -89,6 +81,14 @@
          std::pow(mMeanSeconds, 1 - kEstimateWeight);
 }
 
+Duration
+ExpectedRunTime(const RunTimeModel& aModel, Duration aEstimate)
+{
+  auto expected = std::chrono::duration_cast<Duration>(
+    std::chrono::duration<double>(aModel.ExpectedSeconds(aEstimate)));
+  return std::max(expected, kMinEstimate);
+}
+
 std::size_t
 CountFailures(const StepSpec& aSpec,
               const StepRecord& aStep,
--- a/src/decide/cell_job.h
+++ b/src/decide/cell_job.h
@@ -167,6 +167,10 @@
   double ExpectedSeconds(Duration aEstimate) const;
 };
 
+/// Expected run time of a task, never zero.
+Duration
+ExpectedRunTime(const RunTimeModel& aModel, Duration aEstimate);
+
 /// Expected duration of the longest chain of unfinished steps; aOccurrence may
 /// be null for a job that hasn't started.
 Duration
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -371,6 +371,8 @@
   run.mLongRunning = spec.mLongRunning;
   run.mEarlierCrashes = task.mCrashes;
   run.mTailLatencyTarget = spec.mTailLatencyTarget;
+  run.mExpectedRunTime =
+    ExpectedRunTime(ModelOf(aJob.mQueue), spec.mEstimatedRunTime);
   aWorker.AddRun(aTask, run);
 
   StartRun start;
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -223,6 +223,8 @@
       run.mBestEffort = spec.mBestEffort;
       run.mLongRunning = spec.mLongRunning;
       run.mTailLatencyTarget = spec.mTailLatencyTarget;
+      run.mExpectedRunTime =
+        ExpectedRunTime(ModelOf(job->mQueue), spec.mEstimatedRunTime);
       OccurrenceRecord* occurrence =
         job->IsLive() ? OpenOccurrence(*job, aPresent.mTask.mOccurrence)
                       : nullptr;
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -18,6 +18,8 @@
 constexpr Duration kEndedWorkerRetention = std::chrono::seconds(10);
 /// Maximum age of what the list of VMs says by the time a cell hears of it.
 constexpr Duration kMaxVmListAge = std::chrono::seconds(3);
+/// Bounds the rate of renewals of a worker whose runs are overdue.
+constexpr Duration kMinTimeToNextEnd = std::chrono::milliseconds(100);
 
 } // namespace
 
@@ -110,6 +112,18 @@
          !it->second.mDraining;
 }
 
+bool
+Cell::AwaitsStart(std::string_view aWorker, const StartRun& aStart) const
+{
+  auto worker = mWorkers.find(aWorker);
+  if (worker == mWorkers.end()) {
+    return false;
+  }
+  auto run = worker->second.mRuns.find(aStart.mTask);
+  return run != worker->second.mRuns.end() && run->second.mRun == aStart.mRun &&
+         run->second.mStage == ActiveRun::Stage::Starting;
+}
+
 bool
 Cell::NeedsRenewal(std::string_view aWorker) const
 {
@@ -149,7 +163,7 @@
 }
 
 RenewLease
-Cell::NextRenewal(std::string_view aWorker, Duration aWait, TimePoint aNow)
+Cell::NextRenewal(std::string_view aWorker, Duration aMaxWait, TimePoint aNow)
 {
   RenewLease renewal;
   renewal.mToken = mToken;
@@ -158,7 +172,9 @@
     return renewal;
   }
   renewal.mAcknowledgedSequence = worker->mLastCommittedEnd;
-  renewal.mMaxWait = worker->mTokenAccepted ? aWait : Duration::zero();
+  renewal.mMaxWait = worker->mTokenAccepted
+                       ? std::min(aMaxWait, worker->TimeToNextEnd(aNow))
+                       : Duration::zero();
   if (worker->mTokenAccepted &&
       worker->mMissedAnswers < kMissedAnswersUntilSuspected) {
     renewal.mLeaseExpiry = GrantLease(*worker, aNow);
@@ -309,6 +325,21 @@
   mRuns.emplace(aTask, aRun);
 }
 
+// Run times vary, and rare ones are many times longer than the mean: a run is
+// expected to last half as long again as it has lasted already.
+Duration
+CellWorker::TimeToNextEnd(TimePoint aNow) const
+{
+  Duration next = Duration::max();
+  for (const auto& [task, run] : mRuns) {
+    if (!run.mLongRunning) {
+      Duration age = aNow - run.mStartedAt;
+      next = std::min(next, std::max(run.mExpectedRunTime - age, age / 2));
+    }
+  }
+  return std::max(next, kMinTimeToNextEnd);
+}
+
 std::vector<TaskId>
 CellWorker::RunningTasks() const
 {
--- a/src/services/cell_activity.cpp
+++ b/src/services/cell_activity.cpp
@@ -112,8 +112,8 @@
       "commit_ms={} stored={} store_wait_ms={} worst_store_wait_ms={} "
       "plans={} plan_ms={} plan_gap_ms={} worst_plan_gap_ms={} orders={} "
       "order_wait_ms={} worst_order_wait_ms={} answer_ms={} "
-      "worst_answer_ms={} unanswered={} silent={} silence_ms={} "
-      "worst_silence_ms={}",
+      "worst_answer_ms={} unanswered={} lost_attempts={} silent={} "
+      "silence_ms={} worst_silence_ms={}",
       aPool,
       aWorkersInUse,
       aSpacing,
@@ -138,13 +138,14 @@
       ToMillis(mAnswered.Mean()),
       ToMillis(mAnswered.mWorst),
       mUnanswered,
+      mLostAttempts,
       mSilent.mCount,
       ToMillis(mSilent.Mean()),
       ToMillis(mSilent.mWorst));
   }
   mRenewals = mStored = mCommits = mPlans = mGaps = Sample{};
   mSilent = mOrderWaits = mAnswered = Sample{};
-  mEnds = mRows = mMostLeft = mOrders = mUnanswered = 0;
+  mEnds = mRows = mMostLeft = mOrders = mUnanswered = mLostAttempts = 0;
   mDelays = aDelays;
   mLoggedAt = aNow;
 }
--- a/src/services/cell_activity.h
+++ b/src/services/cell_activity.h
@@ -20,6 +20,8 @@
   void OnRenewal(Duration aPause, std::size_t aEnds);
   /// A worker in use answered aSilence after it was first asked in vain.
   void OnSilence(Duration aSilence);
+  /// One attempt of a renewal or an order had no answer.
+  void OnAttemptLost() { ++mLostAttempts; }
   /// An order left its queue aWait after its decision, and its outcome was
   /// known, or given up, aTook later.
   void OnOrder(Duration aWait, Duration aTook, bool aAnswered);
@@ -62,6 +64,7 @@
   Sample mOrderWaits;
   Sample mAnswered;
   std::size_t mUnanswered = 0;
+  std::size_t mLostAttempts = 0;
   std::size_t mEnds = 0;
   std::size_t mRows = 0;
   std::size_t mMostLeft = 0;
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -26,6 +26,12 @@
 constexpr Duration kRenewalRetryInterval = std::chrono::milliseconds(250);
 constexpr int kMaxRenewalBackoffFactor = 4;
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(800);
+/// Timeouts of one attempt of a renewal or an order. An answer takes some
+/// milliseconds, and up to 0.1 s more while the owner's processor quota is used
+/// up.
+constexpr AnswerTimer::Bounds kAnswerTimeouts{ std::chrono::milliseconds(200),
+                                               std::chrono::milliseconds(800),
+                                               std::chrono::milliseconds(400) };
 /// Bounds the concurrent orders to one worker.
 constexpr int kMaxSendersPerWorker = 4;
 constexpr Duration kAdviceGracePeriod = std::chrono::milliseconds(1500);
@@ -35,6 +41,12 @@
 
 } // namespace
 
+CellRuntime::WorkerQueue::WorkerQueue(asio::io_context& aContext)
+  : mChanged(aContext)
+  , mAnswers(kAnswerTimeouts)
+{
+}
+
 CellRuntime::CellRuntime(Kernel& aKernel,
                          const CellPorts& aPorts,
                          DirectoryService& aDirectory,
@@ -447,21 +459,7 @@
     queue.mOrders.pop_front();
     const WorkerCall& call = order.mCall;
     TimePoint taken = mClock.Now();
-    auto it = mCell->Workers().find(aWorker);
-    Expected<WorkerReply> reply = Failure(ConnectFailure{});
-    bool isStart = std::holds_alternative<StartRun>(call);
-    bool allowed = !isStart || mCell->MayStartOn(aWorker);
-    if (it != mCell->Workers().end() && HoldsLease() && allowed) {
-      WorkerAddress address{ aWorker, it->second.mReport.mEndpoint };
-      TimePoint deadline =
-        std::min(mClock.Now() + kOrderTimeout, mLease.Expiry());
-      Endpoint endpoint = address.mEndpoint;
-      reply = co_await CallWorker(
-        *mPorts.mWorkers, std::move(address), call, deadline);
-      if (IsFromFormerAddress(aWorker, endpoint, reply)) {
-        reply = Failure(ConnectFailure{ endpoint });
-      }
-    }
+    Expected<WorkerReply> reply = co_await SendOrder(aWorker, call);
     mActivity.OnOrder(
       taken - order.mDecidedAt, mClock.Now() - taken, Ok(reply));
     LogOrder(aWorker, call, reply);
@@ -473,6 +471,84 @@
   --queue.mSenders;
 }
 
+bool
+CellRuntime::MaySend(std::string_view aWorker, const WorkerCall& aCall) const
+{
+  if (!HoldsLease() || !mCell->Workers().contains(aWorker)) {
+    return false;
+  }
+  const auto* start = std::get_if<StartRun>(&aCall);
+  return start == nullptr ||
+         (mCell->MayStartOn(aWorker) && mCell->AwaitsStart(aWorker, *start));
+}
+
+namespace {
+
+/// Tells whether an answer also settles earlier attempts of the order that had
+/// none and may still be carried out.
+struct SettlesOrderVisitor
+{
+  bool operator()(const OrderDone&) const { return true; }
+  bool operator()(const IncarnationMismatch&) const { return true; }
+  bool operator()(const OrderRefused& aReply) const
+  {
+    return !mIsStart || aReply.mReason == StartRefusal::Fenced;
+  }
+  bool operator()(const WorkerStatus&) const { return false; }
+  bool operator()(const Advice&) const { return false; }
+
+  bool mIsStart = false;
+};
+
+} // namespace
+
+// An order without an answer is sent again under its number, which has no
+// effect on a worker that has carried it out. aCall must outlive the task.
+Task<Expected<WorkerReply>>
+CellRuntime::SendOrder(std::string aWorker, const WorkerCall& aCall)
+{
+  WorkerQueue& queue = QueueOf(aWorker);
+  TimePoint giveUpAt = std::min(mClock.Now() + kOrderTimeout, mLease.Expiry());
+  std::optional<Failure> unsettled;
+  Expected<WorkerReply> reply = Failure(ConnectFailure{});
+  bool again = true;
+  while (again && MaySend(aWorker, aCall)) {
+    const CellWorker& worker = mCell->Workers().find(aWorker)->second;
+    WorkerAddress address{ aWorker, worker.mReport.mEndpoint };
+    Endpoint endpoint = address.mEndpoint;
+    TimePoint sent = mClock.Now();
+    TimePoint deadline = std::min(sent + queue.mAnswers.Timeout(), giveUpAt);
+    reply = co_await CallWorker(
+      *mPorts.mWorkers, std::move(address), aCall, deadline);
+    if (IsFromFormerAddress(aWorker, endpoint, reply)) {
+      reply = Failure(ConnectFailure{ endpoint });
+    }
+    TimePoint now = mClock.Now();
+    if (Ok(reply)) {
+      queue.mAnswers.OnAnswer(now - sent);
+      break;
+    }
+    bool neverSent =
+      std::holds_alternative<ConnectFailure>(std::get<Failure>(reply));
+    if (!neverSent && !unsettled) {
+      unsettled = std::get<Failure>(reply);
+    }
+    bool silent = now >= deadline;
+    if (silent) {
+      queue.mAnswers.OnTimeout();
+    }
+    again = silent && now < giveUpAt;
+    mActivity.OnAttemptLost();
+  }
+  bool isStart = std::holds_alternative<StartRun>(aCall);
+  bool settled = Ok(reply) && std::visit(SettlesOrderVisitor{ isStart },
+                                         std::get<WorkerReply>(reply));
+  if (unsettled && !settled) {
+    co_return *unsettled;
+  }
+  co_return reply;
+}
+
 // Another worker has the address that this one had before it restarted, which
 // says nothing about the present incarnation. It has not carried out the call.
 bool
@@ -616,18 +692,65 @@
          std::clamp(missed, 1, kMaxRenewalBackoffFactor);
 }
 
+// An answer that is overdue is asked for again, on another connection and
+// without a wait, so that its loss doesn't leave the worker's ends unheard of.
+// The worker is silent only if no attempt is answered. aSent is the time of the
+// attempt that was.
+Task<Expected<WorkerReply>>
+CellRuntime::SendRenewal(std::string aWorker, TimePoint& aSent)
+{
+  WorkerQueue& queue = QueueOf(aWorker);
+  Duration maxWait = kRenewalPollDuration;
+  std::optional<TimePoint> giveUpAt;
+  Expected<WorkerReply> reply = Failure(ConnectFailure{});
+  bool again = true;
+  while (again) {
+    auto it = mCell->Workers().find(aWorker);
+    if (it == mCell->Workers().end() || !HoldsLease()) {
+      break;
+    }
+    WorkerAddress address{ aWorker, it->second.mReport.mEndpoint };
+    aSent = mClock.Now();
+    RenewLease renewal = mCell->NextRenewal(aWorker, maxWait, aSent);
+    TimePoint due = aSent + renewal.mMaxWait;
+    giveUpAt = giveUpAt.value_or(due + kRenewalGracePeriod);
+    TimePoint deadline = std::min(due + queue.mAnswers.Timeout(), *giveUpAt);
+    reply = co_await CallWorker(
+      *mPorts.mWorkers, std::move(address), renewal, deadline);
+    TimePoint now = mClock.Now();
+    if (Ok(reply)) {
+      // One that waited for an end doesn't tell when it was due.
+      if (now >= due) {
+        queue.mAnswers.OnAnswer(now - due);
+      } else {
+        queue.mAnswers.OnUntimedAnswer();
+      }
+      break;
+    }
+    queue.mSilentSince = queue.mSilentSince.value_or(aSent);
+    bool silent = now >= deadline;
+    if (silent) {
+      queue.mAnswers.OnTimeout();
+    }
+    bool lost =
+      std::holds_alternative<ConnectionLost>(std::get<Failure>(reply));
+    bool firstAttempt = maxWait > Duration::zero();
+    again = now < *giveUpAt && (silent || (lost && firstAttempt));
+    maxWait = Duration::zero();
+    mActivity.OnAttemptLost();
+  }
+  co_return reply;
+}
+
 Task<bool>
 CellRuntime::RenewWorkerLeases(const std::string& aWorker, Duration aPause)
 {
   const CellWorker& target = mCell->Workers().find(aWorker)->second;
-  WorkerAddress address{ aWorker, target.mReport.mEndpoint };
-  Endpoint endpoint = address.mEndpoint;
+  Endpoint endpoint = target.mReport.mEndpoint;
   bool firstContact = !target.mTokenAccepted;
-  TimePoint sent = mClock.Now();
-  RenewLease renewal = mCell->NextRenewal(aWorker, kRenewalPollDuration, sent);
-  TimePoint deadline = sent + renewal.mMaxWait + kRenewalGracePeriod;
-  auto reply = co_await CallWorker(
-    *mPorts.mWorkers, std::move(address), renewal, deadline);
+  TimePoint asked = mClock.Now();
+  TimePoint sent = asked;
+  auto reply = co_await SendRenewal(aWorker, sent);
   TimePoint now = mClock.Now();
   if (!Ok(reply)) {
     LogWarn(kPart,
@@ -635,9 +758,7 @@
             aWorker,
             mPool,
             FailureName(std::get<Failure>(reply)),
-            ToMillis(now - sent));
-    WorkerQueue& queue = QueueOf(aWorker);
-    queue.mSilentSince = queue.mSilentSince.value_or(sent);
+            ToMillis(now - asked));
     mCell->OnNoAnswer(aWorker);
     mPlanDue.Set();
     co_return false;
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -1,6 +1,7 @@
 #ifndef BUCKTHORNSHUNT_SERVICES_CELL_RUNTIME_H
 #define BUCKTHORNSHUNT_SERVICES_CELL_RUNTIME_H
 
+#include "decide/answer_timer.h"
 #include "decide/cell.h"
 #include "decide/work_pace.h"
 #include "kernel/entry_log.h"
@@ -110,10 +111,7 @@
   /// Unsent orders to a worker, in the order they were decided.
   struct WorkerQueue
   {
-    explicit WorkerQueue(asio::io_context& aContext)
-      : mChanged(aContext)
-    {
-    }
+    explicit WorkerQueue(asio::io_context& aContext);
     /// Notified when the worker may need a renewal.
     Event mChanged;
     std::deque<QueuedOrder> mOrders;
@@ -121,6 +119,7 @@
     bool mMonitored = false;
     /// Renewed again and again, and not only watched.
     bool mInUse = false;
+    AnswerTimer mAnswers;
     /// When it was first asked in vain since its last answer.
     std::optional<TimePoint> mSilentSince;
   };
@@ -140,9 +139,14 @@
                            TimePoint aDeadline);
   ConditionalCommit MakeCommit(const CellChanges& aChanges) const;
   Task<void> MonitorWorker(std::string aWorker);
+  Task<Expected<WorkerReply>> SendRenewal(std::string aWorker,
+                                          TimePoint& aSent);
   Task<bool> RenewWorkerLeases(const std::string& aWorker, Duration aPause);
   Duration RenewalBackoff(std::string_view aWorker) const;
   Task<void> SendOrders(std::string aWorker);
+  Task<Expected<WorkerReply>> SendOrder(std::string aWorker,
+                                        const WorkerCall& aCall);
+  bool MaySend(std::string_view aWorker, const WorkerCall& aCall) const;
   Task<void> FetchAdvice(AdviceRequest aRequest);
   void Dispatch(std::vector<CellOrder> aOrders);
   WorkerQueue& QueueOf(std::string_view aWorker);
