--- a/src/services/cell_activity.cpp
+++ b/src/services/cell_activity.cpp
@@ -99,57 +99,54 @@
                   int aWorkersInUse,
                   double aSpacing,
                   const TimerDelays& aDelays,
-                  Duration aProcessorTime,
                   TimePoint aNow)
 {
   if (aNow < mLoggedAt + kLogInterval) {
     return;
   }
   if (mOrders + mEnds + mRows > 0) {
-    LogInfo("cell",
-            "pool={} activity in_use={} spacing={} queue_delay_us={} "
-            "processor_ms={} renewals={} renewal_pause_ms={} ends={} "
-            "commits={} rows={} left_jobs={} "
-            "commit_ms={} stored={} store_wait_ms={} worst_store_wait_ms={} "
-            "plans={} plan_ms={} plan_gap_ms={} worst_plan_gap_ms={} orders={} "
-            "order_wait_ms={} worst_order_wait_ms={} answer_ms={} "
-            "worst_answer_ms={} unanswered={} lost_attempts={} silent={} "
-            "silence_ms={} worst_silence_ms={}",
-            aPool,
-            aWorkersInUse,
-            aSpacing,
-            ToMicros(aDelays.MeanSince(mDelays)),
-            ToMillis(aProcessorTime - mProcessorTime),
-            mRenewals.mCount,
-            ToMillis(mRenewals.Mean()),
-            mEnds,
-            mCommits.mCount,
-            mRows,
-            mMostLeft,
-            ToMillis(mCommits.Mean()),
-            mStored.mCount,
-            ToMillis(mStored.Mean()),
-            ToMillis(mStored.mWorst),
-            mPlans.mCount,
-            ToMillis(mPlans.Mean()),
-            ToMillis(mGaps.Mean()),
-            ToMillis(mGaps.mWorst),
-            mOrders,
-            ToMillis(mOrderWaits.Mean()),
-            ToMillis(mOrderWaits.mWorst),
-            ToMillis(mAnswered.Mean()),
-            ToMillis(mAnswered.mWorst),
-            mUnanswered,
-            mLostAttempts,
-            mSilent.mCount,
-            ToMillis(mSilent.Mean()),
-            ToMillis(mSilent.mWorst));
+    LogInfo(
+      "cell",
+      "pool={} activity in_use={} spacing={} queue_delay_us={} renewals={} "
+      "renewal_pause_ms={} ends={} commits={} rows={} left_jobs={} "
+      "commit_ms={} stored={} store_wait_ms={} worst_store_wait_ms={} "
+      "plans={} plan_ms={} plan_gap_ms={} worst_plan_gap_ms={} orders={} "
+      "order_wait_ms={} worst_order_wait_ms={} answer_ms={} "
+      "worst_answer_ms={} unanswered={} lost_attempts={} silent={} "
+      "silence_ms={} worst_silence_ms={}",
+      aPool,
+      aWorkersInUse,
+      aSpacing,
+      ToMicros(aDelays.MeanSince(mDelays)),
+      mRenewals.mCount,
+      ToMillis(mRenewals.Mean()),
+      mEnds,
+      mCommits.mCount,
+      mRows,
+      mMostLeft,
+      ToMillis(mCommits.Mean()),
+      mStored.mCount,
+      ToMillis(mStored.Mean()),
+      ToMillis(mStored.mWorst),
+      mPlans.mCount,
+      ToMillis(mPlans.Mean()),
+      ToMillis(mGaps.Mean()),
+      ToMillis(mGaps.mWorst),
+      mOrders,
+      ToMillis(mOrderWaits.Mean()),
+      ToMillis(mOrderWaits.mWorst),
+      ToMillis(mAnswered.Mean()),
+      ToMillis(mAnswered.mWorst),
+      mUnanswered,
+      mLostAttempts,
+      mSilent.mCount,
+      ToMillis(mSilent.Mean()),
+      ToMillis(mSilent.mWorst));
   }
   mRenewals = mStored = mCommits = mPlans = mGaps = Sample{};
   mSilent = mOrderWaits = mAnswered = Sample{};
   mEnds = mRows = mMostLeft = mOrders = mUnanswered = mLostAttempts = 0;
   mDelays = aDelays;
-  mProcessorTime = aProcessorTime;
   mLoggedAt = aNow;
 }
 
--- a/src/services/cell_activity.h
+++ b/src/services/cell_activity.h
@@ -32,13 +32,11 @@
   /// A planning pass took aTook, and began aGap after the one before.
   void OnPlan(Duration aTook, Duration aGap, std::size_t aOrders);
 
-  /// Logs what has been noted since the last line. aProcessorTime is what the
-  /// process has used since its start.
+  /// Logs what has been noted since the last line.
   void Log(std::string_view aPool,
            int aWorkersInUse,
            double aSpacing,
            const TimerDelays& aDelays,
-           Duration aProcessorTime,
            TimePoint aNow);
 
 private:
@@ -72,7 +70,6 @@
   std::size_t mMostLeft = 0;
   std::size_t mOrders = 0;
   TimerDelays mDelays;
-  Duration mProcessorTime{};
   TimePoint mLoggedAt;
 };
 
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -1,7 +1,6 @@
 #include "services/cell_runtime.h"
 
 #include "kernel/log.h"
-#include "kernel/processor_time.h"
 #include "services/directory_service.h"
 #include "services/owner_service.h"
 #include "wire/cell_codec.h"
@@ -379,12 +378,8 @@
       }
     }
     Duration took = mClock.Now() - began;
-    mActivity.Log(mPool,
-                  mWorkersInUse,
-                  mPace.Spacing(),
-                  mClock.Delays(),
-                  ProcessorTime(),
-                  mClock.Now());
+    mActivity.Log(
+      mPool, mWorkersInUse, mPace.Spacing(), mClock.Delays(), mClock.Now());
     TimePoint deadline = mClock.Now() + kMaxPlanInterval;
     co_await mPlanDue.WaitAndReset(mClock, deadline);
     co_await mClock.Sleep(mPace.PlanPause(took));
