--- a/src/daemon/assembly.cpp
+++ b/src/daemon/assembly.cpp
@@ -41,9 +41,14 @@
   Store& store = *aOptions.mCells.mStore;
   Endpoint peers = aOptions.mSelf.mPeerEndpoint;
   aKernel.GetTracer().SetNode(aOptions.mSelf.mNode);
+  // Without VMs to list, no owner of the fleet chooses a layout.
+  std::optional<FleetLayout> layout;
+  if (aOptions.mFleet.mMachines == nullptr) {
+    layout = FleetLayout{};
+  }
   aKernel.Add<DirectoryService>(DirectoryService::kName, store);
   aKernel.Add<OwnerService>(
-    OwnerService::kName, store, std::move(aOptions.mSelf));
+    OwnerService::kName, store, std::move(aOptions.mSelf), layout);
   aKernel.Add<RelayService>(RelayService::kName, std::move(peers));
   aKernel.Add<EntryService>(EntryService::kName, aOptions.mEndpoints);
   aKernel.Add<CellService>(
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -41,9 +41,11 @@
   return kVmMaintenanceTime * static_cast<int>(batches + 2);
 }
 
-/// One pool's state while a plan is made.
+/// State of a shard's part of a pool while a plan is made.
 struct PoolState
 {
+  std::string mPool;
+  std::uint32_t mShard = 0;
   /// Null if there is no recent report.
   const PoolUsage* mUsage = nullptr;
   bool mSpare = false;
@@ -101,7 +103,7 @@
     AddPools();
     mVms.reserve(aView.mVms.size());
     for (const PoolVm& vm : aView.mVms) {
-      PoolState& pool = mPools[vm.mPool];
+      PoolState& pool = StateOf(vm.mPool, vm.mVm);
       bool leaving = aView.mIntents.contains(vm.mVm);
       bool held = aView.mHeldVms.contains(vm.mVm);
       mVms.push_back({ &vm, &pool, UsageOf(vm, pool), leaving, held });
@@ -118,7 +120,7 @@
     for (const auto& [name, intent] : aView.mIntents) {
       const VmState* vm = Find(name);
       if (vm != nullptr && !intent.mTargetPool.empty()) {
-        PoolState& target = mPools[intent.mTargetPool];
+        PoolState& target = StateOf(intent.mTargetPool, name);
         target.mUsableCores += CoresOf(*vm->mVm);
         // A VM that has arrived is already counted.
         bool moving = vm->mVm->mPool != intent.mTargetPool;
@@ -142,23 +144,46 @@
   }
 
 private:
+  PoolState& StateOf(std::string_view aPool, std::uint32_t aShard)
+  {
+    auto [it, added] =
+      mPools.try_emplace(mView.mLayout.CellName(aPool, aShard));
+    if (added) {
+      it->second.mPool = aPool;
+      it->second.mShard = aShard;
+    }
+    return it->second;
+  }
+
+  PoolState& StateOf(std::string_view aPool, std::string_view aVm)
+  {
+    return StateOf(aPool, mView.mLayout.ShardOf(aVm));
+  }
+
   void AddPools()
   {
     for (const WorkerPoolConfig& config : mView.mPoolConfigs) {
-      mPools[config.mName].mSpare = config.mSpare;
+      for (std::uint32_t s = 0; s < mView.mLayout.mShards; ++s) {
+        StateOf(config.mName, s).mSpare = config.mSpare;
+      }
     }
     double evenShare =
       static_cast<double>(mView.mVms.size()) /
       static_cast<double>(std::max<std::size_t>(mPools.size(), 1));
     auto standby = static_cast<int>(std::floor(kStandbyShare * evenShare));
-    for (const std::string& name : mView.mCells) {
-      mPools[name].mHasCell = true;
+    // Pools that the configuration no longer names.
+    for (const PoolVm& vm : mView.mVms) {
+      StateOf(vm.mPool, vm.mVm);
     }
-    for (const auto& [name, usage] : mView.mPools) {
-      PoolState& pool = mPools[name];
-      if (mView.mNow - usage.mReportedAt >= kMaxReportAge) {
+    for (auto& [name, pool] : mPools) {
+      pool.mHasCell = mView.mCells.contains(name);
+      auto report = mView.mUsages.find(name);
+      bool recent = report != mView.mUsages.end() &&
+                    mView.mNow - report->second.mReportedAt < kMaxReportAge;
+      if (!recent) {
         continue;
       }
+      const PoolUsage& usage = report->second;
       pool.mUsage = &usage;
       pool.mGrowThreshold = GrowThresholdCores(usage);
       pool.mShrinkThreshold = ShrinkThresholdCores(usage);
@@ -237,7 +262,7 @@
     ++aVm.mPool->mLeaving;
     aVm.mPool->mUsableCores -= cores;
     if (!aIntent.mTargetPool.empty()) {
-      PoolState& target = mPools[aIntent.mTargetPool];
+      PoolState& target = StateOf(aIntent.mTargetPool, aVm.mVm->mVm);
       target.mUsableCores += cores;
       ++target.mArriving;
     }
@@ -344,27 +369,34 @@
   // which may take all VMs for seconds.
   void GrowPools()
   {
+    std::set<std::uint32_t> exhausted;
+    auto grow = [&](const PoolState& aPool, double aDeficit) {
+      if (!exhausted.contains(aPool.mShard) && !Grow(aPool, aDeficit)) {
+        exhausted.insert(aPool.mShard);
+      }
+    };
     for (const auto& [name, pool] : mPools) {
       int missing = pool.UnorderedVms();
-      if (missing > 0 && !Grow(name, (missing - 1) * MeanCores() + 1)) {
-        return;
+      if (missing > 0) {
+        grow(pool, (missing - 1) * MeanCores() + 1);
       }
     }
-    std::vector<std::pair<double, std::string_view>> shortPools;
+    std::vector<std::pair<double, const PoolState*>> shortPools;
     for (const auto& [name, pool] : mPools) {
       double deficit = pool.mGrowThreshold - pool.mUsableCores;
       if (pool.Staying() < pool.mMinVms) {
         deficit = std::max(deficit, 1.0);
       }
       if (pool.mUsage != nullptr && !pool.mSpare && deficit > 0) {
-        shortPools.emplace_back(-deficit, name);
+        shortPools.emplace_back(deficit, &pool);
       }
     }
-    std::sort(shortPools.begin(), shortPools.end());
-    for (auto [negativeDeficit, pool] : shortPools) {
-      if (!Grow(pool, -negativeDeficit)) {
-        return;
-      }
+    std::stable_sort(
+      shortPools.begin(), shortPools.end(), [](auto& aLeft, auto& aRight) {
+        return aLeft.first > aRight.first;
+      });
+    for (auto [deficit, pool] : shortPools) {
+      grow(*pool, deficit);
     }
   }
 
@@ -381,23 +413,25 @@
   // above their shrink thresholds; false if there aren't enough. What a pool
   // can give only falls while another grows, so that one pass over the VMs
   // does.
-  bool Grow(std::string_view aTarget, double aDeficit)
+  bool Grow(const PoolState& aTarget, double aDeficit)
   {
-    const PoolState* target = &mPools.find(aTarget)->second;
     double deficit = aDeficit;
     auto take = [&](VmState& aVm) {
       deficit -= CoresOf(*aVm.mVm);
-      MoveTo(aTarget, aVm);
+      MoveTo(aTarget.mPool, aVm);
+    };
+    auto inShard = [&](const VmState& aVm) {
+      return aVm.mPool->mShard == aTarget.mShard;
     };
     for (auto it = mVms.begin(); it != mVms.end() && deficit > 0; ++it) {
-      if (it->mPool->mSpare && it->IsMovable()) {
+      if (it->mPool->mSpare && inShard(*it) && it->IsMovable()) {
         take(*it);
       }
     }
     for (auto it = mVms.rbegin(); it != mVms.rend() && deficit > 0; ++it) {
       const PoolState& pool = *it->mPool;
       bool free =
-        it->mPool != target && !pool.mSpare && it->IsMovable() &&
+        &pool != &aTarget && inShard(*it) && !pool.mSpare && it->IsMovable() &&
         it->IsIdle() && !pool.LacksRoom() && pool.Staying() > pool.mMinVms &&
         pool.mUsableCores - CoresOf(*it->mVm) >= pool.mShrinkThreshold;
       if (free) {
@@ -415,24 +449,25 @@
       if (!IsSurplus(vm)) {
         continue;
       }
-      std::string_view target = PoolWithLargestDeficit();
-      if (target.empty()) {
-        return;
+      const PoolState* target = PoolWithLargestDeficit(vm.mPool->mShard);
+      if (target != nullptr) {
+        MoveTo(target->mPool, vm);
       }
-      MoveTo(target, vm);
     }
   }
 
-  // The pool furthest below its standby; empty if none is below it.
-  std::string_view PoolWithLargestDeficit() const
+  // The pool of the shard furthest below its standby; null if none is below it.
+  const PoolState* PoolWithLargestDeficit(std::uint32_t aShard) const
   {
-    std::string_view target;
+    const PoolState* target = nullptr;
     int largest = 0;
     for (const auto& [name, pool] : mPools) {
       int deficit = pool.mStandbyVms - pool.Staying() - pool.mArriving;
-      if (pool.mUsage != nullptr && !pool.mSpare && deficit > largest) {
+      bool candidate =
+        pool.mShard == aShard && pool.mUsage != nullptr && !pool.mSpare;
+      if (candidate && deficit > largest) {
         largest = deficit;
-        target = name;
+        target = &pool;
       }
     }
     return target;
@@ -450,9 +485,9 @@
   void ShrinkPools()
   {
     std::string_view spare;
-    for (const auto& [name, pool] : mPools) {
-      if (pool.mSpare) {
-        spare = name;
+    for (const WorkerPoolConfig& config : mView.mPoolConfigs) {
+      if (config.mSpare) {
+        spare = config.mName;
       }
     }
     if (spare.empty()) {
@@ -526,13 +561,15 @@
 // earlier, before the worker's start, so its confirmation ends nothing; until
 // the list shows its effect the worker is taken for ended.
 std::vector<std::string>
-WorkersToSeal(const FleetView& aView, TimePoint aListed)
+WorkersToSeal(const FleetView& aView, std::uint32_t aShard, TimePoint aListed)
 {
   std::vector<std::string> sealed;
   for (const auto& [name, intent] : aView.mIntents) {
     bool listLags =
       intent.mWave != 0 && aListed <= intent.mConfirmedAt + kMaxListLag;
-    if (!intent.mWorker.empty() && (!intent.mConfirmed || listLags)) {
+    bool inShard = aView.mLayout.ShardOf(name) == aShard;
+    if (inShard && !intent.mWorker.empty() &&
+        (!intent.mConfirmed || listLags)) {
       sealed.push_back(intent.mWorker);
     }
   }
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -3,6 +3,7 @@
 
 #include "buckthornshunt/workload.h"
 #include "decide/cell_owner.h"
+#include "decide/fleet_layout.h"
 
 #include <cstdint>
 #include <map>
@@ -38,7 +39,7 @@
   std::optional<UnlistedWorker> mUnlisted;
 };
 
-/// A pool's usage, as reported by the owner of its cell.
+/// A cell's usage of its shard's part of a pool, as reported by its owner.
 struct PoolUsage
 {
   /// Cores held by tasks that aren't long-running.
@@ -87,15 +88,17 @@
 struct FleetView
 {
   TimePoint mNow;
+  FleetLayout mLayout;
   std::vector<PoolVm> mVms;
-  std::map<std::string, PoolUsage, std::less<>> mPools;
+  /// By the name of the cell.
+  std::map<std::string, PoolUsage, std::less<>> mUsages;
   std::map<std::uint64_t, WaveProgress> mWaves;
   std::map<std::string, FleetIntent, std::less<>> mIntents;
   std::vector<WorkerPoolConfig> mPoolConfigs;
   /// VMs that an earlier owner may have ordered; no move of theirs may be
   /// ordered yet.
   std::set<std::string, std::less<>> mHeldVms;
-  /// Pools with a cell, whether its owner has reported or not.
+  /// Names of all cells, whether their owners have reported or not.
   std::set<std::string, std::less<>> mCells;
 };
 
@@ -132,10 +135,10 @@
                       const WorkerIncarnation& aIncarnation,
                       const FleetIntent& aIntent);
 
-/// Workers on which nothing may start, since their VMs are to be moved or
-/// maintained; aListed is when the list of VMs was requested.
+/// Workers of a shard on which nothing may start, since their VMs are to be
+/// moved or maintained; aListed is when the list of VMs was requested.
 std::vector<std::string>
-WorkersToSeal(const FleetView& aView, TimePoint aListed);
+WorkersToSeal(const FleetView& aView, std::uint32_t aShard, TimePoint aListed);
 
 /// Cores that a pool needs for its demand; with fewer it takes VMs in. A single
 /// large job doesn't count as demand.
@@ -148,7 +151,8 @@
 
 /// Decides which VMs are maintained, moved or switched off next. Demand peaks
 /// in one pool at a time, at several times its mean: idle VMs move to the pool
-/// in its peak, and VMs that no pool needs are switched off.
+/// in its peak, and VMs that no pool needs are switched off. Each shard is
+/// planned for by itself, except that a wave's limit holds for all of them.
 FleetPlan
 PlanFleet(const FleetView& aView);
 
--- a/src/ports/caller_calls.h
+++ b/src/ports/caller_calls.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <variant>
 
 namespace buckthornshunt {
@@ -50,6 +51,11 @@
 using CallerCall =
   std::variant<SubmitJob, ReadJob, LocateJob, CancelJob, CountQueuedJobs>;
 
+/// Id of the job that a call is about; empty if it is about none. The call must
+/// outlive it.
+std::string_view
+JobIdOf(const CallerCall& aCall);
+
 /// The job is stored.
 struct JobAccepted
 {};
--- a/src/services/cell_lease.h
+++ b/src/services/cell_lease.h
@@ -15,6 +15,10 @@
 /// Table of owner rows; the part of a row is the name of its cell.
 constexpr std::string_view kCellTable = "cells";
 constexpr std::string_view kOwnerKey = "owner";
+/// Cell whose owner sends the orders for VMs.
+constexpr std::string_view kFleetCell = "fleet";
+/// Key of the fleet's layout, next to the owner row of the fleet's cell.
+constexpr std::string_view kLayoutKey = "layout";
 
 /// This node's lease on a cell, from its successful claim until another node
 /// claims the cell.
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -50,7 +50,8 @@
 CellRuntime::CellRuntime(Kernel& aKernel,
                          const CellPorts& aPorts,
                          DirectoryService& aDirectory,
-                         std::string_view aPool,
+                         FleetLayout aLayout,
+                         CellId aId,
                          CellDurations aTimes,
                          ClaimResult aClaim)
   : mKernel(aKernel)
@@ -58,10 +59,11 @@
   , mPorts(aPorts)
   , mDirectory(aDirectory)
   , mWorkerSubscription(aDirectory.SubscribeToWorkers())
-  , mPool(aPool)
+  , mLayout(aLayout)
+  , mId(std::move(aId))
   , mLease(aKernel,
            *aPorts.mStore,
-           aPool,
+           mId.mName,
            std::move(aClaim.mRow),
            aClaim.mRevision,
            aClaim.mSentAt)
@@ -83,7 +85,7 @@
 {
   LogInfo(kPart,
           "pool={} taken over term={} token={}",
-          mPool,
+          mId.mName,
           mLease.Row().mTerm,
           ToNumber(mLease.CurrentRevision()));
   mTasks.Spawn("load", Load());
@@ -102,7 +104,7 @@
     bool released = co_await Release(aDeadline);
     LogInfo(kPart,
             "pool={} released={} term={}",
-            mPool,
+            mId.mName,
             released ? 1 : 0,
             mLease.Row().mTerm);
   }
@@ -173,7 +175,7 @@
 RowName
 CellRuntime::MakeRowName(std::string_view aTable, std::string_view aKey) const
 {
-  return { std::string(aTable), mPool, std::string(aKey) };
+  return { std::string(aTable), mId.mName, std::string(aKey) };
 }
 
 // --- Loading
@@ -184,7 +186,7 @@
   std::string from;
   bool more = true;
   while (more) {
-    ScanRows scan{ aTable, mPool, from };
+    ScanRows scan{ aTable, mId.mName, from };
     TimePoint deadline = mClock.Now() + kScanTimeout;
     auto reply =
       co_await CallStoreFor<RowScanPage>(*mPorts.mStore, scan, deadline);
@@ -200,7 +202,7 @@
       aRows.push_back(std::move(row));
     }
     for (std::size_t i = 0; i < page.mUnnamedRows; ++i) {
-      mMalformed.Record(aTable, mPool, "no key");
+      mMalformed.Record(aTable, mId.mName, "no key");
     }
   }
   co_return true;
@@ -244,7 +246,7 @@
   Restore(jobs, progress, cells);
   LogInfo(kPart,
           "pool={} loaded jobs={} rows={} in_ms={}",
-          mPool,
+          mId.mName,
           jobs.size(),
           jobs.size() + progress.size() + cells.size(),
           ToMillis(mClock.Now() - began));
@@ -306,8 +308,9 @@
       // can't be read, its leases are waited for.
       std::vector<WorkerAddress> unknown(1);
       mCell->RestoreWorkers(unknown, now);
-      mMalformed.Record(
-        kCellTable, mPool + "/workers", Describe(std::get<Failure>(workers)));
+      mMalformed.Record(kCellTable,
+                        mId.mName + "/workers",
+                        Describe(std::get<Failure>(workers)));
     }
   }
 }
@@ -320,7 +323,7 @@
 {
   mUnreadableJobs.insert(aRow.mName.mKey);
   mMalformed.Record(aRow.mName.mTable,
-                    mPool + "/" + aRow.mName.mKey,
+                    mId.mName + "/" + aRow.mName.mKey,
                     aRow.mFault.empty() ? Describe(aFailure) : aRow.mFault);
 }
 
@@ -331,10 +334,14 @@
     return;
   }
   if (auto config = mDirectory.Config()) {
-    mCell->SetConfig(*config, mPool);
+    mCell->SetConfig(*config, mId.mPool);
   }
   if (mDirectory.WorkersKnown()) {
     std::vector<WorkerReport> reports = mDirectory.Workers();
+    std::erase_if(reports, [&](const WorkerReport& aReport) {
+      const std::string& vm = aReport.mVm.empty() ? aReport.mId : aReport.mVm;
+      return mLayout.ShardOf(vm) != mId.mShard;
+    });
     mCell->SetWorkers(reports, mClock.Now());
   }
   for (const std::string& id : mLease.Row().mDrainingWorkers) {
@@ -379,7 +386,7 @@
     }
     Duration took = mClock.Now() - began;
     mActivity.Log(
-      mPool, mWorkersInUse, mPace.Spacing(), mClock.Delays(), mClock.Now());
+      mId.mName, mWorkersInUse, mPace.Spacing(), mClock.Delays(), mClock.Now());
     TimePoint deadline = mClock.Now() + kMaxPlanInterval;
     co_await mPlanDue.WaitAndReset(mClock, deadline);
     co_await mClock.Sleep(mPace.PlanPause(took));
@@ -424,7 +431,7 @@
               task.mJob,
               task.mOccurrence,
               task.mStep,
-              mPool,
+              mId.mName,
               mLease.Row().mTerm,
               runs);
       runs.clear();
@@ -621,7 +628,7 @@
           "{} worker={} pool={} token={} outcome={}",
           std::visit(OrderFormatter{}, aCall),
           aWorker,
-          mPool,
+          mId.mName,
           mLease.Row().mTerm,
           outcome);
 }
@@ -756,7 +763,7 @@
     LogWarn(kPart,
             "renew worker={} pool={} outcome={} after_ms={}",
             aWorker,
-            mPool,
+            mId.mName,
             FailureName(std::get<Failure>(reply)),
             ToMillis(now - asked));
     mCell->OnNoAnswer(aWorker);
@@ -776,8 +783,10 @@
     co_return false;
   }
   if (std::holds_alternative<IncarnationMismatch>(workerReply)) {
-    LogWarn(
-      kPart, "renew worker={} pool={} outcome=other_worker", aWorker, mPool);
+    LogWarn(kPart,
+            "renew worker={} pool={} outcome=other_worker",
+            aWorker,
+            mId.mName);
     mCell->OnOtherWorker(aWorker, now);
     mPlanDue.Set();
     co_return false;
@@ -793,7 +802,7 @@
     LogInfo(kPart,
             "contact worker={} pool={} born={} present={} ended={}",
             aWorker,
-            mPool,
+            mId.mName,
             listing->mIncarnation,
             listing->mActiveRuns.size(),
             listing->mEndedRuns.size());
@@ -832,7 +841,7 @@
     LogInfo(kPart,
             "runs lost worker={} pool={} born={} cause={} n={} silent_ms={}",
             loss.mWorker,
-            mPool,
+            mId.mName,
             loss.mIncarnation,
             ToString(loss.mCause),
             loss.mRuns,
@@ -850,7 +859,7 @@
                 "job={} pool={} failed task={} crashes={} worker={}, its "
                 "workers crash",
                 run.mTask.mJob,
-                mPool,
+                mId.mName,
                 ToString(run.mTask),
                 run.mCrashes,
                 crash.mWorker);
@@ -859,7 +868,7 @@
     LogWarn(kPart,
             "crash worker={} pool={} born={} n={} crashes={}",
             crash.mWorker,
-            mPool,
+            mId.mName,
             crash.mIncarnation,
             crash.mRuns.size(),
             runs);
@@ -896,7 +905,7 @@
       LogInfo(kPart,
               "end worker={} pool={} n={} runs={}",
               aWorker.mReport.mId,
-              mPool,
+              mId.mName,
               end.mSequence,
               runs);
       runs.clear();
@@ -999,7 +1008,7 @@
     LogInfo(kPart,
             "job={} pool={} queue={} stored revision={}",
             job.mId,
-            mPool,
+            mId.mName,
             job.mQueue,
             ToNumber(mLease.CurrentRevision()));
   }
@@ -1010,7 +1019,7 @@
       LogInfo(kPart,
               "job={} pool={} phase={} stored revision={}",
               id,
-              mPool,
+              mId.mName,
               ToString(progress.mPhase),
               ToNumber(mLease.CurrentRevision()));
     }
@@ -1024,7 +1033,7 @@
     LogInfo(kPart,
             "worker={} pool={} ended according to the VM list",
             aWorker,
-            mPool);
+            mId.mName);
     mPlanDue.Set();
     mCommitDue.Set();
   } else {
@@ -1038,7 +1047,7 @@
                              std::int64_t aIncarnation)
 {
   if (mCell->OnWorkerMoved(aWorker, aIncarnation, mClock.Now())) {
-    LogInfo(kPart, "worker={} pool={} ended by a move", aWorker, mPool);
+    LogInfo(kPart, "worker={} pool={} ended by a move", aWorker, mId.mName);
     mPlanDue.Set();
     mCommitDue.Set();
   }
@@ -1118,20 +1127,6 @@
 
 // --- Callers
 
-namespace {
-
-struct JobIdVisitor
-{
-  std::string_view operator()(const CountQueuedJobs&) const { return {}; }
-  template<class Call>
-  std::string_view operator()(const Call& aCall) const
-  {
-    return aCall.mId;
-  }
-};
-
-} // namespace
-
 Task<CallerReply>
 CellRuntime::Handle(CallerCall aCall, TimePoint aDeadline)
 {
@@ -1141,7 +1136,7 @@
   if (!mLoaded || Lost() || mReleasing) {
     co_return ServiceUnavailable{ std::chrono::seconds(1) };
   }
-  if (mUnreadableJobs.contains(std::visit(JobIdVisitor{}, aCall))) {
+  if (mUnreadableJobs.contains(JobIdOf(aCall))) {
     co_return ServiceUnavailable{ std::chrono::seconds(1) };
   }
   if (auto* submit = std::get_if<SubmitJob>(&aCall)) {
@@ -1194,7 +1189,7 @@
     LogInfo(kPart,
             "job={} pool={} unavailable lease={} commit_late={}",
             aCall.mId,
-            mPool,
+            mId.mName,
             HoldsLease() ? 1 : 0,
             mLease.IsCommitOverdue() ? 1 : 0);
     co_return ServiceUnavailable{ std::chrono::seconds(1) };
@@ -1204,7 +1199,7 @@
     LogInfo(kPart,
             "job={} pool={} unavailable, queue={} has moved",
             id,
-            mPool,
+            mId.mName,
             aCall.mQueue);
     co_return ServiceUnavailable{ std::chrono::seconds(1) };
   }
@@ -1221,7 +1216,7 @@
     LogInfo(kPart,
             "job={} pool={} refused backlog_core_s={} cores={} retry_ms={}",
             id,
-            mPool,
+            mId.mName,
             load.mBacklogCoreSeconds,
             load.mCores,
             ToMillis(retry));
@@ -1233,15 +1228,17 @@
     mActivity.OnJobStored(mClock.Now() - taken);
   }
   if (state == ChangeState::NotStored) {
-    LogInfo(
-      kPart, "job={} pool={} unavailable, the cell was released", id, mPool);
+    LogInfo(kPart,
+            "job={} pool={} unavailable, the cell was released",
+            id,
+            mId.mName);
     co_return ServiceUnavailable{ std::chrono::seconds(1) };
   }
   if (state == ChangeState::Unknown) {
     LogWarn(kPart,
             "job={} pool={} unsettled, not stored before the deadline",
             id,
-            mPool);
+            mId.mName);
     co_return CallOutcomeUnknown{};
   }
   co_return JobAccepted{};
@@ -1286,7 +1283,7 @@
   LogInfo(kPart,
           "job={} pool={} cancel stored={}",
           aCall.mId,
-          mPool,
+          mId.mName,
           state == ChangeState::Stored ? 1 : 0);
   if (state == ChangeState::NotStored) {
     co_return ServiceUnavailable{ std::chrono::seconds(1) };
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -3,6 +3,7 @@
 
 #include "decide/answer_timer.h"
 #include "decide/cell.h"
+#include "decide/fleet_layout.h"
 #include "decide/work_pace.h"
 #include "kernel/entry_log.h"
 #include "kernel/kernel.h"
@@ -48,7 +49,8 @@
   CellRuntime(Kernel& aKernel,
               const CellPorts& aPorts,
               DirectoryService& aDirectory,
-              std::string_view aPool,
+              FleetLayout aLayout,
+              CellId aId,
               CellDurations aTimes,
               ClaimResult aClaim);
 
@@ -60,7 +62,7 @@
   /// cancelled.
   Task<void> Stop(TimePoint aDeadline);
 
-  const std::string& Pool() const { return mPool; }
+  const std::string& Name() const { return mId.mName; }
 
   /// True if the lease holds and the cell isn't being released.
   bool HoldsLease() const { return !mReleasing && mLease.IsValid(); }
@@ -182,7 +184,8 @@
   CellPorts mPorts;
   DirectoryService& mDirectory;
   DirectoryService::WorkerSubscription mWorkerSubscription;
-  std::string mPool;
+  FleetLayout mLayout;
+  CellId mId;
   CellLease mLease;
   bool mLoaded = false;
   bool mReleasing = false;
--- a/src/services/cell_service.cpp
+++ b/src/services/cell_service.cpp
@@ -126,9 +126,9 @@
 }
 
 std::shared_ptr<CellRuntime>
-CellService::Find(std::string_view aPool) const
+CellService::Find(std::string_view aCell) const
 {
-  auto it = mOwned.find(aPool);
+  auto it = mOwned.find(aCell);
   bool usable = it != mOwned.end() && !it->second->Lost() && !mStopping;
   return usable ? it->second : nullptr;
 }
@@ -136,7 +136,7 @@
 Task<OwnerReply>
 CellService::Handle(RelayedCall aCall)
 {
-  std::shared_ptr<CellRuntime> runtime = Find(aCall.mPool);
+  std::shared_ptr<CellRuntime> runtime = Find(aCall.mCell);
   if (!runtime) {
     co_return NotOwner{};
   }
@@ -166,15 +166,18 @@
 {
   Clock& clock = mKernel.GetClock();
   while (!mStopping) {
-    if (auto config = mDirectory->Config()) {
-      std::set<std::string_view> pools = PoolsWithJobs(*config);
-      std::vector<std::string_view> order(pools.begin(), pools.end());
-      std::sort(order.begin(), order.end(), [&](auto aLeft, auto aRight) {
-        return ClaimOrder(aLeft) < ClaimOrder(aRight);
-      });
-      for (std::string_view pool : order) {
-        MaybeTakeOver(pool);
-        MaybeRequestHandoff(pool);
+    auto config = mDirectory->Config();
+    std::optional<FleetLayout> layout = mOwners->Layout();
+    if (config && layout) {
+      std::vector<CellId> cells = CellsWithJobs(*config, *layout);
+      std::sort(cells.begin(),
+                cells.end(),
+                [&](const CellId& aLeft, const CellId& aRight) {
+                  return ClaimOrder(aLeft.mName) < ClaimOrder(aRight.mName);
+                });
+      for (const CellId& cell : cells) {
+        MaybeTakeOver(cell);
+        MaybeRequestHandoff(cell.mName);
       }
     }
     std::vector<std::shared_ptr<CellRuntime>> lost;
@@ -184,7 +187,7 @@
       }
     }
     for (std::shared_ptr<CellRuntime>& runtime : lost) {
-      mOwned.erase(runtime->Pool());
+      mOwned.erase(runtime->Name());
       mOwners->Refresh();
       BeginRelease(std::move(runtime), clock.Now() + kOwnerLeaseDuration);
     }
@@ -203,31 +206,41 @@
   return ClaimDelay(mOwners->Self().mCapacity, mOwned.size() - 1);
 }
 
-// Pools that queues send their jobs to, and pools that have had an owner: the
-// jobs of a queue that moved remain in the cell that accepted them.
-std::set<std::string_view>
-CellService::PoolsWithJobs(const WorkloadConfig& aConfig)
+// Cells of pools that queues send their jobs to, and cells that have had an
+// owner: the jobs of a queue that moved remain in the cell that accepted them.
+std::vector<CellId>
+CellService::CellsWithJobs(const WorkloadConfig& aConfig,
+                           const FleetLayout& aLayout)
 {
   std::set<std::string_view> pools;
+  std::set<std::string_view> poolsWithQueue;
   for (const QueueConfig& queue : aConfig.mQueues) {
-    mOwners->Watch(queue.mPool);
     pools.insert(queue.mPool);
+    poolsWithQueue.insert(queue.mPool);
   }
   for (const WorkerPoolConfig& pool : aConfig.mPools) {
-    mOwners->Watch(pool.mName);
-    if (mOwners->LastSeen(pool.mName) != nullptr) {
-      pools.insert(pool.mName);
+    pools.insert(pool.mName);
+  }
+  std::vector<CellId> cells;
+  for (std::string_view pool : pools) {
+    for (std::uint32_t shard = 0; shard < aLayout.mShards; ++shard) {
+      CellId cell = MakeCellId(aLayout, pool, shard);
+      mOwners->Watch(cell.mName);
+      if (poolsWithQueue.contains(pool) ||
+          mOwners->LastSeen(cell.mName) != nullptr) {
+        cells.push_back(std::move(cell));
+      }
     }
   }
-  return pools;
+  return cells;
 }
 
 // Each node claims the cells in its own order, with longer delays for later
 // ones; otherwise the first node to start would take them all.
 std::size_t
-CellService::ClaimOrder(std::string_view aPool) const
+CellService::ClaimOrder(std::string_view aCell) const
 {
-  std::string name = mOwners->Self().mNode + "/" + std::string(aPool);
+  std::string name = mOwners->Self().mNode + "/" + std::string(aCell);
   return std::hash<std::string>{}(name);
 }
 
@@ -241,31 +254,31 @@
 }
 
 void
-CellService::MaybeTakeOver(std::string_view aPool)
+CellService::MaybeTakeOver(const CellId& aCell)
 {
   bool ownedOrPending =
-    mOwned.contains(aPool) || mPendingTakeovers.contains(aPool);
-  if (mStopping || ownedOrPending || !mOwners->HasBeenRead(aPool)) {
+    mOwned.contains(aCell.mName) || mPendingTakeovers.contains(aCell.mName);
+  if (mStopping || ownedOrPending || !mOwners->HasBeenRead(aCell.mName)) {
     return;
   }
-  const OwnerObservation* sighting = mOwners->LastSeen(aPool);
+  const OwnerObservation* sighting = mOwners->LastSeen(aCell.mName);
   TimePoint now = mKernel.GetClock().Now();
   bool free =
     sighting == nullptr ||
     EvaluateOwnership(*sighting, mOwners->Self(), now) == OwnershipState::Free;
   if (free) {
-    mTakeovers.Spawn("take over", TakeOver(std::string(aPool)));
-    mPendingTakeovers.emplace(std::string(aPool), true);
+    mTakeovers.Spawn("take over", TakeOver(aCell));
+    mPendingTakeovers.emplace(aCell.mName, true);
   }
 }
 
 void
-CellService::MaybeRequestHandoff(std::string_view aPool)
+CellService::MaybeRequestHandoff(std::string_view aCell)
 {
   TimePoint now = mKernel.GetClock().Now();
-  const OwnerObservation* sighting = mOwners->LastSeen(aPool);
+  const OwnerObservation* sighting = mOwners->LastSeen(aCell);
   bool ownedOrPending =
-    mOwned.contains(aPool) || mPendingTakeovers.contains(aPool);
+    mOwned.contains(aCell) || mPendingTakeovers.contains(aCell);
   if (mStopping || ownedOrPending || sighting == nullptr ||
       now < mHandoffRequestedAt + kHandoffRequestInterval) {
     return;
@@ -278,20 +291,20 @@
     mHandoffRequestedAt = now;
     mTasks.Spawn(
       "ask",
-      RequestHandoff(std::string(aPool), sighting->mRow.mPeerEndpoint, delay));
+      RequestHandoff(std::string(aCell), sighting->mRow.mPeerEndpoint, delay));
   }
 }
 
 Task<void>
-CellService::RequestHandoff(std::string aPool, Endpoint aOwner, Duration aDelay)
+CellService::RequestHandoff(std::string aCell, Endpoint aOwner, Duration aDelay)
 {
   TimePoint deadline = mKernel.GetClock().Now() + kHandoffRequestTimeout;
-  Json body = { { "pool", aPool }, { "delay_ms", ToMillis(aDelay) } };
+  Json body = { { "pool", aCell }, { "delay_ms", ToMillis(aDelay) } };
   auto reply =
     co_await mRelay->Call(aOwner, "ask for cell", std::move(body), deadline);
   LogInfo(kPart,
           "cell={} handoff requested at={} outcome={}",
-          aPool,
+          aCell,
           ToString(aOwner),
           Ok(reply) ? "heard" : FailureName(std::get<Failure>(reply)));
   mOwners->Refresh();
@@ -318,18 +331,18 @@
 Task<Json>
 CellService::OnHandoffRequest(Json aBody)
 {
-  auto pool =
+  auto cell =
     ToExpected<std::string>([&] { return ReadString(aBody, "pool"); });
-  if (!Ok(pool)) {
+  if (!Ok(cell)) {
     LogWarn(kPart,
             "malformed handoff request ignored: {}",
-            Describe(std::get<Failure>(pool)));
+            Describe(std::get<Failure>(cell)));
     co_return Json();
   }
-  std::shared_ptr<CellRuntime> runtime = Find(std::get<0>(pool));
+  std::shared_ptr<CellRuntime> runtime = Find(std::get<0>(cell));
   if (runtime && runtime->Loaded() && MayHandOff(aBody)) {
-    mOwned.erase(std::get<0>(pool));
-    LogInfo(kPart, "cell={} released for a handoff", runtime->Pool());
+    mOwned.erase(std::get<0>(cell));
+    LogInfo(kPart, "cell={} released for a handoff", runtime->Name());
     TimePoint deadline = mKernel.GetClock().Now() + kOwnerLeaseDuration;
     BeginRelease(std::move(runtime), deadline);
   }
@@ -337,7 +350,7 @@
 }
 
 Task<void>
-CellService::TakeOver(std::string aPool)
+CellService::TakeOver(CellId aCell)
 {
   Clock& clock = mKernel.GetClock();
   TimePoint claimAt = clock.Now() + ClaimDelayWithJitter();
@@ -345,19 +358,19 @@
     co_await WaitUntil(mDrainProgress, clock, claimAt);
   }
   if (!mStopping) {
-    co_await ClaimFreeCell(aPool);
+    co_await ClaimFreeCell(aCell);
   }
-  mPendingTakeovers.erase(aPool);
+  mPendingTakeovers.erase(aCell.mName);
   mDrainProgress.NotifyAll();
 }
 
 // Claims the cell on condition that its row hasn't changed since it was found
 // to be free.
 Task<void>
-CellService::ClaimFreeCell(std::string aPool)
+CellService::ClaimFreeCell(CellId aCell)
 {
   Clock& clock = mKernel.GetClock();
-  const OwnerObservation* sighting = mOwners->LastSeen(aPool);
+  const OwnerObservation* sighting = mOwners->LastSeen(aCell.mName);
   bool free = sighting == nullptr ||
               EvaluateOwnership(*sighting, mOwners->Self(), clock.Now()) ==
                 OwnershipState::Free;
@@ -370,31 +383,32 @@
   }
   std::optional<OwnerObservation> seen;
   auto claim = co_await ClaimCell(
-    mKernel, *mPorts.mStore, aPool, mOwners->Self(), before, seen);
+    mKernel, *mPorts.mStore, aCell.mName, mOwners->Self(), before, seen);
   if (seen) {
-    mOwners->ObserveRow(aPool, seen->mRow, seen->mRevision);
+    mOwners->ObserveRow(aCell.mName, seen->mRow, seen->mRevision);
   }
   if (!claim) {
     co_return;
   }
-  mOwners->ObserveRow(aPool, claim->mRow, claim->mRevision);
+  mOwners->ObserveRow(aCell.mName, claim->mRow, claim->mRevision);
   if (mStopping) {
-    co_await ReleaseClaim(std::move(aPool), std::move(*claim));
+    co_await ReleaseClaim(std::move(aCell.mName), std::move(*claim));
     co_return;
   }
+  FleetLayout layout = *mOwners->Layout();
   auto runtime = std::make_shared<CellRuntime>(
-    mKernel, mPorts, *mDirectory, aPool, mTimes, std::move(*claim));
-  mOwned.insert_or_assign(aPool, runtime);
+    mKernel, mPorts, *mDirectory, layout, aCell, mTimes, std::move(*claim));
+  mOwned.insert_or_assign(aCell.mName, runtime);
   runtime->Start();
 }
 
 // Releases a cell whose claim succeeded after the drain had begun.
 Task<void>
-CellService::ReleaseClaim(std::string aPool, ClaimResult aClaim)
+CellService::ReleaseClaim(std::string aCell, ClaimResult aClaim)
 {
   CellLease lease(mKernel,
                   *mPorts.mStore,
-                  aPool,
+                  aCell,
                   std::move(aClaim.mRow),
                   aClaim.mRevision,
                   aClaim.mSentAt);
@@ -403,7 +417,7 @@
     co_await lease.Commit(std::move(nothing), true, mDrainDeadline);
   LogInfo(kPart,
           "cell={} claimed while stopping released={}",
-          aPool,
+          aCell,
           released ? 1 : 0);
   mRelay->Broadcast("released", Json());
   mOwners->Refresh();
--- a/src/services/cell_service.h
+++ b/src/services/cell_service.h
@@ -9,6 +9,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace buckthornshunt {
 
@@ -16,8 +17,9 @@
 class OwnerService;
 class RelayService;
 
-/// Takes over cells without an owner and runs those that this node owns. A cell
-/// is a pool that at least one queue sends its jobs to.
+/// Takes over cells without an owner and runs those that this node owns. Each
+/// pool that at least one queue sends its jobs to has a cell in each shard of
+/// the fleet.
 class CellService
 {
 public:
@@ -33,9 +35,9 @@
   Task<void> Stop();
 
   /// Returns the cell, or null if this node doesn't own it.
-  std::shared_ptr<CellRuntime> Find(std::string_view aPool) const;
+  std::shared_ptr<CellRuntime> Find(std::string_view aCell) const;
 
-  /// Answers a call to a pool; NotOwner if this node doesn't own its cell.
+  /// Answers a call to a cell; NotOwner if this node doesn't own it.
   Task<OwnerReply> Handle(RelayedCall aCall);
 
   const std::map<std::string, std::shared_ptr<CellRuntime>, std::less<>>&
@@ -47,22 +49,23 @@
 private:
   Task<void> WatchCells();
   Task<void> WatchDirectory();
-  Task<void> TakeOver(std::string aPool);
-  Task<void> ClaimFreeCell(std::string aPool);
-  Task<void> ReleaseClaim(std::string aPool, ClaimResult aClaim);
+  Task<void> TakeOver(CellId aCell);
+  Task<void> ClaimFreeCell(CellId aCell);
+  Task<void> ReleaseClaim(std::string aCell, ClaimResult aClaim);
   void BeginRelease(std::shared_ptr<CellRuntime> aRuntime, TimePoint aDeadline);
   Task<void> ReleaseCell(std::shared_ptr<CellRuntime> aRuntime,
                          TimePoint aDeadline);
-  void MaybeTakeOver(std::string_view aPool);
-  void MaybeRequestHandoff(std::string_view aPool);
-  Task<void> RequestHandoff(std::string aPool,
+  void MaybeTakeOver(const CellId& aCell);
+  void MaybeRequestHandoff(std::string_view aCell);
+  Task<void> RequestHandoff(std::string aCell,
                             Endpoint aOwner,
                             Duration aDelay);
   Duration DelayWithOtherCells() const;
   bool MayHandOff(const Json& aBody) const;
   Task<Json> OnHandoffRequest(Json aBody);
-  std::set<std::string_view> PoolsWithJobs(const WorkloadConfig& aConfig);
-  std::size_t ClaimOrder(std::string_view aPool) const;
+  std::vector<CellId> CellsWithJobs(const WorkloadConfig& aConfig,
+                                    const FleetLayout& aLayout);
+  std::size_t ClaimOrder(std::string_view aCell) const;
   Duration ClaimDelayWithJitter();
 
   Kernel& mKernel;
@@ -84,7 +87,7 @@
   std::set<std::shared_ptr<CellRuntime>> mReleasing;
   /// When this node last requested a handoff from a smaller one.
   TimePoint mHandoffRequestedAt;
-  /// Pools whose takeover is in progress.
+  /// Cells whose takeover is in progress.
   std::map<std::string, bool, std::less<>> mPendingTakeovers;
 };
 
--- a/src/services/entry_service.cpp
+++ b/src/services/entry_service.cpp
@@ -162,7 +162,7 @@
 {
   TimePoint now = mKernel.GetClock().Now();
   bool ready = !mKernel.IsStopping() && mDirectory->Config() != nullptr &&
-               now - mOwners->ReadAt() < kMaxReadyReadAge;
+               mOwners->Layout() && now - mOwners->ReadAt() < kMaxReadyReadAge;
   co_return MakeReply(ready ? kOk : kUnavailable, kJsonType, "{}");
 }
 
@@ -213,24 +213,64 @@
   Duration margin =
     std::min(kAnswerMargin, decodedCall.mPatience / kMarginDivisor);
   TimePoint deadline = began + decodedCall.mPatience - margin;
-  std::string pool =
-    config->FindQueueByName(QueueName(decodedCall.mCall))->mPool;
-  CallerCall call = decodedCall.mCall;
   CallProgress progress;
+  CallerReply reply = co_await Answer(decodedCall.mCall, deadline, progress);
+  LogReply(decodedCall.mCall, reply, progress, clock.Now() - began);
+  co_return platform::EncodeCallerReply(reply);
+}
+
+// A queue's jobs are spread over all shards.
+Task<CallerReply>
+EntryService::Answer(CallerCall aCall,
+                     TimePoint aDeadline,
+                     CallProgress& aProgress)
+{
+  std::optional<FleetLayout> layout = mOwners->Layout();
+  if (!layout) {
+    co_return ServiceUnavailable{ kRetryAfter };
+  }
+  if (!std::holds_alternative<CountQueuedJobs>(aCall)) {
+    std::uint32_t shard = layout->ShardOf(JobIdOf(aCall));
+    CallerReply reply =
+      co_await AnswerInShard(std::move(aCall), shard, aDeadline, aProgress);
+    co_return reply;
+  }
+  QueuedJobCount total;
+  for (std::uint32_t shard = 0; shard < layout->mShards; ++shard) {
+    CallerReply reply =
+      co_await AnswerInShard(aCall, shard, aDeadline, aProgress);
+    const auto* count = std::get_if<QueuedJobCount>(&reply);
+    if (count == nullptr) {
+      co_return reply;
+    }
+    total.mJobs += count->mJobs;
+  }
+  co_return total;
+}
+
+Task<CallerReply>
+EntryService::AnswerInShard(CallerCall aCall,
+                            std::uint32_t aShard,
+                            TimePoint aDeadline,
+                            CallProgress& aProgress)
+{
+  auto config = mDirectory->Config();
+  const QueueConfig* queue = config->FindQueueByName(QueueName(aCall));
+  if (queue == nullptr) {
+    co_return QueueNotFound{};
+  }
+  CellId cell = MakeCellId(*mOwners->Layout(), queue->mPool, aShard);
   EarlierCells earlier =
-    co_await CallEarlierCells(call, pool, deadline, progress);
-  CallerReply reply = ServiceUnavailable{ kRetryAfter };
+    co_await CallEarlierCells(aCall, cell, aDeadline, aProgress);
   if (earlier.mReply) {
-    reply = *earlier.mReply;
-  } else {
-    reply = co_await Route(
-      std::move(pool), std::move(decodedCall.mCall), deadline, progress);
+    co_return *earlier.mReply;
   }
+  CallerReply reply =
+    co_await Route(std::move(cell), std::move(aCall), aDeadline, aProgress);
   if (auto* count = std::get_if<QueuedJobCount>(&reply)) {
     count->mJobs += earlier.mWaiting;
   }
-  LogReply(call, reply, progress, clock.Now() - began);
-  co_return platform::EncodeCallerReply(reply);
+  co_return reply;
 }
 
 void
@@ -273,18 +313,23 @@
                        : TimePoint::max();
 }
 
-std::set<std::string>
-EntryService::EarlierPools(std::string_view aQueue,
-                           std::string_view aPool) const
+// A pool that no longer exists has no owner to ask.
+std::vector<CellId>
+EntryService::FindEarlierCells(std::string_view aQueue,
+                               const CellId& aCell) const
 {
   std::set<std::string> pools = mDirectory->Moves().EarlierPools(aQueue);
-  pools.merge(mOwners->CellsThatQueueLeft(aQueue));
-  // A pool that no longer exists has no owner to ask.
+  std::set<std::string> left = mOwners->CellsThatQueueLeft(aQueue);
   auto config = mDirectory->Config();
-  std::erase_if(pools, [&](const std::string& aEarlier) {
-    return aEarlier == aPool || config->FindPool(aEarlier) == nullptr;
-  });
-  return pools;
+  std::vector<CellId> cells;
+  for (const WorkerPoolConfig& pool : config->mPools) {
+    CellId cell = MakeCellId(*mOwners->Layout(), pool.mName, aCell.mShard);
+    bool earlier = pools.contains(pool.mName) || left.contains(cell.mName);
+    if (earlier && cell.mName != aCell.mName) {
+      cells.push_back(std::move(cell));
+    }
+  }
+  return cells;
 }
 
 // The earlier cells of a queue keep the jobs that they accepted, so a repeated
@@ -292,7 +337,7 @@
 // cancellations are tried there once the present cell doesn't know the job.
 Task<EntryService::EarlierCells>
 EntryService::CallEarlierCells(CallerCall aCall,
-                               std::string aPool,
+                               CellId aCell,
                                TimePoint aDeadline,
                                CallProgress& aProgress)
 {
@@ -307,9 +352,9 @@
     call =
       LocateJob{ submit->mQueue, submit->mId, mDirectory->Config()->mVersion };
   }
-  std::set<std::string> pools = EarlierPools(QueueName(aCall), aPool);
-  for (const std::string& pool : pools) {
-    CallerReply reply = co_await Route(pool, call, aDeadline, aProgress);
+  std::vector<CellId> cells = FindEarlierCells(QueueName(aCall), aCell);
+  for (const CellId& cell : cells) {
+    CallerReply reply = co_await Route(cell, call, aDeadline, aProgress);
     if (const auto* waiting = std::get_if<QueuedJobCount>(&reply)) {
       result.mWaiting += waiting->mJobs;
     } else if (!std::holds_alternative<JobNotFound>(reply)) {
@@ -322,7 +367,7 @@
 
 // Makes one call to the cell's current owner.
 Task<OwnerReply>
-EntryService::CallOwner(std::string aPool,
+EntryService::CallOwner(std::string aCell,
                         CallerCall aCall,
                         TimePoint aDeadline,
                         CallProgress& aProgress)
@@ -334,13 +379,13 @@
   }
   TimePoint deadline =
     std::min({ aDeadline, AnswerDeadline(), now + kOwnerCallTimeout });
-  RelayedCall relayed{ aPool, std::move(aCall), deadline - now };
-  if (mCells->Find(aPool)) {
+  RelayedCall relayed{ aCell, std::move(aCall), deadline - now };
+  if (mCells->Find(aCell)) {
     ++aProgress.mLocalCalls;
     OwnerReply reply = co_await mCells->Handle(std::move(relayed));
     co_return reply;
   }
-  const OwnerObservation* sighting = mOwners->LastSeen(aPool);
+  const OwnerObservation* sighting = mOwners->LastSeen(aCell);
   bool known = sighting != nullptr && !sighting->mRow.mReleased &&
                sighting->mRow.mIncarnation != mOwners->Self().mIncarnation;
   if (!known) {
@@ -358,7 +403,7 @@
     const Failure& failure = std::get<Failure>(answer);
     LogWarn(kPart,
             "owner of {} at {} gave no answer: {}",
-            aPool,
+            aCell,
             ToString(peer),
             FailureName(failure));
     aProgress.mMayHaveRun =
@@ -379,7 +424,7 @@
 // owner may have handled can't be reported as "not run", so it ends as
 // unsettled.
 Task<CallerReply>
-EntryService::Route(std::string aPool,
+EntryService::Route(CellId aCell,
                     CallerCall aCall,
                     TimePoint aDeadline,
                     CallProgress& aProgress)
@@ -391,13 +436,14 @@
   };
   bool again = true;
   while (again) {
-    OwnerReply reply = co_await CallOwner(aPool, aCall, aDeadline, aProgress);
+    OwnerReply reply =
+      co_await CallOwner(aCell.mName, aCall, aDeadline, aProgress);
     const auto* answer = std::get_if<CallerReply>(&reply);
     bool unknown =
       answer != nullptr && std::holds_alternative<JobNotFound>(*answer);
     if (unknown && !std::holds_alternative<LocateJob>(aCall)) {
       CallerReply otherReply =
-        co_await CallOtherOwners(aPool, aCall, aDeadline, aProgress);
+        co_await CallOtherOwners(aCell, aCall, aDeadline, aProgress);
       co_return otherReply;
     }
     if (answer != nullptr) {
@@ -428,26 +474,28 @@
 // An earlier configuration may have sent the queue's jobs to another pool; such
 // a job stays in the cell that accepted it.
 Task<CallerReply>
-EntryService::CallOtherOwners(std::string aPool,
+EntryService::CallOtherOwners(CellId aCell,
                               CallerCall aCall,
                               TimePoint aDeadline,
                               CallProgress& aProgress)
 {
-  std::set<std::string> pools;
+  std::set<std::string> cells;
+  FleetLayout layout = *mOwners->Layout();
   if (auto config = mDirectory->Config()) {
     for (const QueueConfig& queue : config->mQueues) {
-      pools.insert(queue.mPool);
+      cells.insert(layout.CellName(queue.mPool, aCell.mShard));
     }
     // A pool without a queue still has the jobs that it accepted.
     for (const WorkerPoolConfig& pool : config->mPools) {
-      if (mOwners->LastSeen(pool.mName) != nullptr) {
-        pools.insert(pool.mName);
+      std::string cell = layout.CellName(pool.mName, aCell.mShard);
+      if (mOwners->LastSeen(cell) != nullptr) {
+        cells.insert(std::move(cell));
       }
     }
   }
-  pools.erase(aPool);
-  for (const std::string& pool : pools) {
-    OwnerReply reply = co_await CallOwner(pool, aCall, aDeadline, aProgress);
+  cells.erase(aCell.mName);
+  for (const std::string& cell : cells) {
+    OwnerReply reply = co_await CallOwner(cell, aCall, aDeadline, aProgress);
     const auto* answer = std::get_if<CallerReply>(&reply);
     bool unknown =
       answer != nullptr && std::holds_alternative<JobNotFound>(*answer);
--- a/src/services/entry_service.h
+++ b/src/services/entry_service.h
@@ -1,15 +1,16 @@
 #ifndef BUCKTHORNSHUNT_SERVICES_ENTRY_SERVICE_H
 #define BUCKTHORNSHUNT_SERVICES_ENTRY_SERVICE_H
 
+#include "decide/fleet_layout.h"
 #include "kernel/kernel.h"
 #include "net/http_server.h"
 #include "wire/relay_codec.h"
 
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace buckthornshunt {
 
@@ -27,7 +28,7 @@
 };
 
 /// Answers callers of the platform: finds the queue, forwards the call to the
-/// owner of its cell and returns the outcome.
+/// owner of the cell in the job's shard and returns the outcome.
 class EntryService
 {
 public:
@@ -73,21 +74,28 @@
 
   /// By when all calls must be answered; the end of time unless the node stops.
   TimePoint AnswerDeadline() const;
-  Task<CallerReply> Route(std::string aPool,
+  Task<CallerReply> Answer(CallerCall aCall,
+                           TimePoint aDeadline,
+                           CallProgress& aProgress);
+  Task<CallerReply> AnswerInShard(CallerCall aCall,
+                                  std::uint32_t aShard,
+                                  TimePoint aDeadline,
+                                  CallProgress& aProgress);
+  Task<CallerReply> Route(CellId aCell,
                           CallerCall aCall,
                           TimePoint aDeadline,
                           CallProgress& aProgress);
-  std::set<std::string> EarlierPools(std::string_view aQueue,
-                                     std::string_view aPool) const;
+  std::vector<CellId> FindEarlierCells(std::string_view aQueue,
+                                       const CellId& aCell) const;
   Task<EarlierCells> CallEarlierCells(CallerCall aCall,
-                                      std::string aPool,
+                                      CellId aCell,
                                       TimePoint aDeadline,
                                       CallProgress& aProgress);
-  Task<OwnerReply> CallOwner(std::string aPool,
+  Task<OwnerReply> CallOwner(std::string aCell,
                              CallerCall aCall,
                              TimePoint aDeadline,
                              CallProgress& aProgress);
-  Task<CallerReply> CallOtherOwners(std::string aPool,
+  Task<CallerReply> CallOtherOwners(CellId aCell,
                                     CallerCall aCall,
                                     TimePoint aDeadline,
                                     CallProgress& aProgress);
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -6,6 +6,7 @@
 #include "services/directory_service.h"
 #include "services/owner_service.h"
 #include "services/relay_service.h"
+#include "wire/cell_codec.h"
 #include "wire/fleet_codec.h"
 
 #include <algorithm>
@@ -15,8 +16,6 @@
 namespace {
 
 constexpr std::string_view kPart = "fleet";
-/// Cell whose owner sends the orders for VMs.
-constexpr std::string_view kFleetCell = "fleet";
 constexpr std::string_view kFleetTable = "fleet";
 constexpr std::string_view kIntentsKey = "intents";
 constexpr std::string_view kWavePrefix = "wave/";
@@ -29,7 +28,7 @@
 constexpr Duration kSyncTimeout = std::chrono::milliseconds(900);
 constexpr Duration kPlanInterval = std::chrono::milliseconds(100);
 /// Delay before a plan, so that reports which arrive together share it.
-constexpr Duration kPlanBatchDelay = std::chrono::milliseconds(10);
+constexpr Duration kPlanBatchDelay = std::chrono::milliseconds(25);
 constexpr Duration kViewLogInterval = std::chrono::seconds(1);
 /// About the age of the platform's list of VMs.
 constexpr Duration kListInterval = std::chrono::milliseconds(500);
@@ -39,6 +38,9 @@
 /// Random addition to the claim delay, so that equal nodes don't all claim the
 /// fleet at the same moment.
 constexpr std::uint64_t kClaimJitterMs = 200;
+/// How long a new fleet waits for the list of VMs to choose its layout by; a
+/// fleet that can't list its VMs stays undivided.
+constexpr Duration kLayoutTimeout = std::chrono::seconds(10);
 /// An order that the platform has confirmed shows in the list by then.
 constexpr Duration kConfirmedOrderTimeout = std::chrono::seconds(12);
 
@@ -109,7 +111,6 @@
 FleetService::WatchOwner()
 {
   while (!mKernel.IsStopping()) {
-    mOwners->Watch(kFleetCell);
     const OwnerObservation* sighting = mOwners->LastSeen(kFleetCell);
     bool free = mOwners->HasBeenRead(kFleetCell) &&
                 (sighting == nullptr ||
@@ -174,6 +175,9 @@
   auto isOwner = [this] { return !mLease->Lost() && !mKernel.IsStopping(); };
   while (!loaded && isOwner()) {
     loaded = co_await LoadRows();
+    if (loaded) {
+      loaded = co_await LoadLayout();
+    }
     if (!loaded) {
       co_await mClock.Sleep(kVmOrderRetryInterval);
     }
@@ -253,6 +257,50 @@
   co_return true;
 }
 
+// Read after the claim, so that no other owner of the fleet can store a layout
+// later.
+Task<bool>
+FleetService::LoadLayout()
+{
+  ScanRows scan{ std::string(kCellTable), std::string(kFleetCell), "" };
+  TimePoint deadline = mClock.Now() + kListTimeout;
+  auto reply =
+    co_await CallStoreFor<RowScanPage>(*mPorts.mStore, scan, deadline);
+  if (!Ok(reply)) {
+    co_return false;
+  }
+  mMayChooseLayout = true;
+  for (const StoredRow& row : std::get<RowScanPage>(reply).mRows) {
+    mMayChooseLayout = mMayChooseLayout && row.mName.mKey != kLayoutKey;
+  }
+  co_return true;
+}
+
+// A fleet whose cells have had owners before it had a layout is undivided:
+// their rows are those of whole pools.
+std::optional<FleetLayout>
+FleetService::NewLayout() const
+{
+  auto config = mDirectory->Config();
+  if (!mMayChooseLayout || !config) {
+    return std::nullopt;
+  }
+  for (const WorkerPoolConfig& pool : config->mPools) {
+    mOwners->Watch(pool.mName);
+    if (!mOwners->HasBeenRead(pool.mName)) {
+      return std::nullopt;
+    }
+    if (mOwners->LastSeen(pool.mName) != nullptr) {
+      return FleetLayout{};
+    }
+  }
+  bool listed = !mView.mVms.empty();
+  if (!listed && mClock.Now() < mOwnedSince + kLayoutTimeout) {
+    return std::nullopt;
+  }
+  return ChooseLayout(mView.mVms.size());
+}
+
 WallTime
 FleetService::ToWallTime(TimePoint aTime) const
 {
@@ -290,11 +338,22 @@
             platform::EncodeWaveStatus(number, wave.mCompleted) });
       }
     }
+    std::optional<FleetLayout> layout = NewLayout();
+    if (layout) {
+      RowName name{ std::string(kCellTable),
+                    std::string(kFleetCell),
+                    std::string(kLayoutKey) };
+      rows.mPuts.push_back({ std::move(name), EncodeLayout(*layout) });
+    }
     std::uint64_t state = mRequestedState;
     bool ok = co_await mLease->Commit(std::move(rows), false);
     if (ok && persist) {
       mPersistedState = state;
     }
+    if (ok && layout) {
+      mMayChooseLayout = false;
+      mOwners->ObserveLayout(*layout);
+    }
     mPersisted.NotifyAll();
   }
 }
@@ -349,6 +408,9 @@
       LogVmChanges(vms);
       SetVms(std::move(vms));
       mListRequestedAt = requested;
+      if (mMayChooseLayout) {
+        mPersistDue.Set();
+      }
       RemoveSettledIntents();
     }
     co_await mClock.Sleep(kListInterval);
@@ -462,23 +524,24 @@
   }
 }
 
-// Every cell gets the whole list of sealed workers: a worker's pool may not be
-// known here yet, and a cell ignores unknown workers.
+// Every cell of a shard gets all sealed workers of the shard: a worker's pool
+// may not be known here yet, and a cell ignores unknown workers.
 FleetSync
-FleetService::MakeSync(std::string_view aPool) const
+FleetService::MakeSync(const CellId& aCell) const
 {
   FleetSync sync;
-  sync.mPool = aPool;
+  sync.mCell = aCell.mName;
   sync.mToken = mLease->Token();
   for (const auto& [vm, intent] : mView.mIntents) {
     const PoolVm* at = FindVm(vm);
-    bool incoming = at != nullptr && intent.mTargetPool == aPool &&
-                    (at->mPool != aPool || at->mState != PoolVmState::Up);
+    bool incoming = at != nullptr && intent.mTargetPool == aCell.mPool &&
+                    mView.mLayout.ShardOf(vm) == aCell.mShard &&
+                    (at->mPool != aCell.mPool || at->mState != PoolVmState::Up);
     sync.mIncomingCores += incoming ? CoresOf(*at) : 0;
   }
-  sync.mSealed = WorkersToSeal(mView, mListRequestedAt);
-  auto use = mView.mPools.find(aPool);
-  if (use == mView.mPools.end()) {
+  sync.mSealed = WorkersToSeal(mView, aCell.mShard, mListRequestedAt);
+  auto use = mView.mUsages.find(aCell.mName);
+  if (use == mView.mUsages.end()) {
     return sync;
   }
   for (const auto& [id, worker] : use->second.mWorkers) {
@@ -496,12 +559,13 @@
     }
     auto intent = mView.mIntents.find(incarnation->mVm);
     if (intent != mView.mIntents.end() &&
-        MoveProvesWorkerEnded(id, aPool, *incarnation, intent->second)) {
+        MoveProvesWorkerEnded(id, aCell.mPool, *incarnation, intent->second)) {
       sync.mMoved.emplace(id, incarnation->mId);
       continue;
     }
     const PoolVm* at = FindVm(incarnation->mVm);
-    if (ListProvesWorkerEnded(id, aPool, *incarnation, at, mListRequestedAt)) {
+    if (ListProvesWorkerEnded(
+          id, aCell.mPool, *incarnation, at, mListRequestedAt)) {
       sync.mEnded.emplace(id, incarnation->mId);
     }
   }
@@ -509,10 +573,10 @@
 }
 
 Task<void>
-FleetService::SyncLoop(std::string aPool)
+FleetService::SyncLoop(CellId aCell)
 {
   while (!mLease->Lost()) {
-    bool updated = co_await SyncPool(aPool);
+    bool updated = co_await SyncCell(aCell);
     if (updated) {
       mPlanDue.Set();
     }
@@ -521,13 +585,13 @@
 }
 
 Task<bool>
-FleetService::SyncPool(const std::string& aPool)
+FleetService::SyncCell(const CellId& aCell)
 {
-  Json body = FleetSyncToJson(MakeSync(aPool));
+  Json body = FleetSyncToJson(MakeSync(aCell));
   TimePoint deadline = mClock.Now() + kSyncTimeout;
-  const OwnerObservation* sighting = mOwners->LastSeen(aPool);
+  const OwnerObservation* sighting = mOwners->LastSeen(aCell.mName);
   Json answer;
-  if (mCells->Find(aPool)) {
+  if (mCells->Find(aCell.mName)) {
     answer = co_await OnSync(std::move(body), deadline);
   } else if (sighting != nullptr && !sighting->mRow.mReleased) {
     Endpoint peer = sighting->mRow.mPeerEndpoint;
@@ -543,7 +607,7 @@
   }
   PoolUsage poolUse = std::get<PoolUsage>(std::move(use));
   poolUse.mReportedAt = mClock.Now();
-  mView.mPools.insert_or_assign(aPool, std::move(poolUse));
+  mView.mUsages.insert_or_assign(aCell.mName, std::move(poolUse));
   co_return true;
 }
 
@@ -558,7 +622,7 @@
     co_return Json();
   }
   FleetSync fleetSync = std::get<FleetSync>(std::move(sync));
-  std::shared_ptr<CellRuntime> runtime = mCells->Find(fleetSync.mPool);
+  std::shared_ptr<CellRuntime> runtime = mCells->Find(fleetSync.mCell);
   bool usable = runtime && runtime->Loaded() && runtime->HoldsLease() &&
                 fleetSync.mToken >= mHighestFleetToken;
   if (!usable) {
@@ -587,17 +651,17 @@
 {
   while (!mLease->Lost()) {
     auto config = mDirectory->Config();
-    if (config && !mView.mVms.empty()) {
+    std::optional<FleetLayout> layout = mOwners->Layout();
+    if (config && layout && !mView.mVms.empty()) {
       mView.mPoolConfigs = config->mPools;
+      mView.mLayout = *layout;
       for (const QueueConfig& queue : config->mQueues) {
-        if (mView.mCells.insert(queue.mPool).second) {
-          mOwnerTasks.Spawn("sync", SyncLoop(queue.mPool));
-        }
+        AddCells(queue.mPool);
       }
     }
     UpdateWaves();
     LogView();
-    if (mLease->IsValid() && !mView.mVms.empty()) {
+    if (mLease->IsValid() && layout && !mView.mVms.empty()) {
       mView.mNow = mClock.Now();
       if (!HoldsInheritedVms()) {
         mView.mHeldVms.clear();
@@ -610,6 +674,18 @@
   }
 }
 
+// Follows the cells of a pool that aren't followed yet.
+void
+FleetService::AddCells(std::string_view aPool)
+{
+  for (std::uint32_t shard = 0; shard < mView.mLayout.mShards; ++shard) {
+    CellId cell = MakeCellId(mView.mLayout, aPool, shard);
+    if (mView.mCells.insert(cell.mName).second) {
+      mOwnerTasks.Spawn("sync", SyncLoop(std::move(cell)));
+    }
+  }
+}
+
 // Logs the input of the plan once a second.
 void
 FleetService::LogView()
@@ -619,17 +695,19 @@
     return;
   }
   mViewLoggedAt = now;
-  for (const auto& [pool, use] : mView.mPools) {
-    auto vms = std::count_if(
-      mView.mVms.begin(), mView.mVms.end(), [&, &at = pool](const PoolVm& aVm) {
-        return aVm.mPool == at && aVm.mState == PoolVmState::Up;
-      });
+  std::map<std::string, int, std::less<>> vms;
+  for (const PoolVm& vm : mView.mVms) {
+    std::uint32_t shard = mView.mLayout.ShardOf(vm.mVm);
+    vms[mView.mLayout.CellName(vm.mPool, shard)] +=
+      vm.mState == PoolVmState::Up ? 1 : 0;
+  }
+  for (const auto& [cell, use] : mView.mUsages) {
     LogInfo(kPart,
             "pool={} vms={} asked={} asked_mean={} busy_cores={} "
             "waiting_cores={} lasting_cores={} missing_vms={} "
             "report_age_ms={}",
-            pool,
-            vms,
+            cell,
+            vms[cell],
             use.mForecastDemandCores,
             use.mMeanDemandCores,
             use.mBusyCores,
--- a/src/services/fleet_service.h
+++ b/src/services/fleet_service.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -36,7 +37,8 @@
 
 /// Moves VMs between pools and orders their maintenance, on the one node that
 /// owns the fleet's cell; sends the cells' owners the workers to drain, and on
-/// these reports the pools' use to the fleet's owner.
+/// these reports the pools' use to the fleet's owner. Chooses the fleet's
+/// layout if it has none.
 class FleetService
 {
 public:
@@ -54,11 +56,12 @@
   Task<void> WatchOwner();
   Task<void> RunAsOwner(ClaimResult aClaim);
   Task<bool> LoadRows();
+  Task<bool> LoadLayout();
   WallTime ToWallTime(TimePoint aTime) const;
   Task<void> RenewLoop();
   Task<void> ListLoop();
-  Task<void> SyncLoop(std::string aPool);
-  Task<bool> SyncPool(const std::string& aPool);
+  Task<void> SyncLoop(CellId aCell);
+  Task<bool> SyncCell(const CellId& aCell);
   Task<void> PlanLoop();
   Task<void> ExecuteOrder(std::string aVm);
   Task<bool> Persist();
@@ -71,7 +74,9 @@
   void ApplyPlan(const FleetPlan& aChange);
   void UpdateWaves();
   void LogView();
-  FleetSync MakeSync(std::string_view aPool) const;
+  FleetSync MakeSync(const CellId& aCell) const;
+  std::optional<FleetLayout> NewLayout() const;
+  void AddCells(std::string_view aPool);
   bool MayOrder(std::string_view aVm, const FleetIntent& aIntent) const;
   /// Whether VMs in mHeldVms may not be ordered yet.
   bool HoldsInheritedVms() const;
@@ -95,6 +100,8 @@
   /// Versions of the state: the newest, and the last that is stored.
   std::uint64_t mRequestedState = 0;
   std::uint64_t mPersistedState = 0;
+  /// The store has no layout, and only this owner may add one.
+  bool mMayChooseLayout = false;
   /// When the current list of VMs was requested.
   TimePoint mListRequestedAt;
   TimePoint mViewLoggedAt;
--- a/src/services/owner_service.cpp
+++ b/src/services/owner_service.cpp
@@ -23,13 +23,17 @@
 
 } // namespace
 
-OwnerService::OwnerService(Kernel& aKernel, Store& aStore, LocalNode aSelf)
+OwnerService::OwnerService(Kernel& aKernel,
+                           Store& aStore,
+                           LocalNode aSelf,
+                           std::optional<FleetLayout> aDefault)
   : mKernel(aKernel)
   , mStore(aStore)
   , mSelf(std::move(aSelf))
   , mTasks(aKernel.Context(), &aKernel.Groups())
   , mRefreshDue(aKernel.Context())
   , mChanged(aKernel.Context())
+  , mDefaultLayout(aDefault)
   , mMalformed(aKernel.GetMetrics(), kPart)
 {
 }
@@ -37,6 +41,7 @@
 leaf::result<void>
 OwnerService::Start()
 {
+  Watch(kFleetCell);
   mTasks.Spawn("watch", WatchRows());
   return {};
 }
@@ -57,6 +62,23 @@
   }
 }
 
+std::optional<FleetLayout>
+OwnerService::Layout() const
+{
+  bool useDefault = !mLayout && !mLayoutUnreadable && HasBeenRead(kFleetCell);
+  return useDefault ? mDefaultLayout : mLayout;
+}
+
+void
+OwnerService::ObserveLayout(const FleetLayout& aLayout)
+{
+  if (!mLayout) {
+    LogInfo(kPart, "layout shards={}", aLayout.mShards);
+    mLayout = aLayout;
+    mChanged.NotifyAll();
+  }
+}
+
 const OwnerObservation*
 OwnerService::LastSeen(std::string_view aCell) const
 {
@@ -187,13 +209,56 @@
       ApplyRow(row);
     }
     mRevision = std::max(mRevision, changes->mRevision);
+    InferLayout();
   }
   co_return true;
 }
 
+// A cell has its first owner after the layout is stored, so a cell with an
+// owner in a fleet without a layout is that of an earlier version, by which
+// fleets were undivided. Only the feed shows the two in the order in which they
+// were written.
+void
+OwnerService::InferLayout()
+{
+  bool anyOwner =
+    std::any_of(mLastSeen.begin(), mLastSeen.end(), [&](const auto& aEntry) {
+      return aEntry.first != kFleetCell && aEntry.second.mRevision <= mRevision;
+    });
+  if (!mLayout && !mLayoutUnreadable && anyOwner) {
+    ObserveLayout(FleetLayout{});
+  }
+}
+
+// A row that can't be read may be the layout in force, so no other one is used
+// beside it.
+void
+OwnerService::ApplyLayoutRow(const StoredRow& aRow)
+{
+  auto layout =
+    ToExpected<FleetLayout>([&] { return DecodeLayout(aRow.mValue); });
+  std::string name = aRow.mName.mPartition + "/" + aRow.mName.mKey;
+  if (Ok(layout)) {
+    mMalformed.Clear(kCellTable, name);
+    ObserveLayout(std::get<FleetLayout>(layout));
+  } else {
+    mLayoutUnreadable = true;
+    mMalformed.Record(kCellTable,
+                      name,
+                      aRow.mFault.empty() ? Describe(std::get<Failure>(layout))
+                                          : aRow.mFault);
+  }
+}
+
 void
 OwnerService::ApplyRow(const StoredRow& aRow)
 {
+  bool isLayout =
+    aRow.mName.mPartition == kFleetCell && aRow.mName.mKey == kLayoutKey;
+  if (isLayout && !aRow.mRemoved) {
+    ApplyLayoutRow(aRow);
+    return;
+  }
   if (aRow.mName.mKey != kOwnerKey || aRow.mRemoved) {
     return;
   }
--- a/src/services/owner_service.h
+++ b/src/services/owner_service.h
@@ -2,6 +2,7 @@
 #define BUCKTHORNSHUNT_SERVICES_OWNER_SERVICE_H
 
 #include "decide/cell_owner.h"
+#include "decide/fleet_layout.h"
 #include "kernel/entry_log.h"
 #include "kernel/kernel.h"
 #include "kernel/wait.h"
@@ -16,19 +17,30 @@
 
 namespace buckthornshunt {
 
-/// Watches the owner rows of cells.
+/// Watches the owner rows of cells and the layout of the fleet.
 class OwnerService
 {
 public:
   static constexpr std::string_view kName = "owners";
 
-  OwnerService(Kernel& aKernel, Store& aStore, LocalNode aSelf);
+  /// aDefault is the layout while the store has none; without one, the layout
+  /// isn't known until the fleet's owner has stored it.
+  OwnerService(Kernel& aKernel,
+               Store& aStore,
+               LocalNode aSelf,
+               std::optional<FleetLayout> aDefault = FleetLayout{});
 
   leaf::result<void> Start();
   Task<void> Stop();
 
   const LocalNode& Self() const { return mSelf; }
 
+  /// The fleet's layout; none while it isn't known.
+  std::optional<FleetLayout> Layout() const;
+
+  /// Records the layout that this node wrote or received.
+  void ObserveLayout(const FleetLayout& aLayout);
+
   /// Adds a cell to those that are watched.
   void Watch(std::string_view aCell);
 
@@ -60,6 +72,8 @@
   Task<bool> ReadAll();
   Task<bool> ReadChanges();
   void ApplyRow(const StoredRow& aRow);
+  void ApplyLayoutRow(const StoredRow& aRow);
+  void InferLayout();
   bool HasOverdueOwner() const;
   void OnReadSucceeded();
 
@@ -69,6 +83,9 @@
   TaskGroup mTasks;
   AutoResetEvent mRefreshDue;
   Event mChanged;
+  std::optional<FleetLayout> mDefaultLayout;
+  std::optional<FleetLayout> mLayout;
+  bool mLayoutUnreadable = false;
   std::map<std::string, bool, std::less<>> mCells;
   std::map<std::string, OwnerObservation, std::less<>> mLastSeen;
   Revision mRevision{};
--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -371,6 +371,21 @@
   return row;
 }
 
+std::string
+EncodeLayout(const FleetLayout& aLayout)
+{
+  Json json = { { "shards", aLayout.mShards } };
+  return ToCbor(json);
+}
+
+leaf::result<FleetLayout>
+DecodeLayout(std::string_view aBytes)
+{
+  BOOST_LEAF_AUTO(json, ParseCbor(aBytes));
+  BOOST_LEAF_AUTO(shards, ReadInRange(json, "shards", 1, kMaxShards));
+  return FleetLayout{ static_cast<std::uint32_t>(shards) };
+}
+
 std::string
 EncodeWorkerSet(std::span<const WorkerAddress> aWorkers)
 {
--- a/src/wire/cell_codec.h
+++ b/src/wire/cell_codec.h
@@ -3,6 +3,7 @@
 
 #include "decide/cell_job.h"
 #include "decide/cell_owner.h"
+#include "decide/fleet_layout.h"
 #include "ports/worker_calls.h"
 #include "wire/json_fields.h"
 
@@ -41,6 +42,11 @@
 leaf::result<OwnerRow>
 DecodeOwnerRow(std::string_view aBytes);
 
+std::string
+EncodeLayout(const FleetLayout& aLayout);
+leaf::result<FleetLayout>
+DecodeLayout(std::string_view aBytes);
+
 std::string
 EncodeWorkerSet(std::span<const WorkerAddress> aWorkers);
 /// A malformed entry names a worker without an endpoint, and without an id if
--- a/src/wire/fleet_codec.cpp
+++ b/src/wire/fleet_codec.cpp
@@ -137,7 +137,7 @@
 FleetSyncToJson(const FleetSync& aSync)
 {
   return {
-    { "pool", aSync.mPool },         { "token", aSync.mToken },
+    { "pool", aSync.mCell },         { "token", aSync.mToken },
     { "sealed", aSync.mSealed },     { "ended", Json(aSync.mEnded) },
     { "moved", Json(aSync.mMoved) }, { "incoming", aSync.mIncomingCores }
   };
@@ -147,7 +147,7 @@
 FleetSyncFromJson(const Json& aJson)
 {
   FleetSync sync;
-  BOOST_LEAF_ASSIGN(sync.mPool, ReadString(aJson, "pool"));
+  BOOST_LEAF_ASSIGN(sync.mCell, ReadString(aJson, "pool"));
   BOOST_LEAF_ASSIGN(sync.mToken, ReadUnsigned(aJson, "token"));
   BOOST_LEAF_ASSIGN(sync.mSealed, ReadStrings(aJson, "sealed"));
   BOOST_LEAF_ASSIGN(sync.mIncomingCores, ReadCores(aJson, "incoming"));
--- a/src/wire/fleet_codec.h
+++ b/src/wire/fleet_codec.h
@@ -26,10 +26,10 @@
   WallTime mSeen;
 };
 
-/// Message from the fleet's owner to the owner of a pool's cell.
+/// Message from the fleet's owner to the owner of a cell.
 struct FleetSync
 {
-  std::string mPool;
+  std::string mCell;
   /// Fencing token of the fleet's lease.
   std::uint64_t mToken = 0;
   /// Workers on which no run may start.
@@ -37,7 +37,7 @@
   /// Workers that have ended, as the list of VMs shows their VM without them,
   /// with the start of the ended incarnation in Unix milliseconds.
   std::map<std::string, std::int64_t> mEnded;
-  /// Cores of VMs that are being moved into the pool.
+  /// Cores of VMs that are being moved to the cell.
   double mIncomingCores = 0;
   /// As mEnded, for workers whose VMs' moves are confirmed.
   std::map<std::string, std::int64_t> mMoved{};
--- a/src/wire/relay_codec.cpp
+++ b/src/wire/relay_codec.cpp
@@ -143,7 +143,7 @@
 Json
 RelayedCallToJson(const RelayedCall& aCall)
 {
-  return { { "pool", aCall.mPool },
+  return { { "pool", aCall.mCell },
            { "ms", ToMillis(aCall.mPatience) },
            { "call", std::visit(CallEncoder{}, aCall.mCall) } };
 }
@@ -152,7 +152,7 @@
 RelayedCallFromJson(const Json& aJson)
 {
   RelayedCall relayed;
-  BOOST_LEAF_ASSIGN(relayed.mPool, ReadString(aJson, "pool"));
+  BOOST_LEAF_ASSIGN(relayed.mCell, ReadString(aJson, "pool"));
   BOOST_LEAF_ASSIGN(relayed.mPatience, ReadMillis(aJson, "ms"));
   BOOST_LEAF_AUTO(call, Member(aJson, "call"));
   BOOST_LEAF_ASSIGN(relayed.mCall, CallFromJson(*call));
--- a/src/wire/relay_codec.h
+++ b/src/wire/relay_codec.h
@@ -18,7 +18,7 @@
 /// A caller's call, relayed by a node to the owner of a cell.
 struct RelayedCall
 {
-  std::string mPool;
+  std::string mCell;
   CallerCall mCall;
   /// How long the owner may take; sent in milliseconds.
   Duration mPatience{};
--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -765,6 +765,8 @@
   fleet.WriteConfig(2, "p1");
   fleet.mManual.Advance(300ms);
   CHECK(fleet.Owner(kPool)->mMovedQueues == std::vector<std::string>{ "q0" });
+  // Nodes read the rows each 0.56 s.
+  fleet.mManual.Advance(560ms);
   CHECK(node.mOwners.CellsThatQueueLeft("q0").contains(std::string(kPool)));
   CHECK(node.mOwners.CellsThatQueueLeft("q1").empty());
   // The next owner lists them from its claim on.
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -45,7 +45,7 @@
         use.mWorkers[vm.mWorker] = {};
       }
     }
-    return mView.mPools[std::string(aPool)] = use;
+    return mView.mUsages[std::string(aPool)] = use;
   }
 
   void Wave(std::vector<std::string> aVms, std::uint32_t aMaxDown)
@@ -89,7 +89,7 @@
 TEST_CASE("a pool without a report is not treated as empty")
 {
   Fleet fleet;
-  fleet.mView.mPools.clear();
+  fleet.mView.mUsages.clear();
   fleet.Wave({ "a0", "b0" }, 2);
   FleetPlan change = PlanFleet(fleet.mView);
   CHECK(change.mNewIntents.empty());
@@ -105,7 +105,7 @@
   intent.mCreatedAt = fleet.mView.mNow;
   fleet.mView.mIntents["a0"] = intent;
   CHECK(PlanFleet(fleet.mView).mReadyVms.empty());
-  WorkerUsage& use = fleet.mView.mPools["a"].mWorkers["w-a0"];
+  WorkerUsage& use = fleet.mView.mUsages["a"].mWorkers["w-a0"];
   use.mSealed = true;
   use.mRuns = 1;
   CHECK(PlanFleet(fleet.mView).mReadyVms.empty());
@@ -125,8 +125,8 @@
 TEST_CASE("spare VMs move to a pool whose demand has risen")
 {
   Fleet fleet;
-  fleet.mView.mPools["a"].mForecastDemandCores = 250;
-  fleet.mView.mPools["a"].mMeanDemandCores = 300;
+  fleet.mView.mUsages["a"].mForecastDemandCores = 250;
+  fleet.mView.mUsages["a"].mMeanDemandCores = 300;
   FleetPlan change = PlanFleet(fleet.mView);
   int off = 0;
   for (const auto& [vm, intent] : change.mNewIntents) {
@@ -139,8 +139,8 @@
 TEST_CASE("a pool keeps the VMs that its limits on tasks per VM require")
 {
   Fleet fleet;
-  fleet.mView.mPools["a"].mForecastDemandCores = 1000;
-  fleet.mView.mPools["b"].mMinVms = 3;
+  fleet.mView.mUsages["a"].mForecastDemandCores = 1000;
+  fleet.mView.mUsages["b"].mMinVms = 3;
   for (const auto& [vm, intent] : PlanFleet(fleet.mView).mNewIntents) {
     CHECK_FALSE(vm.starts_with("b"));
   }
@@ -150,10 +150,10 @@
 TEST_CASE("long-running tasks without room bring no VMs into their pool")
 {
   Fleet fleet;
-  for (auto& [id, worker] : fleet.mView.mPools["b"].mWorkers) {
+  for (auto& [id, worker] : fleet.mView.mUsages["b"].mWorkers) {
     worker.mRuns = 1;
   }
-  fleet.mView.mPools["a"].mMissingVms = 2;
+  fleet.mView.mUsages["a"].mMissingVms = 2;
   FleetPlan plan = PlanFleet(fleet.mView);
   CHECK(plan.mNewIntents.size() == 2);
   for (const auto& [vm, intent] : plan.mNewIntents) {
@@ -266,10 +266,10 @@
   // The peak of a has ended: one long task still runs and nothing waits, while
   // the demand has moved to b.
   Fleet fleet;
-  PoolUsage& a = fleet.mView.mPools["a"];
+  PoolUsage& a = fleet.mView.mUsages["a"];
   a.mBusyCores = 4;
   a.mWorkers["w-a0"].mRuns = 1;
-  fleet.mView.mPools["b"].mForecastDemandCores = 260;
+  fleet.mView.mUsages["b"].mForecastDemandCores = 260;
   std::erase_if(fleet.mView.mVms,
                 [](const PoolVm& aVm) { return aVm.mPool == "off"; });
   int moved = 0;
@@ -327,7 +327,7 @@
 TEST_CASE("a wave skips a pool in its peak until its deadline is near")
 {
   Fleet fleet;
-  fleet.mView.mPools["a"].mForecastDemandCores = 100;
+  fleet.mView.mUsages["a"].mForecastDemandCores = 100;
   fleet.Wave({ "a0", "b0" }, 2);
   std::erase_if(fleet.mView.mVms,
                 [](const PoolVm& aVm) { return aVm.mPool == "off"; });
@@ -386,8 +386,8 @@
   CHECK_FALSE(MoveProvesWorkerEnded("w-a0", "a", before, maintenance));
   fleet.mView.mIntents["a0"] = maintenance;
   std::vector<std::string> sealed = { "w-a0" };
-  CHECK(WorkersToSeal(fleet.mView, confirmedAt + 1s) == sealed);
-  CHECK(WorkersToSeal(fleet.mView, confirmedAt + 3s).empty());
+  CHECK(WorkersToSeal(fleet.mView, 0, confirmedAt + 1s) == sealed);
+  CHECK(WorkersToSeal(fleet.mView, 0, confirmedAt + 3s).empty());
 }
 
 TEST_CASE("a VM that may not be ordered yet is not emptied for a move")
@@ -402,7 +402,7 @@
     fleet.mView.mHeldVms.insert(vm.mVm);
   }
   CHECK(PlanFleet(fleet.mView).mNewIntents.empty());
-  fleet.mView.mPools["b"].mForecastDemandCores = 1000;
+  fleet.mView.mUsages["b"].mForecastDemandCores = 1000;
   CHECK(PlanFleet(fleet.mView).mNewIntents.empty());
   fleet.mView.mHeldVms.erase("off3");
   CHECK(PlanFleet(fleet.mView).mNewIntents.size() == 1);
@@ -411,7 +411,7 @@
 TEST_CASE("a pool gives no VMs away during a demand burst")
 {
   Fleet fleet;
-  PoolUsage& a = fleet.mView.mPools["a"];
+  PoolUsage& a = fleet.mView.mUsages["a"];
   a.mForecastDemandCores = 100;
   a.mMeanDemandCores = 10;
   for (const auto& [vm, intent] : PlanFleet(fleet.mView).mNewIntents) {
@@ -424,7 +424,7 @@
   Fleet fleet;
   fleet.Wave({ "off0", "off1", "off2", "off3" }, 4);
   CHECK(CountInWave(PlanFleet(fleet.mView)) == 4);
-  fleet.mView.mPools["a"].mForecastDemandCores = 1000;
+  fleet.mView.mUsages["a"].mForecastDemandCores = 1000;
   // Four VMs of 4 s each in 20 s less a reserve of 4 s need a concurrency of 1;
   // the pace factor of 1.5 rounds it up to 2.
   CHECK(CountInWave(PlanFleet(fleet.mView)) == 2);
--- a/tests/malformed_entry_test.cpp
+++ b/tests/malformed_entry_test.cpp
@@ -365,8 +365,13 @@
   REQUIRE(*claim);
   CellPorts ports;
   ports.mStore = &fixture.mStore;
-  CellRuntime runtime(
-    fixture.mKernel, ports, directory, "c", CellDurations{}, **claim);
+  CellRuntime runtime(fixture.mKernel,
+                      ports,
+                      directory,
+                      FleetLayout{},
+                      MakeCellId(FleetLayout{}, "c", 0),
+                      CellDurations{},
+                      **claim);
   runtime.Start();
   fixture.mManual.Advance(500ms);
   REQUIRE(runtime.Loaded());
