Wait for an earlier owner's stops before stopping inherited tasks

Cause: the earlier owner had stopped four for a wave at 16.80 s, another node took the cell over at 17.09 s, and workers list a run as present while it stops; at 17.29 s the new owner counted them as available and stopped two more. For 1.5 s after its takeover an owner now stops no inherited task for a move or a wave; a stop takes 0.9 s at most, so that its end has been listed by then.

Test: "a new owner stops more tasks than may be unavailable" fails with the wait set to 0. "a long-running task is not stopped while it can't start elsewhere" asked for a stop right after a takeover, which was the fault; it asks after the wait and checks that nothing is stopped in it.

--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -31,6 +31,9 @@
 constexpr Duration kCheckpointedEvacuationDelay =
   std::chrono::milliseconds(600);
 constexpr Duration kEvacuationDelay = std::chrono::seconds(4);
+/// Time after which the stops that an earlier owner ordered have ended and are
+/// listed; workers list a run as present while it stops.
+constexpr Duration kInheritedStopTime = std::chrono::milliseconds(1500);
 
 /// Classes of tasks in the order in which they are placed.
 enum class Urgency : std::uint8_t
@@ -800,8 +803,10 @@
       Duration ran = aNow - run.mStageSince;
       if (spec.mLongRunning) {
         // A task of an earlier term can't be started elsewhere yet.
-        bool movable = (inheritedRunsKnown || !job->mInherited) &&
-                       room.mMovable.contains(task);
+        bool stopsKnown =
+          inheritedRunsKnown && aNow >= mTakenOver + kInheritedStopTime;
+        bool movable =
+          (stopsKnown || !job->mInherited) && room.mMovable.contains(task);
         bool mayBecomeUnavailable =
           spec.mMaxUnavailable == 0 ||
           CountUnavailableTasks(
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -626,6 +626,37 @@
   CHECK(std::holds_alternative<StopRun>(orders[0].mCall));
 }
 
+// Workers list a task as present while it is stopped.
+TEST_CASE("a new owner stops more tasks than may be unavailable")
+{
+  SingleWorkerCell harness;
+  JobSpec spec = ChainOf({ 3 });
+  spec.mSteps[0].mLongRunning = true;
+  spec.mSteps[0].mMaxUnavailable = 1;
+  spec.mSteps[0].mTaskResources = { 2000, 33000, 0 };
+  StoredJob stored{ "a", "q", spec, 1, {} };
+  harness.mCell.Restore(RestoreJob(stored, {}), harness.mNow, {});
+  std::vector<ReportedRun> present;
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    present.push_back({ { "a", 0, 0, i }, 1, "", 100, std::nullopt });
+  }
+  harness.List(present, {});
+  harness.List(present, {});
+  harness.AddIdleWorker("v");
+  harness.mCell.SetDraining("w", true);
+  CHECK(harness.Plan().empty());
+  // The earlier owner has stopped the first one.
+  present.erase(present.begin());
+  EndedRun stopped{ 1, { "a", 0, 0, 0 }, 1, RunEnd::Stopped, "" };
+  harness.List(present, { stopped });
+  harness.mNow += 2s;
+  harness.List(present, { stopped });
+  std::vector<CellOrder> orders = harness.Plan();
+  REQUIRE(orders.size() == 1);
+  CHECK(std::holds_alternative<StartRun>(orders[0].mCall));
+  CHECK(orders[0].mWorker == "v");
+}
+
 TEST_CASE("long-running tasks wait for room without asking for a VM")
 {
   SingleWorkerCell harness;
@@ -704,6 +735,9 @@
   harness.AddIdleWorker("v");
   harness.mCell.SetDraining("w", true);
   CHECK(harness.Plan().empty());
+  // By then the stops that the earlier owner ordered are over.
+  harness.mNow += 1500ms;
+  CHECK(harness.Plan().empty());
   CHECK(harness.mCell.OnWorkerEnded("gone", 77, harness.mNow));
   CHECK(harness.Plan().size() == 1);
 }
