--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -744,6 +744,19 @@
                     found.add((task, one[2], one[3], two[2], two[3]))
         return sorted(found)
 
+    def starts_after_done(self):
+        """Starts after a run of the task has ended done, if that end is taken
+        note of then or later."""
+        done = {}
+        for (ident, born, task, run), (_, end, how, _) in self.runs.items():
+            if how == "done" and (ident, born, task, run) in self.notes:
+                done[task] = min(done.get(task, end), end)
+        return [
+            (task, run, ident)
+            for (ident, _, task, run), (start, _, _, _) in self.runs.items()
+            if task in done and start > done[task]
+        ]
+
     # --- What workers report
 
     def cpu_of(self, task):
