--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -291,7 +291,8 @@
 
 
 class Worker:
-    """A worker. A task's `spec` is JSON with `ms`, the run time of its tasks."""
+    """A worker. A task's `spec` is JSON with `ms`, the run time of its tasks, and
+    `failing_runs`, the number of the last run that ends failed, if any does."""
 
     def __init__(self, world, ident, machine, service, cpu, labels, guards=True):
         self.world = world
@@ -393,9 +394,10 @@
         self.change = asyncio.Event()
         self.world.on_end(self, task, run["run"], how)
 
-    async def run_task(self, task, seconds):
-        await asyncio.sleep(seconds)
-        self.end(task, "done")
+    async def run_task(self, task, run, spec):
+        await asyncio.sleep(spec["ms"] / 1000)
+        failed = run <= spec.get("failing_runs", 0)
+        self.end(task, "failed" if failed else "done")
 
     def extend(self, until):
         self.lease = max(self.lease, min(until, self.clock() + HOLD_MAX_MS))
@@ -468,7 +470,7 @@
         if self.guards and used + need > self.capacity["cpu"]:
             return refuse("room")
         spec = json.loads(body["spec"])
-        timer = asyncio.create_task(self.run_task(task, spec["ms"] / 1000))
+        timer = asyncio.create_task(self.run_task(task, number, spec))
         self.running[task] = {"run": number, "timer": timer}
         self.world.on_start(self, task, number)
         return 200, {"clock_ms": self.clock()}
