--- a/review/9/case.py
+++ b/review/9/case.py
@@ -10,7 +10,7 @@
 from world import CannotRun, main, manifest, route
 
 JOB = "00000000000000d1"
-TASKS = 1500
+TASKS = 640
 RUN_MS = 1500
 DOWN_S = 1.3
 
@@ -27,7 +27,7 @@
         node.start()
     await world.all_ready()
     await asyncio.sleep(2)
-    step = {"count": TASKS, "cpu": 20, "mem_mb": 16, "estimate_ms": RUN_MS}
+    step = {"count": TASKS, "cpu": 50, "mem_mb": 16, "estimate_ms": RUN_MS}
     job = {"spec": f'{{"ms": {RUN_MS}}}', "steps": [step]}
     await world.submit_until_accepted(nodes[0], queue, JOB, job)
     if not await world.until(lambda: len(world.runs) >= TASKS, 30):
