--- a/review/standins-2/world.py
+++ b/review/standins-2/world.py
@@ -30,17 +30,23 @@
 UPKEEP_S = 2.0
 
 
+PICKED_PORTS = set()
+
+
 def free_port():
     """A port that no outgoing connection takes meanwhile, unlike those that the
     system picks."""
     while True:
-        port = random.randrange(20_000, 32_000)
+        port = random.randrange(16_000, 32_000)
+        if port in PICKED_PORTS:
+            continue
         with socket.socket() as s:
             try:
                 s.bind((HOST, port))
-                return port
             except OSError:
                 continue
+        PICKED_PORTS.add(port)
+        return port
 
 
 class Record:
@@ -49,10 +55,9 @@
     def __init__(self, path):
         self.began = time.monotonic()
         self.file = open(path, "w")
-        # Runs that share a line: what happened to them, and when to the first.
-        self.what = None
+        # Runs by what happened to them, and when to the first.
+        self.runs = {}
         self.since = 0.0
-        self.runs = []
 
     def now(self):
         return time.monotonic() - self.began
@@ -62,9 +67,9 @@
         self.file.flush()
 
     def flush_runs(self):
-        if self.runs:
-            self.write(self.since, f"{self.what}: {' '.join(self.runs)}")
-            self.runs = []
+        for what, runs in self.runs.items():
+            self.write(self.since, f"{what}: {' '.join(runs)}")
+        self.runs = {}
 
     def __call__(self, text):
         self.flush_runs()
@@ -73,12 +78,13 @@
     def run(self, what, task, number):
         """Records a run; those of one step within 0.1 s share a line."""
         step, _, index = task.rpartition(".")
-        what = f"{what}, runs of {step}"
-        if what != self.what or self.now() > self.since + 0.1:
+        if self.now() > self.since + 0.1:
             self.flush_runs()
         if not self.runs:
-            self.what, self.since = what, self.now()
-        self.runs.append(f"{index}:{number}")
+            self.since = self.now()
+        self.runs.setdefault(f"{what}, runs of {step}", []).append(
+            f"{index}:{number}"
+        )
 
 
 async def read_message(reader):
