Don't complete a wave whose order hasn't been read

Cause: the next owner restores the progress of a wave from its own rows, with an order of no VMs, and a wave without VMs that are left counts as completed. The order is optional now, and a wave without one is neither advanced nor completed. Beside it, an entry of the list of VMs that doesn't tell its VM made a VM of the wave look as if it were gone; such a list completes no wave with VMs that it lacks.

"a wave whose order hasn't been read is not completed" fails with the order taken as empty, and "a wave waits for a VM that an unreadable entry may stand for" with such entries ignored.

--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -133,8 +133,8 @@
   {
     ReviewIntents();
     for (const auto& [number, wave] : mView.mWaves) {
-      if (!wave.mCompleted) {
-        AdvanceWave(number, wave);
+      if (wave.mOrder && !wave.mCompleted) {
+        AdvanceWave(number, *wave.mOrder, wave);
       }
     }
     GrowPools();
@@ -238,7 +238,7 @@
     }
   }
 
-  std::uint32_t CountInMaintenance(std::uint64_t aWave)
+  std::uint32_t CountInMaintenance(std::uint64_t aWave, const WaveOrder& aOrder)
   {
     std::uint32_t n = 0;
     for (const auto& [name, intent] : mView.mIntents) {
@@ -246,7 +246,7 @@
     }
     // A VM that is down without an intent may be down because of an earlier
     // owner's order.
-    for (const std::string& name : mView.mWaves.at(aWave).mOrder.mVms) {
+    for (const std::string& name : aOrder.mVms) {
       const VmState* vm = Find(name);
       n += vm != nullptr && !vm->IsUp() && !vm->mHasIntent ? 1 : 0;
     }
@@ -291,12 +291,13 @@
   // Number of VMs that must be down at the same time for the rest of a wave to
   // meet its deadline.
   std::uint32_t RequiredConcurrency(std::size_t aRemaining,
-                                    const WaveProgress& aWave) const
+                                    const WaveOrder& aOrder,
+                                    TimePoint aFirstSeen) const
   {
-    Duration time = aWave.mFirstSeen + aWave.mOrder.mDeadline -
-                    kVmMaintenanceTime - mView.mNow;
+    Duration time =
+      aFirstSeen + aOrder.mDeadline - kVmMaintenanceTime - mView.mNow;
     if (time < kVmMaintenanceTime) {
-      return aWave.mOrder.mMaxConcurrent;
+      return aOrder.mMaxConcurrent;
     }
     double concurrency = kWavePaceFactor * static_cast<double>(aRemaining) *
                          ToSeconds(kVmMaintenanceTime) / ToSeconds(time);
@@ -304,17 +305,20 @@
   }
 
   // VMs that are switched off go first, then those with the least work.
-  void AdvanceWave(std::uint64_t aNumber, const WaveProgress& aWave)
+  void AdvanceWave(std::uint64_t aNumber,
+                   const WaveOrder& aOrder,
+                   const WaveProgress& aWave)
   {
     std::vector<std::pair<int, VmState*>> remaining;
     bool allDone = true;
-    for (const std::string& name : aWave.mOrder.mVms) {
+    for (const std::string& name : aOrder.mVms) {
       VmState* vm = Find(name);
-      if (vm == nullptr || aWave.mMaintainedVms.contains(name)) {
+      if (aWave.mMaintainedVms.contains(name)) {
         continue;
       }
-      allDone = false;
-      if (!vm->IsUp() || vm->mHasIntent) {
+      // A VM that isn't listed any more is gone.
+      allDone = allDone && vm == nullptr && !mView.mHasUnnamedVms;
+      if (vm == nullptr || !vm->IsUp() || vm->mHasIntent) {
         continue;
       }
       int cost = 3;
@@ -333,14 +337,15 @@
       remaining.begin(), remaining.end(), [](const auto& aA, const auto& aB) {
         return aA.first < aB.first;
       });
-    bool urgent =
-      mView.mNow + EstimateWaveTime(remaining.size(), aWave.mOrder) >
-      aWave.mFirstSeen + aWave.mOrder.mDeadline;
-    std::uint32_t maxDown = aWave.mOrder.mMaxConcurrent;
+    bool urgent = mView.mNow + EstimateWaveTime(remaining.size(), aOrder) >
+                  aWave.mFirstSeen + aOrder.mDeadline;
+    std::uint32_t maxDown = aOrder.mMaxConcurrent;
     if (IsAnyPoolShort()) {
-      maxDown = std::min(maxDown, RequiredConcurrency(remaining.size(), aWave));
+      maxDown = std::min(
+        maxDown,
+        RequiredConcurrency(remaining.size(), aOrder, aWave.mFirstSeen));
     }
-    std::uint32_t down = CountInMaintenance(aNumber);
+    std::uint32_t down = CountInMaintenance(aNumber, aOrder);
     for (auto [cost, vm] : remaining) {
       if (down >= maxDown) {
         return;
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -78,7 +78,8 @@
 
 struct WaveProgress
 {
-  WaveOrder mOrder;
+  /// None while the order hasn't been read: its progress is stored apart.
+  std::optional<WaveOrder> mOrder;
   TimePoint mFirstSeen;
   std::set<std::string, std::less<>> mMaintainedVms;
   bool mCompleted = false;
@@ -90,6 +91,9 @@
   TimePoint mNow;
   FleetLayout mLayout;
   std::vector<PoolVm> mVms;
+  /// The list has entries that don't tell their VM; a VM that isn't in mVms may
+  /// be one of them.
+  bool mHasUnnamedVms = false;
   /// By the name of the cell.
   std::map<std::string, PoolUsage, std::less<>> mUsages;
   std::map<std::uint64_t, WaveProgress> mWaves;
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -381,6 +381,7 @@
     std::string page;
     bool ok = true;
     bool more = true;
+    bool hasUnnamedVms = false;
     TimePoint requested = mClock.Now();
     while (ok && more) {
       TimePoint deadline = mClock.Now() + kListTimeout;
@@ -395,6 +396,12 @@
       ok = list != nullptr;
       if (ok) {
         RecordMalformedVms(*list);
+        hasUnnamedVms =
+          hasUnnamedVms || std::any_of(list->mMalformed.begin(),
+                                       list->mMalformed.end(),
+                                       [](const MalformedEntry& aEntry) {
+                                         return aEntry.mKey.empty();
+                                       });
         vms.insert(vms.end(), list->mVms.begin(), list->mVms.end());
         page = list->mNextPageToken;
         more = !page.empty();
@@ -407,6 +414,7 @@
     if (ok) {
       LogVmChanges(vms);
       SetVms(std::move(vms));
+      mView.mHasUnnamedVms = hasUnnamedVms;
       mListRequestedAt = requested;
       if (mMayChooseLayout) {
         mPersistDue.Set();
@@ -510,7 +518,7 @@
 {
   for (const auto& [number, order] : mDirectory->Waves()) {
     auto [it, added] = mView.mWaves.try_emplace(number);
-    bool orderMissing = it->second.mOrder.mVms.empty();
+    bool orderMissing = !it->second.mOrder;
     it->second.mOrder = order;
     // An earlier owner may have seen the wave before this node did.
     TimePoint seen = mDirectory->WaveSeenAt(number);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -122,6 +122,31 @@
   CHECK(PlanFleet(fleet.mView).mCompletedWaves.size() == 1);
 }
 
+// A new owner of the fleet reads the progress of a wave before its order, and
+// would store the wave as completed with VMs that haven't been maintained.
+TEST_CASE("a wave whose order hasn't been read is not completed")
+{
+  Fleet fleet;
+  WaveProgress restored;
+  restored.mFirstSeen = fleet.mView.mNow - 5s;
+  restored.mMaintainedVms = { "off0" };
+  fleet.mView.mWaves[1] = restored;
+  FleetPlan change = PlanFleet(fleet.mView);
+  CHECK(change.mCompletedWaves.empty());
+  CHECK(CountInWave(change) == 0);
+}
+
+// An entry of the list whose VM can't be read would pass for a VM that is gone.
+TEST_CASE("a wave waits for a VM that an unreadable entry may stand for")
+{
+  Fleet fleet;
+  fleet.Wave({ "unread" }, 1);
+  fleet.mView.mHasUnnamedVms = true;
+  CHECK(PlanFleet(fleet.mView).mCompletedWaves.empty());
+  fleet.mView.mHasUnnamedVms = false;
+  CHECK(PlanFleet(fleet.mView).mCompletedWaves.size() == 1);
+}
+
 TEST_CASE("spare VMs move to a pool whose demand has risen")
 {
   Fleet fleet;
