Draw no conclusions from a listing that leaves ends out

Cause: a worker lists 500 ends at a time, and a run that a listing had neither as running nor as ended was taken for gone. Such a worker is asked again at once until all its ends are listed.

--- a/include/buckthornshunt/workload.h
+++ b/include/buckthornshunt/workload.h
@@ -268,6 +268,12 @@
   /// Position from which on ended runs must not be acknowledged, since one of
   /// them can't be read.
   std::optional<std::uint64_t> mFirstUnreadableEnd = {};
+  /// More ended runs follow, which are listed once these are acknowledged.
+  bool mHasMoreEnds = false;
+
+  /// Whether a run that neither list has isn't on the worker and hasn't ended
+  /// there unheard of.
+  bool IsComplete() const { return mMalformed.empty() && !mHasMoreEnds; }
 };
 
 /// Why a worker refused to start a run.
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -131,6 +131,8 @@
   /// Later ones that have been, beyond one that can't be read.
   std::set<std::uint64_t> mEndsSeenAhead;
   std::uint64_t mLastCommittedEnd = 0;
+  /// The last listing left ended runs out.
+  bool mHasMoreEnds = false;
   /// Later ones, oldest first.
   std::deque<ProcessedEnds> mUncommittedEnds;
   Resources mReserved;
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -341,8 +341,7 @@
         aListing.mActiveRuns.begin(), aListing.mActiveRuns.end(), isRun) ||
       std::any_of(
         aListing.mEndedRuns.begin(), aListing.mEndedRuns.end(), isRun);
-    bool absent =
-      !listed && aListing.mMalformed.empty() && run.mStageSince < aSent;
+    bool absent = !listed && aListing.IsComplete() && run.mStageSince < aSent;
     if (run.mStage == ActiveRun::Stage::Running && (run.mReported || absent)) {
       lost.push_back(task);
     }
@@ -379,9 +378,11 @@
   worker->mMissedAnswers = 0;
   worker->mNeedsProbe = false;
   worker->mTokenAccepted = true;
-  // A row that can't be read may stand for any task: none of the runs that
-  // aren't listed is taken for ended, so that no task starts a second time.
-  bool complete = aListing.mMalformed.empty();
+  worker->mHasMoreEnds = aListing.mHasMoreEnds;
+  // A row that can't be read, or that doesn't fit the listing, may stand for
+  // any task: none of the runs that aren't listed is taken for ended, so that
+  // no task starts a second time.
+  bool complete = aListing.IsComplete();
   if (complete) {
     worker->mInheritedRunsUnknown = false;
   }
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -138,7 +138,7 @@
   // An unreachable worker is probed until it answers and can be used again.
   return !worker.mRuns.empty() || !worker.mTokenAccepted ||
          worker.mMissedAnswers > 0 || worker.mNeedsProbe ||
-         worker.mLastSeenEnd > worker.mLastCommittedEnd;
+         worker.mHasMoreEnds || worker.mLastSeenEnd > worker.mLastCommittedEnd;
 }
 
 // The lease end is a time of the worker's clock, which is known only as of its
@@ -172,9 +172,9 @@
     return renewal;
   }
   renewal.mAcknowledgedSequence = worker->mLastCommittedEnd;
-  renewal.mMaxWait = worker->mTokenAccepted
-                       ? std::min(aMaxWait, worker->TimeToNextEnd(aNow))
-                       : Duration::zero();
+  bool mayWait = worker->mTokenAccepted && !worker->mHasMoreEnds;
+  renewal.mMaxWait = mayWait ? std::min(aMaxWait, worker->TimeToNextEnd(aNow))
+                             : Duration::zero();
   if (worker->mTokenAccepted &&
       worker->mMissedAnswers < kMissedAnswersUntilSuspected) {
     renewal.mLeaseExpiry = GrantLease(*worker, aNow);
@@ -306,6 +306,7 @@
   aWorker.mDrainedBeforeRestart = false;
   aWorker.mEnded = false;
   aWorker.mInheritedRunsUnknown = false;
+  aWorker.mHasMoreEnds = false;
   aWorker.mLastSeenEnd = 0;
   aWorker.mLastCommittedEnd = 0;
   aWorker.mUncommittedEnds.clear();
--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -405,6 +405,10 @@
   listing.mClockMs = clock;
   listing.mIncarnation = aWorker.mIncarnation;
   listing.mEndedRuns = aWorker.mEnded;
+  if (listing.mEndedRuns.size() >= mMaxListedEnds) {
+    listing.mEndedRuns.resize(mMaxListedEnds);
+    listing.mHasMoreEnds = true;
+  }
   for (const auto& [task, run] : aWorker.mRuns) {
     listing.mActiveRuns.push_back({ task, run.mRun, "", 100, std::nullopt });
   }
--- a/tests/cell_simulation.h
+++ b/tests/cell_simulation.h
@@ -90,6 +90,8 @@
   JobPhase StoredPhase(std::string_view aId) const;
 
   WorkloadConfig mConfig;
+  /// Ended runs in a worker's listing; the platform's limit.
+  std::size_t mMaxListedEnds = 500;
   /// Tasks that crash every worker on which they run.
   std::set<TaskId> mDeadlyTasks;
 
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -200,6 +200,49 @@
   }
 }
 
+// Guards against a task being taken for idle because its end doesn't fit the
+// worker's listing.
+TEST_CASE("ends that don't fit one listing run no task twice")
+{
+  for (std::uint64_t seed = 1; seed <= 12; ++seed) {
+    CAPTURE(seed);
+    CellSimulation simulation(seed, FaultProbabilities{ .mTaskFailure = 0 }, 2);
+    simulation.mMaxListedEnds = 3;
+    simulation.Run(500ms);
+    simulation.Submit("wide", ChainOf({ 40, 2 }));
+    for (int i = 0; i < 4; ++i) {
+      simulation.Run(700ms);
+      simulation.ChangeOwner();
+    }
+    simulation.Settle(30s);
+    CheckNoViolations(simulation);
+    CHECK(simulation.StoredPhase("wide") == JobPhase::Completed);
+  }
+}
+
+TEST_CASE("a worker whose listing left ends out is asked for the others")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 2 }));
+  cell.PlanAndAnswer();
+  WorkerStatus first;
+  first.mIncarnation = 5;
+  first.mEndedRuns = { DoneEnd(1, 0) };
+  first.mHasMoreEnds = true;
+  cell.ListStatus(first);
+  cell.Commit();
+  cell.Commit();
+  CHECK(cell.Acknowledged() == 1);
+  CHECK(cell.mCell.NeedsRenewal("w"));
+  CHECK(cell.mCell.NextRenewal("w", 1s, cell.mNow).mMaxWait == Duration{});
+  CHECK(cell.PlanAndAnswer().empty());
+  cell.List({}, { DoneEnd(2, 1) });
+  cell.Commit();
+  cell.Commit();
+  CHECK(cell.mCell.PhaseOf("a") == JobPhase::Completed);
+  CHECK_FALSE(cell.mCell.NeedsRenewal("w"));
+}
+
 TEST_CASE("all faults of a cell combined break no guarantee")
 {
   for (std::uint64_t seed = 1; seed <= 24; ++seed) {
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -400,3 +400,27 @@
     CHECK(page.mVms[0].mState == state);
   }
 }
+
+// Guards against the first 500 ends of a worker passing for all of them.
+TEST_CASE("a listing of 500 ended runs isn't complete")
+{
+  for (std::size_t ends : { 499U, 500U }) {
+    Json listing = { { "clock_ms", 1 },
+                     { "born", 5 },
+                     { "running", Json::array() },
+                     { "ended", Json::array() } };
+    for (std::size_t i = 0; i < ends; ++i) {
+      std::string task = "00000000000000a1.0.0." + std::to_string(i);
+      listing["ended"].push_back(Json::array({ i + 1, task, 1, "done", "" }));
+    }
+    HttpReply reply;
+    reply.mStatus = 200;
+    reply.mBody = listing.dump();
+    auto read = ToExpected<WorkerReply>(
+      [&] { return platform::DecodeWorkerReply(RenewLease{}, reply); });
+    REQUIRE(Ok(read));
+    const auto& status = std::get<WorkerStatus>(std::get<WorkerReply>(read));
+    CHECK(status.mEndedRuns.size() == ends);
+    CHECK(status.IsComplete() == (ends < 500));
+  }
+}
