List the queues of a cell's jobs in its owner row from the first job on

Cause: which cells a queue has used was known from the configurations that a node has read, and from queues that owner rows listed as moved. A node that starts after the move has read one configuration, and a row listed the queue only once the next owner had loaded the cell and committed. The owner row lists all queues of which the cell has jobs now; the commit that stores the first job of a queue adds it. Submissions and counts wait until the rows of all cells have been read, and are unavailable until then.

"the owner row lists the queues of which the cell has jobs" fails with the list of moved queues. It replaces the test of that list and keeps its checks, but that the row is empty before the move, which is no longer meant.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -241,16 +241,14 @@
 }
 
 std::vector<std::string>
-Cell::MovedQueues() const
+Cell::QueuesWithJobs() const
 {
-  std::vector<std::string> moved;
+  std::vector<std::string> queues;
+  queues.reserve(mJobsByQueue.size());
   for (const auto& [name, jobs] : mJobsByQueue) {
-    const QueueConfig* queue = FindQueue(name);
-    if (queue == nullptr || queue->mPool != mPool) {
-      moved.push_back(name);
-    }
+    queues.push_back(name);
   }
-  return moved;
+  return queues;
 }
 
 Duration
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -292,8 +292,8 @@
   /// Accepts no new jobs of the queue until the configuration is at least that
   /// version and sends them here.
   void CloseQueue(std::string_view aQueue, ConfigVersion aVersion);
-  /// Queues with jobs in the cell that the configuration doesn't send here.
-  std::vector<std::string> MovedQueues() const;
+  /// Queues of which the cell has jobs, also ended ones.
+  std::vector<std::string> QueuesWithJobs() const;
   /// Cores of VMs that are being moved into the pool.
   void SetIncomingCores(double aCores);
   /// Delay before a rejected submission is retried; aJitter is in [0, 1].
--- a/src/decide/cell_owner.h
+++ b/src/decide/cell_owner.h
@@ -25,9 +25,10 @@
   bool mReleased = false;
   /// Workers that get no new runs.
   std::vector<std::string> mDrainingWorkers;
-  /// Queues whose jobs the cell holds although the configuration sends new ones
-  /// to another cell, or no longer has the queue.
-  std::vector<std::string> mMovedQueues;
+  /// Queues of which the cell has jobs. The commit that stores the first job of
+  /// a queue adds it, so that a node which knows no earlier configuration finds
+  /// the cells of a queue that has moved.
+  std::vector<std::string> mQueues;
   /// ClaimDelay of the owner with its other cells, as a measure of its size and
   /// of what else it does.
   Duration mClaimDelay{};
--- a/src/services/cell_lease.cpp
+++ b/src/services/cell_lease.cpp
@@ -99,9 +99,9 @@
 }
 
 void
-CellLease::SetMovedQueues(std::vector<std::string> aQueues)
+CellLease::SetQueues(std::vector<std::string> aQueues)
 {
-  mRow.mMovedQueues = std::move(aQueues);
+  mRow.mQueues = std::move(aQueues);
 }
 
 void
@@ -195,7 +195,7 @@
   Revision before{};
   if (aSighting) {
     row.mDrainingWorkers = aSighting->mRow.mDrainingWorkers;
-    row.mMovedQueues = aSighting->mRow.mMovedQueues;
+    row.mQueues = aSighting->mRow.mQueues;
     before = aSighting->mRevision;
   }
   RowName name = OwnerRowName(aCell);
--- a/src/services/cell_lease.h
+++ b/src/services/cell_lease.h
@@ -51,7 +51,7 @@
   /// Sets the workers that get no new runs; stored by the next commit.
   void SetSealed(std::vector<std::string> aWorkers);
   /// Sets the row's queues that have left the cell; stored by the next commit.
-  void SetMovedQueues(std::vector<std::string> aQueues);
+  void SetQueues(std::vector<std::string> aQueues);
   /// Sets the row's claim delay; stored by the next commit.
   void SetClaimDelay(Duration aDelay);
 
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -347,11 +347,6 @@
   for (const std::string& id : mLease.Row().mDrainingWorkers) {
     mCell->SetDraining(id, true);
   }
-  // The other nodes have to know soon whose jobs are still here.
-  if (mCell->MovedQueues() != mLease.Row().mMovedQueues) {
-    mCommitRequested = true;
-    mCommitDue.Set();
-  }
   MonitorWorkers();
   mPlanDue.Set();
   NotifyWorkers();
@@ -991,7 +986,7 @@
                            bool aRelease,
                            TimePoint aDeadline)
 {
-  mLease.SetMovedQueues(mCell->MovedQueues());
+  mLease.SetQueues(mCell->QueuesWithJobs());
   bool ok = co_await mLease.Commit(MakeCommit(aChanges), aRelease, aDeadline);
   if (ok) {
     LogChanges(aChanges);
--- a/src/services/entry_service.cpp
+++ b/src/services/entry_service.cpp
@@ -313,18 +313,46 @@
                        : TimePoint::max();
 }
 
-// A pool that no longer exists has no owner to ask.
+// A cell whose row hasn't been read may have jobs of any queue.
+bool
+EntryService::OwnersKnown(std::uint32_t aShard) const
+{
+  auto config = mDirectory->Config();
+  FleetLayout layout = *mOwners->Layout();
+  return std::all_of(config->mPools.begin(),
+                     config->mPools.end(),
+                     [&](const WorkerPoolConfig& aPool) {
+                       return mOwners->HasBeenRead(
+                         layout.CellName(aPool.mName, aShard));
+                     });
+}
+
+Task<bool>
+EntryService::AwaitOwners(std::uint32_t aShard, TimePoint aDeadline)
+{
+  Clock& clock = mKernel.GetClock();
+  TimePoint deadline =
+    std::min({ aDeadline, clock.Now() + kMaxOwnerWait, AnswerDeadline() });
+  while (!OwnersKnown(aShard) && clock.Now() < deadline) {
+    co_await WaitUntil(mOwners->Changed(), clock, deadline);
+  }
+  co_return OwnersKnown(aShard);
+}
+
+// The queue's earlier pools are those that this node has read of and those whose
+// owners list it: after a restart a node knows one configuration only. A pool
+// that no longer exists has no owner to ask.
 std::vector<CellId>
 EntryService::FindEarlierCells(std::string_view aQueue,
                                const CellId& aCell) const
 {
   std::set<std::string> pools = mDirectory->Moves().EarlierPools(aQueue);
-  std::set<std::string> left = mOwners->CellsThatQueueLeft(aQueue);
+  std::set<std::string> holders = mOwners->CellsWithJobsOf(aQueue);
   auto config = mDirectory->Config();
   std::vector<CellId> cells;
   for (const WorkerPoolConfig& pool : config->mPools) {
     CellId cell = MakeCellId(*mOwners->Layout(), pool.mName, aCell.mShard);
-    bool earlier = pools.contains(pool.mName) || left.contains(cell.mName);
+    bool earlier = pools.contains(pool.mName) || holders.contains(cell.mName);
     if (earlier && cell.mName != aCell.mName) {
       cells.push_back(std::move(cell));
     }
@@ -347,6 +375,11 @@
   if (submit == nullptr && count == nullptr) {
     co_return result;
   }
+  bool known = co_await AwaitOwners(aCell.mShard, aDeadline);
+  if (!known) {
+    result.mReply = ServiceUnavailable{ kRetryAfter };
+    co_return result;
+  }
   CallerCall call = aCall;
   if (submit != nullptr) {
     call =
@@ -488,7 +521,7 @@
     // A pool without a queue still has the jobs that it accepted.
     for (const WorkerPoolConfig& pool : config->mPools) {
       std::string cell = layout.CellName(pool.mName, aCell.mShard);
-      if (mOwners->LastSeen(cell) != nullptr) {
+      if (mOwners->LastSeen(cell) != nullptr || !mOwners->HasBeenRead(cell)) {
         cells.insert(std::move(cell));
       }
     }
--- a/src/services/entry_service.h
+++ b/src/services/entry_service.h
@@ -85,6 +85,10 @@
                           CallerCall aCall,
                           TimePoint aDeadline,
                           CallProgress& aProgress);
+  bool OwnersKnown(std::uint32_t aShard) const;
+  /// Waits until the owner rows of all cells of the shard have been read; false
+  /// if they haven't by aDeadline.
+  Task<bool> AwaitOwners(std::uint32_t aShard, TimePoint aDeadline);
   std::vector<CellId> FindEarlierCells(std::string_view aQueue,
                                        const CellId& aCell) const;
   Task<EarlierCells> CallEarlierCells(CallerCall aCall,
--- a/src/services/owner_service.cpp
+++ b/src/services/owner_service.cpp
@@ -87,12 +87,12 @@
 }
 
 std::set<std::string>
-OwnerService::CellsThatQueueLeft(std::string_view aQueue) const
+OwnerService::CellsWithJobsOf(std::string_view aQueue) const
 {
   std::set<std::string> cells;
   for (const auto& [cell, observation] : mLastSeen) {
-    const std::vector<std::string>& moved = observation.mRow.mMovedQueues;
-    if (std::find(moved.begin(), moved.end(), aQueue) != moved.end()) {
+    const std::vector<std::string>& queues = observation.mRow.mQueues;
+    if (std::find(queues.begin(), queues.end(), aQueue) != queues.end()) {
       cells.insert(cell);
     }
   }
--- a/src/services/owner_service.h
+++ b/src/services/owner_service.h
@@ -47,8 +47,8 @@
   /// Owner row of a cell as last seen; null if none has been seen.
   const OwnerObservation* LastSeen(std::string_view aCell) const;
 
-  /// Cells that hold jobs of a queue which now uses another cell.
-  std::set<std::string> CellsThatQueueLeft(std::string_view aQueue) const;
+  /// Cells that have jobs of the queue, by their rows as last seen.
+  std::set<std::string> CellsWithJobsOf(std::string_view aQueue) const;
 
   /// True if the cell has been read, so that a missing row means "no owner".
   bool HasBeenRead(std::string_view aCell) const;
--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -322,9 +322,9 @@
                 { "r", aRow.mReleased },
                 { "x", aRow.mDrainingWorkers },
                 { "d", ToMillis(aRow.mClaimDelay) } };
-  // Usually empty, and the row is a part of every commit.
-  if (!aRow.mMovedQueues.empty()) {
-    json["q"] = aRow.mMovedQueues;
+  // The row is a part of every commit.
+  if (!aRow.mQueues.empty()) {
+    json["q"] = aRow.mQueues;
   }
   return ToCbor(json);
 }
@@ -363,7 +363,7 @@
   BOOST_LEAF_ASSIGN(row.mReleased, ReadBool(json, "r"));
   BOOST_LEAF_ASSIGN(row.mDrainingWorkers, ReadStrings(json, "x"));
   if (json.contains("q")) {
-    BOOST_LEAF_ASSIGN(row.mMovedQueues, ReadStrings(json, "q"));
+    BOOST_LEAF_ASSIGN(row.mQueues, ReadStrings(json, "q"));
   }
   // Rows written by the previous version lack this field.
   BOOST_LEAF_AUTO(delayMillis, ReadOrZero(json, "d", kMaxMillis));
--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -753,28 +753,29 @@
 }
 
 // Guards against nodes that start after the move not knowing where the jobs
-// are.
-TEST_CASE("the owner row lists the queues that have left the cell")
+// are, also if no process has seen both configurations.
+TEST_CASE("the owner row lists the queues of which the cell has jobs")
 {
   CellFleet fleet(2);
   CellNode& node = fleet.AddOwner();
+  CHECK(fleet.Owner(kPool)->mQueues.empty());
   auto submitted = fleet.Submit(node, "a", true);
   fleet.mManual.Advance(500ms);
   REQUIRE(submitted->Is<JobAccepted>());
-  CHECK(fleet.Owner(kPool)->mMovedQueues.empty());
+  CHECK(fleet.Owner(kPool)->mQueues == std::vector<std::string>{ "q0" });
   fleet.WriteConfig(2, "p1");
   fleet.mManual.Advance(300ms);
-  CHECK(fleet.Owner(kPool)->mMovedQueues == std::vector<std::string>{ "q0" });
+  CHECK(fleet.Owner(kPool)->mQueues == std::vector<std::string>{ "q0" });
   // Nodes read the rows each 0.56 s.
   fleet.mManual.Advance(560ms);
-  CHECK(node.mOwners.CellsThatQueueLeft("q0").contains(std::string(kPool)));
-  CHECK(node.mOwners.CellsThatQueueLeft("q1").empty());
+  CHECK(node.mOwners.CellsWithJobsOf("q0").contains(std::string(kPool)));
+  CHECK(node.mOwners.CellsWithJobsOf("q1").empty());
   // The next owner lists them from its claim on.
   CellNode& next = fleet.AddNode();
   fleet.mManual.Advance(1s);
   fleet.Stop(node);
   fleet.mManual.Advance(4s);
-  CHECK(next.mOwners.CellsThatQueueLeft("q0").contains(std::string(kPool)));
+  CHECK(next.mOwners.CellsWithJobsOf("q0").contains(std::string(kPool)));
 }
 
 // Guards against a node with an earlier configuration handing a job to the cell
