Keep rows and commits within the store's limits

Cause: the progress of a job listed each done task in one row, without a limit. Done tasks take a bit at most and done occurrences are ranges now; rows of the earlier version are read, and an earlier version holds a job back whose row it can't read. A row that would still be too large leaves checkpoints and crashes out; if its failures alone don't fit, the job fails and not its pool. A specification that fits no row is rejected at submission, and a commit takes rows up to 650,000 bytes.

The store of the tests has the platform's limits (100 entries, 64 KiB a row, 1 MB); the rows that a test writes at its start are split by them. With the earlier rows "a job of many tasks leaves its pool in service" and "the progress of the widest step fits a row" fail, without the limit of bytes "changes that exceed one call are committed one after another".

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -397,6 +397,14 @@
   return demand;
 }
 
+void
+Cell::Abandon(std::string_view aId, TimePoint aNow)
+{
+  if (CellJob* job = FindJob(aId)) {
+    FailJob(*job, aNow);
+  }
+}
+
 bool
 Cell::Cancel(std::string_view aId, TimePoint aNow)
 {
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -303,6 +303,8 @@
   /// The pool's load: measured at intervals that grow with the cell, plus the
   /// jobs accepted since.
   const PoolLoad& Load(TimePoint aNow);
+  /// Fails a job whose progress can't be stored.
+  void Abandon(std::string_view aId, TimePoint aNow);
   /// False if no such job exists.
   bool Cancel(std::string_view aId, TimePoint aNow);
   std::optional<JobPhase> PhaseOf(std::string_view aId) const;
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -34,6 +34,9 @@
                                                std::chrono::milliseconds(400) };
 /// Bounds the concurrent orders to one worker.
 constexpr int kMaxSendersPerWorker = 4;
+/// Limit on the values of a commit: base64 makes a third more of them, and the
+/// store accepts 1 MB with the names.
+constexpr std::size_t kMaxCommitBytes = 650'000;
 constexpr Duration kAdviceGracePeriod = std::chrono::milliseconds(1500);
 
 /// Name of the workers' listings in the log of malformed entries.
@@ -910,17 +913,55 @@
 
 // --- Commits
 
+// What doesn't fit the store's limits is taken out of aChanges and left to a
+// later commit: the store would refuse the whole transaction, each time.
 ConditionalCommit
-CellRuntime::MakeCommit(const CellChanges& aChanges) const
+CellRuntime::MakeCommit(CellChanges& aChanges)
 {
   ConditionalCommit commit;
-  for (const StoredJob& job : aChanges.mNewJobs) {
-    commit.mPuts.push_back(
-      { MakeRowName(kJobTable, job.mId), EncodeStoredJob(job) });
-  }
-  for (const auto& [id, progress] : aChanges.mProgress) {
-    commit.mPuts.push_back(
-      { MakeRowName(kProgressTable, id), EncodeProgress(progress) });
+  std::size_t bytes = 0;
+  auto put = [&](std::string_view aTable, std::string_view aKey, auto aValue) {
+    bool fits = bytes + aValue.size() <= kMaxCommitBytes;
+    if (fits) {
+      bytes += aValue.size();
+      commit.mPuts.push_back({ MakeRowName(aTable, aKey), std::move(aValue) });
+    }
+    return fits;
+  };
+  if (aChanges.mWorkers) {
+    put(kCellTable, kWorkersKey, EncodeWorkerSet(*aChanges.mWorkers));
+  }
+  CellChanges left;
+  std::vector<StoredJob> newJobs;
+  for (StoredJob& job : aChanges.mNewJobs) {
+    bool fits = put(kJobTable, job.mId, EncodeStoredJob(job));
+    (fits ? newJobs : left.mNewJobs).push_back(std::move(job));
+  }
+  aChanges.mNewJobs = std::move(newJobs);
+  std::vector<std::pair<std::string, StoredProgress>> stored;
+  for (auto& [id, progress] : aChanges.mProgress) {
+    std::optional<std::string> row = EncodeProgressRow(progress);
+    if (!row) {
+      LogWarn(kPart,
+              "job={} pool={} failed, its progress doesn't fit a row",
+              id,
+              mId.mName);
+      mCell->Abandon(id, mClock.Now());
+    }
+    bool fits = row && put(kProgressTable, id, std::move(*row));
+    (fits ? stored : left.mProgress).emplace_back(id, std::move(progress));
+  }
+  aChanges.mProgress = std::move(stored);
+  if (!left.Empty()) {
+    std::erase_if(aChanges.mEndedJobs, [&](const std::string& aId) {
+      return std::any_of(
+        left.mProgress.begin(), left.mProgress.end(), [&](const auto& aEntry) {
+          return aEntry.first == aId;
+        });
+    });
+    // The ends that these rows cover aren't stored.
+    aChanges.mLastEnds.clear();
+    mCell->OnNotCommitted(left);
   }
   for (const std::string& id : aChanges.mEndedJobs) {
     commit.mRemoves.push_back(MakeRowName(kJobTable, id));
@@ -928,10 +969,6 @@
   for (const std::string& id : aChanges.mExpiredJobs) {
     commit.mRemoves.push_back(MakeRowName(kProgressTable, id));
   }
-  if (aChanges.mWorkers) {
-    commit.mPuts.push_back({ MakeRowName(kCellTable, kWorkersKey),
-                             EncodeWorkerSet(*aChanges.mWorkers) });
-  }
   return commit;
 }
 
@@ -987,7 +1024,8 @@
                            TimePoint aDeadline)
 {
   mLease.SetQueues(mCell->QueuesWithJobs());
-  bool ok = co_await mLease.Commit(MakeCommit(aChanges), aRelease, aDeadline);
+  ConditionalCommit commit = MakeCommit(aChanges);
+  bool ok = co_await mLease.Commit(std::move(commit), aRelease, aDeadline);
   if (ok) {
     LogChanges(aChanges);
     mCell->OnCommitted(aChanges, mClock.Now());
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -139,7 +139,7 @@
   Task<bool> CommitChanges(CellChanges aChanges,
                            bool aRelease,
                            TimePoint aDeadline);
-  ConditionalCommit MakeCommit(const CellChanges& aChanges) const;
+  ConditionalCommit MakeCommit(CellChanges& aChanges);
   Task<void> MonitorWorker(std::string aWorker);
   Task<Expected<WorkerReply>> SendRenewal(std::string aWorker,
                                           TimePoint& aSent);
--- a/src/services/entry_service.cpp
+++ b/src/services/entry_service.cpp
@@ -339,9 +339,9 @@
   co_return OwnersKnown(aShard);
 }
 
-// The queue's earlier pools are those that this node has read of and those whose
-// owners list it: after a restart a node knows one configuration only. A pool
-// that no longer exists has no owner to ask.
+// The queue's earlier pools are those that this node has read of and those
+// whose owners list it: after a restart a node knows one configuration only. A
+// pool that no longer exists has no owner to ask.
 std::vector<CellId>
 EntryService::FindEarlierCells(std::string_view aQueue,
                                const CellId& aCell) const
--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <set>
 #include <span>
 #include <tuple>
+#include <utility>
 
 namespace buckthornshunt {
 
@@ -14,6 +16,9 @@
 
 constexpr std::uint64_t kMaxUnsigned32 =
   std::numeric_limits<std::uint32_t>::max();
+/// Version of the rows of progress; those of the first have none.
+constexpr std::uint64_t kProgressVersion = 2;
+constexpr std::uint32_t kBitsPerByte = 8;
 /// Maximum of each resource of a task; sums over a job's tasks don't overflow.
 constexpr std::int64_t kMaxResource = 1'000'000'000;
 
@@ -165,6 +170,24 @@
   return {};
 }
 
+/// Bytes of a job's row beside its specification; the queue's name takes most.
+constexpr std::size_t kMaxJobRowOverhead = 512;
+
+// An upper bound of the specification's size that is cheap to compute.
+std::size_t
+MaxEncodedSize(const JobSpec& aSpec)
+{
+  constexpr std::size_t kMaxStepOverhead = 128;
+  constexpr std::size_t kMaxNumberBytes = 5;
+  std::size_t size = kMaxJobRowOverhead + aSpec.mPayload.size();
+  for (const StepSpec& step : aSpec.mSteps) {
+    size += kMaxStepOverhead + step.mRequiredLabel.size() +
+            step.mPreferredRack.size() + step.mImage.size() +
+            kMaxNumberBytes * step.mDependencies.size();
+  }
+  return size;
+}
+
 } // namespace
 
 leaf::result<void>
@@ -189,6 +212,10 @@
   if (aSpec.mFirstStartTime.mMillis < 0 || last > kMaxTimeMillis) {
     return Fail(MessageFailure{ MessageFault::TooLarge, "interval" });
   }
+  if (MaxEncodedSize(aSpec) > kMaxRowBytes &&
+      ToCbor(JobSpecToJson(aSpec)).size() + kMaxJobRowOverhead > kMaxRowBytes) {
+    return Fail(MessageFailure{ MessageFault::TooLarge, "steps" });
+  }
   return {};
 }
 
@@ -253,21 +280,174 @@
   return job;
 }
 
+namespace {
+
+/// The done tasks of a step that nothing else is stored of: all of the first
+/// ones, and a bit for each that follows.
+struct DoneTasks
+{
+  std::uint32_t mFirst = 0;
+  std::vector<std::uint8_t> mBits;
+
+  // Tasks are added by rising index.
+  void Add(std::uint32_t aIndex)
+  {
+    if (aIndex == mFirst && mBits.empty()) {
+      ++mFirst;
+    } else if (aIndex >= mFirst) {
+      std::uint32_t bit = aIndex - mFirst;
+      std::size_t byte = bit / kBitsPerByte;
+      mBits.resize(std::max(mBits.size(), byte + 1));
+      mBits[byte] |= static_cast<std::uint8_t>(1U << (bit % kBitsPerByte));
+    }
+  }
+};
+
+// Occurrences end about in order, so that there are few ranges.
+Json
+RangesToJson(std::vector<std::uint32_t> aNumbers)
+{
+  std::sort(aNumbers.begin(), aNumbers.end());
+  Json ranges = Json::array();
+  std::size_t first = 0;
+  for (std::size_t i = 1; i <= aNumbers.size(); ++i) {
+    bool ends =
+      i == aNumbers.size() || aNumbers[i] != aNumbers[first] + (i - first);
+    if (ends) {
+      ranges.push_back(Json::array({ aNumbers[first], i - first }));
+      first = i;
+    }
+  }
+  return ranges;
+}
+
+leaf::result<std::uint32_t>
+NumberFromJson(const Json& aNumber, std::uint64_t aMax, const char* aField)
+{
+  if (!aNumber.is_number_unsigned() || aNumber.get<std::uint64_t>() > aMax) {
+    return Fail(MessageFailure{ MessageFault::WrongType, aField });
+  }
+  return aNumber.get<std::uint32_t>();
+}
+
+leaf::result<std::vector<std::uint32_t>>
+RangesFromJson(const Json& aRanges, const char* aField)
+{
+  std::vector<std::uint32_t> all;
+  for (const Json& range : aRanges) {
+    if (!range.is_array() || range.size() != 2) {
+      return Fail(MessageFailure{ MessageFault::WrongType, aField });
+    }
+    BOOST_LEAF_AUTO(first, NumberFromJson(range[0], kMaxTasksPerJob, aField));
+    BOOST_LEAF_AUTO(
+      count, NumberFromJson(range[1], kMaxTasksPerJob - all.size(), aField));
+    bool ordered = all.empty() || first > all.back();
+    if (!ordered || count == 0) {
+      return Fail(MessageFailure{ MessageFault::WrongType, aField });
+    }
+    for (std::uint32_t i = 0; i < count; ++i) {
+      all.push_back(first + i);
+    }
+  }
+  return all;
+}
+
+// An array: occurrence, step, number of the first tasks, bits.
+leaf::result<void>
+ReadDoneTasks(const Json& aJson, std::vector<StoredTask>& aTasks)
+{
+  bool ok = aJson.is_array() && aJson.size() == 4 && aJson[3].is_binary() &&
+            aJson[3].get_binary().size() <= kMaxTasksPerStep / kBitsPerByte + 1;
+  if (!ok) {
+    return Fail(MessageFailure{ MessageFault::WrongType, "s" });
+  }
+  BOOST_LEAF_AUTO(occurrence, NumberFromJson(aJson[0], kMaxTasksPerJob, "s"));
+  BOOST_LEAF_AUTO(step, NumberFromJson(aJson[1], kMaxSteps, "s"));
+  BOOST_LEAF_AUTO(first, NumberFromJson(aJson[2], kMaxTasksPerStep, "s"));
+  auto add = [&](std::uint32_t aIndex) {
+    aTasks.push_back({ occurrence, step, aIndex, true, {}, "", 0 });
+  };
+  for (std::uint32_t i = 0; i < first; ++i) {
+    add(i);
+  }
+  const auto& bits = aJson[3].get_binary();
+  for (std::uint32_t i = 0; i < bits.size() * kBitsPerByte; ++i) {
+    if ((bits[i / kBitsPerByte] >> (i % kBitsPerByte) & 1U) != 0) {
+      add(first + i);
+    }
+  }
+  if (aTasks.size() > kMaxTasksPerJob) {
+    return Fail(MessageFailure{ MessageFault::TooLarge, "s" });
+  }
+  return {};
+}
+
+// Rows of the first version list each task that is done.
+leaf::result<void>
+ReadProgressV1(const Json& aJson, StoredProgress& aProgress)
+{
+  BOOST_LEAF_AUTO(occurrences, ReadArray(aJson, "d"));
+  for (const Json& at : *occurrences) {
+    BOOST_LEAF_AUTO(number, NumberFromJson(at, kMaxUnsigned32, "d"));
+    aProgress.mDoneOccurrences.push_back(number);
+  }
+  return {};
+}
+
+leaf::result<void>
+ReadProgressV2(const Json& aJson, StoredProgress& aProgress)
+{
+  BOOST_LEAF_AUTO(version, ReadUnsigned(aJson, "v"));
+  if (version != kProgressVersion) {
+    return Fail(MessageFailure{ MessageFault::UnknownKind, "v" });
+  }
+  BOOST_LEAF_AUTO(occurrences, ReadArray(aJson, "o"));
+  BOOST_LEAF_ASSIGN(aProgress.mDoneOccurrences,
+                    RangesFromJson(*occurrences, "o"));
+  BOOST_LEAF_AUTO(steps, ReadArray(aJson, "s"));
+  for (const Json& step : *steps) {
+    BOOST_LEAF_CHECK(ReadDoneTasks(step, aProgress.mTasks));
+  }
+  return {};
+}
+
+} // namespace
+
+// Almost all tasks are done and nothing else, so these take a bit at most, and
+// the row of a job with many tasks stays small.
 std::string
 EncodeProgress(const StoredProgress& aProgress)
 {
+  std::map<std::pair<std::uint32_t, std::uint32_t>, DoneTasks> done;
   Json tasks = Json::array();
   // One number a task; a list of its own, which earlier versions ignore.
   Json crashes = Json::array();
   bool crashed = false;
   for (const StoredTask& task : aProgress.mTasks) {
+    bool onlyDone =
+      task.mDone && task.mFailedRuns.empty() && task.mCheckpoint.empty();
+    if (onlyDone) {
+      done[{ task.mOccurrence, task.mStep }].Add(task.mIndex);
+      continue;
+    }
     tasks.push_back(TaskToJson(task));
     crashes.push_back(task.mCrashes);
     crashed = crashed || task.mCrashes > 0;
   }
-  Json progress = { { "p", static_cast<std::uint32_t>(aProgress.mPhase) },
+  Json steps = Json::array();
+  for (auto& [step, doneTasks] : done) {
+    steps.push_back(Json::array({ step.first,
+                                  step.second,
+                                  doneTasks.mFirst,
+                                  Json::binary(std::move(doneTasks.mBits)) }));
+  }
+  // A version that can't read the done tasks finds no list "d", so that it
+  // doesn't run them again.
+  Json progress = { { "v", kProgressVersion },
+                    { "p", static_cast<std::uint32_t>(aProgress.mPhase) },
                     { "q", aProgress.mQueue },
-                    { "d", aProgress.mDoneOccurrences },
+                    { "o", RangesToJson(aProgress.mDoneOccurrences) },
+                    { "s", std::move(steps) },
                     { "t", std::move(tasks) } };
   if (crashed) {
     progress["c"] = std::move(crashes);
@@ -275,6 +455,28 @@
   return ToCbor(progress);
 }
 
+std::optional<std::string>
+EncodeProgressRow(const StoredProgress& aProgress)
+{
+  std::string row = EncodeProgress(aProgress);
+  if (row.size() <= kMaxRowBytes) {
+    return row;
+  }
+  StoredProgress reduced = aProgress;
+  for (StoredTask& task : reduced.mTasks) {
+    task.mCheckpoint.clear();
+    task.mCrashes = 0;
+  }
+  std::erase_if(reduced.mTasks, [](const StoredTask& aTask) {
+    return !aTask.mDone && aTask.mFailedRuns.empty();
+  });
+  row = EncodeProgress(reduced);
+  if (row.size() <= kMaxRowBytes) {
+    return row;
+  }
+  return std::nullopt;
+}
+
 leaf::result<StoredProgress>
 DecodeProgress(std::string_view aBytes)
 {
@@ -286,26 +488,30 @@
   }
   progress.mPhase = static_cast<JobPhase>(phase);
   BOOST_LEAF_ASSIGN(progress.mQueue, ReadString(json, "q"));
-  BOOST_LEAF_AUTO(occurrences, ReadArray(json, "d"));
-  for (const Json& at : *occurrences) {
-    if (!at.is_number_unsigned() || at.get<std::uint64_t>() > kMaxUnsigned32) {
-      return Fail(MessageFailure{ MessageFault::WrongType, "d" });
-    }
-    progress.mDoneOccurrences.push_back(at.get<std::uint32_t>());
+  if (json.contains("v")) {
+    BOOST_LEAF_CHECK(ReadProgressV2(json, progress));
+  } else {
+    BOOST_LEAF_CHECK(ReadProgressV1(json, progress));
   }
   BOOST_LEAF_AUTO(tasks, ReadArray(json, "t"));
-  // A job's tasks are read whole or not at all: a task that is left out would
-  // run again, one that is listed twice would count twice towards its step.
-  std::set<std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>> listed;
+  std::vector<StoredTask> listed;
   for (const Json& at : *tasks) {
     BOOST_LEAF_AUTO(task, TaskFromJson(at));
-    if (!listed.emplace(task.mOccurrence, task.mStep, task.mIndex).second) {
-      return Fail(MessageFailure{ MessageFault::WrongType, "t" });
-    }
-    progress.mTasks.push_back(std::move(task));
+    listed.push_back(std::move(task));
   }
   if (json.contains("c")) {
-    BOOST_LEAF_CHECK(ReadCrashes(json, progress.mTasks));
+    BOOST_LEAF_CHECK(ReadCrashes(json, listed));
+  }
+  for (StoredTask& task : listed) {
+    progress.mTasks.push_back(std::move(task));
+  }
+  // A job's tasks are read whole or not at all: a task that is left out would
+  // run again, one that is listed twice would count twice towards its step.
+  std::set<std::tuple<std::uint32_t, std::uint32_t, std::uint32_t>> known;
+  for (const StoredTask& task : progress.mTasks) {
+    if (!known.emplace(task.mOccurrence, task.mStep, task.mIndex).second) {
+      return Fail(MessageFailure{ MessageFault::WrongType, "t" });
+    }
   }
   return progress;
 }
--- a/src/wire/cell_codec.h
+++ b/src/wire/cell_codec.h
@@ -7,6 +7,7 @@
 #include "ports/worker_calls.h"
 #include "wire/json_fields.h"
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -20,8 +21,11 @@
 /// Maximum number of tasks in all occurrences of a job.
 constexpr std::uint64_t kMaxTasksPerJob = 1'000'000;
 
-/// Fails with MessageFailure if the job exceeds a limit or the time of its last
-/// occurrence can't be represented.
+/// Limit on the value of a row, from the platform's contract.
+constexpr std::size_t kMaxRowBytes = 65'536;
+
+/// Fails with MessageFailure if the job exceeds a limit, doesn't fit a row or
+/// the time of its last occurrence can't be represented.
 leaf::result<void>
 CheckJobSpec(const JobSpec& aSpec);
 
@@ -34,6 +38,11 @@
 
 std::string
 EncodeProgress(const StoredProgress& aProgress);
+/// As EncodeProgress, but leaves checkpoints and crashes out if the row would
+/// exceed kMaxRowBytes: without them a task does work again, but counts the
+/// same failures. None if it still doesn't fit.
+std::optional<std::string>
+EncodeProgressRow(const StoredProgress& aProgress);
 leaf::result<StoredProgress>
 DecodeProgress(std::string_view aBytes);
 
--- a/tests/busy_owner.cpp
+++ b/tests/busy_owner.cpp
@@ -8,6 +8,8 @@
 #include <boost/asio/detached.hpp>
 #include <doctest/doctest.h>
 
+#include <utility>
+
 #include <algorithm>
 
 namespace buckthornshunt::tests {
@@ -251,7 +253,15 @@
 void
 BusyOwner::WriteRows(int aWorkers)
 {
+  // The store accepts 100 entries in a commit.
+  constexpr std::size_t kMaxEntries = 100;
   ConditionalCommit commit;
+  auto write = [&] {
+    asio::co_spawn(
+      mContext,
+      CallStore(mStore, std::exchange(commit, {}), mManual.Now() + 1s),
+      [](const std::exception_ptr&, const auto&) {});
+  };
   Json route = { { "name", "q0" },         { "host", "h" },
                  { "path_prefix", "/q0" }, { "service", kPool },
                  { "max_attempts", 3 },    { "target_latency_ms", 100000 } };
@@ -270,10 +280,11 @@
                       { { "cpu", 32000 }, { "mem_mb", 131072 } } } };
     commit.mPuts.push_back(
       { { "servers", "", "w" + std::to_string(i) }, report.dump() });
+    if (commit.mPuts.size() == kMaxEntries) {
+      write();
+    }
   }
-  asio::co_spawn(mContext,
-                 CallStore(mStore, commit, mManual.Now() + 1s),
-                 [](const std::exception_ptr&, const auto&) {});
+  write();
   mManual.Advance(5ms);
 }
 
--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -810,6 +810,55 @@
   CHECK(back->Is<JobAccepted>());
 }
 
+// Guards against one job's progress ending all commits of its pool.
+TEST_CASE("a job of many tasks leaves its pool in service")
+{
+  CellFleet fleet;
+  CellNode& node = fleet.AddOwner();
+  auto large = fleet.Submit(node, "large", false, 9000);
+  for (int i = 0; i < 1000 && fleet.mFakeWorkers.mRuns.size() < 8000; ++i) {
+    fleet.mManual.Advance(10ms);
+  }
+  REQUIRE(large->Is<JobAccepted>());
+  REQUIRE(fleet.mFakeWorkers.mRuns.size() >= 8000);
+  REQUIRE(fleet.mFakeWorkers.mRuns.size() < 9000);
+  fleet.mFakeWorkers.EndAllRuns();
+  fleet.mManual.Advance(3s);
+  fleet.mFakeWorkers.EndAllRuns();
+  fleet.mManual.Advance(3s);
+  CHECK(fleet.mFake.mInvalidCommits == 0);
+  CHECK(node.mCells.Find(kPool)->State().PhaseOf("large") ==
+        JobPhase::Completed);
+  auto small = fleet.Submit(node, "small");
+  fleet.mManual.Advance(500ms);
+  CHECK(small->Is<JobAccepted>());
+}
+
+// Guards against rows that are each small enough exceeding a call together.
+TEST_CASE("changes that exceed one call are committed one after another")
+{
+  CellFleet fleet;
+  CellNode& node = fleet.AddOwner();
+  std::vector<PendingReplyPtr> replies;
+  for (int i = 0; i < 40; ++i) {
+    JobSpec spec;
+    spec.mPayload = "s";
+    for (int s = 0; s < 100; ++s) {
+      StepSpec step;
+      step.mTaskCount = 1;
+      step.mRequiredLabel = std::string(400, 'l');
+      spec.mSteps.push_back(step);
+    }
+    replies.push_back(
+      fleet.Call(node, SubmitJob{ "q0", JobName(i), std::move(spec) }, 5s));
+  }
+  fleet.mManual.Advance(4s);
+  CHECK(fleet.mFake.mInvalidCommits == 0);
+  for (const PendingReplyPtr& reply : replies) {
+    CHECK(reply->Is<JobAccepted>());
+  }
+}
+
 TEST_CASE("a commit holds no more entries than the store accepts")
 {
   constexpr std::size_t kMaxEntries = 100;
--- a/tests/fake_store.cpp
+++ b/tests/fake_store.cpp
@@ -12,6 +12,28 @@
   } };
 }
 
+namespace {
+
+constexpr std::size_t kMaxEntries = 100;
+constexpr std::size_t kMaxValueBytes = 65'536;
+constexpr std::size_t kMaxCallBytes = 1'000'000;
+
+} // namespace
+
+bool
+FakeStore::Accepts(const ConditionalCommit& aCommit)
+{
+  std::size_t entries =
+    aCommit.mConditions.size() + aCommit.mPuts.size() + aCommit.mRemoves.size();
+  std::size_t bytes = 0;
+  bool accepted = entries <= kMaxEntries;
+  for (const RowPut& put : aCommit.mPuts) {
+    accepted = accepted && put.mValue.size() <= kMaxValueBytes;
+    bytes += (put.mValue.size() + 2) / 3 * 4;
+  }
+  return accepted && bytes <= kMaxCallBytes;
+}
+
 StoreReply
 FakeStore::Commit(const ConditionalCommit& aCommit)
 {
@@ -80,6 +102,10 @@
   }
   if (const auto* commit = std::get_if<ConditionalCommit>(&aCall)) {
     ++mCommitCalls;
+    if (!Accepts(*commit)) {
+      ++mInvalidCommits;
+      co_return Failure(MessageFailure{ MessageFault::TooLarge, "entries" });
+    }
     StoreReply reply = Commit(*commit);
     TimePoint answered = mClock.Now() + mCommitReplyLatency;
     co_await mClock.SleepUntil(std::min(answered, aDeadline));
--- a/tests/fake_store.h
+++ b/tests/fake_store.h
@@ -35,9 +35,13 @@
   int mCommits = 0;
   /// Commits that were received, also those that were refused.
   int mCommitCalls = 0;
+  /// Commits beyond a limit of the platform's store, refused without effect.
+  int mInvalidCommits = 0;
 
 private:
   Task<Expected<StoreReply>> Call(StoreCall aCall, TimePoint aDeadline);
+  /// Whether a commit keeps the limits of the platform's store.
+  static bool Accepts(const ConditionalCommit& aCommit);
   StoreReply Commit(const ConditionalCommit& aCommit);
   StoreReply Scan(const ScanRows& aScan) const;
   StoreReply Follow(const ReadRowFeed& aFollow) const;
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -424,3 +424,125 @@
     CHECK(status.IsComplete() == (ends < 500));
   }
 }
+
+namespace {
+
+StoredProgress
+ProgressOfTasks(std::uint32_t aTasks, std::uint32_t aStride)
+{
+  StoredProgress progress;
+  progress.mPhase = JobPhase::Running;
+  for (std::uint32_t i = 0; i < aTasks; i += aStride) {
+    progress.mTasks.push_back({ 0, 0, i, true, {}, "", 0 });
+  }
+  return progress;
+}
+
+StoredProgress
+ReadBack(const std::string& aRow)
+{
+  auto read = ToExpected<StoredProgress>([&] { return DecodeProgress(aRow); });
+  REQUIRE(Ok(read));
+  return std::get<StoredProgress>(read);
+}
+
+} // namespace
+
+// Guards against a job whose progress outgrows a row, which its pool can't
+// store from then on.
+TEST_CASE("the progress of the widest step fits a row")
+{
+  for (std::uint32_t stride : { 1U, 2U, 7U }) {
+    StoredProgress progress = ProgressOfTasks(kMaxTasksPerStep, stride);
+    progress.mDoneOccurrences = { 0, 1, 2, 9, 4, 5 };
+    std::optional<std::string> row = EncodeProgressRow(progress);
+    REQUIRE(row);
+    CHECK(row->size() <= kMaxRowBytes);
+    StoredProgress back = ReadBack(*row);
+    CHECK(back.mTasks == progress.mTasks);
+    CHECK(back.mDoneOccurrences ==
+          std::vector<std::uint32_t>{ 0, 1, 2, 4, 5, 9 });
+  }
+}
+
+TEST_CASE("the occurrences of a job that repeats for long fit a row")
+{
+  StoredProgress progress;
+  for (std::uint32_t i = 0; i < kMaxTasksPerJob; ++i) {
+    progress.mDoneOccurrences.push_back(i);
+  }
+  std::optional<std::string> row = EncodeProgressRow(progress);
+  REQUIRE(row);
+  CHECK(ReadBack(*row).mDoneOccurrences == progress.mDoneOccurrences);
+}
+
+TEST_CASE("a row that is too large leaves checkpoints out, but no failures")
+{
+  StoredProgress progress = ProgressOfTasks(6000, 2);
+  for (std::uint32_t i = 1; i < 6000; i += 2) {
+    std::vector<std::uint64_t> failed;
+    if (i % 100 == 1) {
+      failed = { 1001 };
+    }
+    progress.mTasks.push_back(
+      { 0, 0, i, false, failed, "0123456789abcdef01", 1 });
+  }
+  std::optional<std::string> row = EncodeProgressRow(progress);
+  REQUIRE(row);
+  std::size_t done = 0;
+  std::size_t failures = 0;
+  for (const StoredTask& task : ReadBack(*row).mTasks) {
+    done += task.mDone ? 1 : 0;
+    failures += task.mFailedRuns.size();
+    CHECK(task.mCheckpoint.empty());
+  }
+  CHECK(done == 3000);
+  CHECK(failures == 60);
+}
+
+TEST_CASE("progress that fits no row is not encoded")
+{
+  StoredProgress progress;
+  for (std::uint32_t i = 0; i < 9000; ++i) {
+    progress.mTasks.push_back({ 0, 0, i, false, { 1001 }, "", 0 });
+  }
+  CHECK_FALSE(EncodeProgressRow(progress));
+}
+
+TEST_CASE("a job whose specification fits no row is rejected")
+{
+  JobSpec spec;
+  spec.mPayload = "s";
+  for (int i = 0; i < 200; ++i) {
+    StepSpec step;
+    step.mTaskCount = 1;
+    step.mRequiredLabel = std::string(i < 100 ? 200 : 500, 'l');
+    spec.mSteps.push_back(step);
+  }
+  auto check = [&] {
+    return Ok(ToExpected<std::monostate>([&]() -> leaf::result<std::monostate> {
+      BOOST_LEAF_CHECK(CheckJobSpec(spec));
+      return std::monostate{};
+    }));
+  };
+  CHECK_FALSE(check());
+  spec.mSteps.resize(100);
+  CHECK(check());
+}
+
+// Rows of the version that lists each done task.
+TEST_CASE("progress rows of the earlier version are read")
+{
+  Json row = { { "p", 1 },
+               { "q", "q" },
+               { "d", Json::array({ 3 }) },
+               { "t",
+                 Json::array({ Json::array({ 0, 1, 2, 1, Json::array(), "" }),
+                               Json::array({ 0, 1, 4, 0, { 7 }, "c" }) }) },
+               { "c", Json::array({ 0, 2 }) } };
+  StoredProgress progress = ReadBack(ToCbor(row));
+  CHECK(progress.mDoneOccurrences == std::vector<std::uint32_t>{ 3 });
+  std::vector<StoredTask> tasks = { { 0, 1, 2, true, {}, "", 0 },
+                                    { 0, 1, 4, false, { 7 }, "c", 2 } };
+  CHECK(progress.mTasks == tasks);
+}
