Count a job as waiting until a worker has begun it

Cause: a job counted as started when its start was planned, and a refusal left the mark. A job has begun once a worker confirms a start, doesn't answer it, or lists a run or an end of it; others wait. The mark of planned starts stays for the load of the pool.

Evidence: "a job whose start is refused still waits" fails with the mark of planned starts.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -457,7 +457,7 @@
   return static_cast<std::uint64_t>(std::count_if(
     mLiveJobs.begin(), mLiveJobs.end(), [&](const std::string& aId) {
       const CellJob& job = mJobs.find(aId)->second;
-      return job.mQueue == aQueue && job.mStored && !job.mStarted;
+      return job.mQueue == aQueue && job.mStored && !job.mBegun;
     }));
 }
 
--- a/src/decide/cell_job.cpp
+++ b/src/decide/cell_job.cpp
@@ -190,6 +190,7 @@
     record.mCheckpoint = task.mCheckpoint;
     record.mCrashes = task.mCrashes;
     job.mStarted = true;
+    job.mBegun = true;
     if (task.mDone) {
       record.mStage = TaskStage::Done;
       ++step.mDoneTasks;
--- a/src/decide/cell_job.h
+++ b/src/decide/cell_job.h
@@ -105,7 +105,10 @@
   bool mStored = false;
   bool mCancelled = false;
   bool mFailed = false;
+  /// A start of some task has been ordered.
   bool mStarted = false;
+  /// A worker may have begun some task.
+  bool mBegun = false;
   /// Changed since the last commit began.
   bool mDirty = false;
   /// Number of the cell's change that made it dirty; 0 if a commit of it
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -146,6 +146,7 @@
     return;
   }
   job->mStarted = true;
+  job->mBegun = true;
   OccurrenceRecord* occurrence = OpenOccurrence(*job, aEnd.mTask.mOccurrence);
   if (occurrence == nullptr) {
     return;
@@ -232,6 +233,7 @@
         StepRecord& step = occurrence->mSteps[aPresent.mTask.mStep];
         TaskRecord& task = step.mTasks[aPresent.mTask.mIndex];
         job->mStarted = true;
+        job->mBegun = true;
         // Adopts an earlier owner's run if the task has no other run.
         if (task.mStage == TaskStage::Idle) {
           task.mStage = TaskStage::Active;
@@ -568,17 +570,17 @@
     return;
   }
   run.mStageSince = aNow;
-  if (done) {
-    run.mStage = ActiveRun::Stage::Running;
-    return;
-  }
   bool neverSent = !Ok(aReply) && std::holds_alternative<ConnectFailure>(
                                     std::get<Failure>(aReply));
   bool notStarted = neverSent || (refused != nullptr && !fenced &&
                                   refused->mReason != StartRefusal::StaleRun);
   if (!notStarted) {
-    // Until the next listing the run may exist.
-    run.mStage = ActiveRun::Stage::Unconfirmed;
+    // Without an answer the run may exist until the next listing.
+    run.mStage =
+      done ? ActiveRun::Stage::Running : ActiveRun::Stage::Unconfirmed;
+    if (CellJob* job = FindJob(task.mJob)) {
+      job->mBegun = true;
+    }
     return;
   }
   RemoveRun(*worker, task);
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -366,6 +366,22 @@
   }
 }
 
+// Guards against a job that no worker has begun missing from the count.
+TEST_CASE("a job whose start is refused still waits")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 1 }));
+  CHECK(cell.mCell.Waiting("q") == 1);
+  std::vector<CellOrder> orders = cell.Plan();
+  REQUIRE(orders.size() == 1);
+  WorkerReply refused = OrderRefused{ StartRefusal::Rejected, 1 };
+  cell.mCell.OnOrderReply("w", orders[0].mCall, refused, cell.mNow);
+  CHECK(cell.mCell.Waiting("q") == 1);
+  cell.mNow += 3s;
+  REQUIRE(cell.PlanAndAnswer().size() == 1);
+  CHECK(cell.mCell.Waiting("q") == 0);
+}
+
 TEST_CASE("all faults of a cell combined break no guarantee")
 {
   for (std::uint64_t seed = 1; seed <= 24; ++seed) {
