--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -163,7 +163,7 @@
     worker.mReport.mVm = address.mVm;
     worker.mPersisted = true;
     worker.mInheritedRunsUnknown = true;
-    // The earlier owner may have had to reckon with that too.
+    // It may have restarted, and run things under the longest lease.
     ExtendLease(worker, aNow);
   }
 }
