Tests for parts of the last fixes that had none

On a last reading, "a run that a restarted worker has started again goes on there" could not fail: it never planned between the report of the restart and the listing, so that a run which had been given up was adopted again. It plans now, and fails with runs given up at the report.

Four parts had no test: the token of a worker that the cell had forgotten, a list of VMs beside a later process, the cursor of acknowledged ends, and a job whose progress fits no row. A comment of QueueMoves told of the earlier rows; product code is otherwise as it was.

--- a/src/decide/queue_moves.cpp
+++ b/src/decide/queue_moves.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// Owners list the queues that have left their cells within seconds; until then
-/// only this node's memory tells, also while the store is unreachable.
+/// An owner row lists a queue from the cell's first job of it on. A job that is
+/// accepted by an earlier configuration after the row was read is found by this
+/// node's memory only, also while the store is unreachable.
 constexpr Duration kMoveRetention = std::chrono::minutes(10);
 
 } // namespace
--- a/tests/cell_service_test.cpp
+++ b/tests/cell_service_test.cpp
@@ -52,10 +52,10 @@
     };
   }
 
-  void EndAllRuns()
+  void EndAllRuns(RunEnd aEnd = RunEnd::Done)
   {
     for (const auto& [task, run] : mRuns) {
-      mEnds.push_back({ ++mLastEnd, task, run, RunEnd::Done, "" });
+      mEnds.push_back({ ++mLastEnd, task, run, aEnd, "" });
     }
     mRuns.clear();
   }
@@ -834,6 +834,27 @@
   CHECK(small->Is<JobAccepted>());
 }
 
+// Guards against a job whose failures alone don't fit a row taking its pool
+// along.
+TEST_CASE("a job whose progress fits no row fails and its pool goes on")
+{
+  CellFleet fleet;
+  CellNode& node = fleet.AddOwner();
+  auto large = fleet.Submit(node, "large", false, 9000);
+  for (int i = 0; i < 1000 && fleet.mFakeWorkers.mRuns.size() < 8000; ++i) {
+    fleet.mManual.Advance(10ms);
+  }
+  REQUIRE(large->Is<JobAccepted>());
+  REQUIRE(fleet.mFakeWorkers.mRuns.size() >= 8000);
+  fleet.mFakeWorkers.EndAllRuns(RunEnd::Failed);
+  fleet.mManual.Advance(3s);
+  CHECK(fleet.mFake.mInvalidCommits == 0);
+  CHECK(fleet.StoredPhase("large") == JobPhase::Failed);
+  auto small = fleet.Submit(node, "small");
+  fleet.mManual.Advance(500ms);
+  CHECK(small->Is<JobAccepted>());
+}
+
 // Guards against rows that are each small enough exceeding a call together.
 TEST_CASE("changes that exceed one call are committed one after another")
 {
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -299,6 +299,7 @@
   cell.AddIdleWorker("w2");
   cell.mReports[0].mIncarnation = 6;
   cell.mCell.SetWorkers(cell.mReports, cell.mNow);
+  CHECK(cell.PlanAndAnswer().empty());
   cell.mCell.NextRenewal("w", 0s, cell.mNow);
   cell.ListStatus({ 0, 6, { run }, {} });
   CHECK(cell.PlanAndAnswer().empty());
@@ -382,6 +383,53 @@
   CHECK(cell.mCell.Waiting("q") == 0);
 }
 
+// Guards against calls to an incarnation that the cell has forgotten.
+TEST_CASE("a worker that comes back after it was forgotten gets a new token")
+{
+  SingleWorkerCell cell;
+  FencingToken before = cell.mCell.NextRenewal("w", 0s, cell.mNow).mToken;
+  cell.mCell.SetWorkers({}, cell.mNow);
+  REQUIRE_FALSE(cell.mCell.Workers().contains("w"));
+  cell.Commit();
+  cell.mReports[0].mIncarnation = 6;
+  cell.mCell.SetWorkers(cell.mReports, cell.mNow);
+  CHECK(cell.mCell.NextRenewal("w", 0s, cell.mNow).mToken > before);
+}
+
+// Guards against an old list of VMs ending runs that the next incarnation,
+// which the directory has reported, may have.
+TEST_CASE("a list of VMs ends no worker of which a later process is known")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 1 }));
+  REQUIRE(cell.PlanAndAnswer().size() == 1);
+  cell.List({ { { "a", 0, 0, 0 }, 1, "", 100, std::nullopt } }, {});
+  cell.AddIdleWorker("w2");
+  cell.mReports[0].mIncarnation = 6;
+  cell.mCell.SetWorkers(cell.mReports, cell.mNow);
+  CHECK_FALSE(cell.mCell.OnWorkerEnded("w", 5, cell.mNow));
+  CHECK(cell.PlanAndAnswer().empty());
+  CHECK(cell.mCell.OnWorkerEnded("w", 6, cell.mNow));
+}
+
+// Guards against the cursor of an earlier incarnation reaching the next one.
+TEST_CASE("ends are acknowledged only while the worker lists them")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 3 }));
+  REQUIRE(cell.PlanAndAnswer().size() == 3);
+  cell.List({}, { DoneEnd(1, 0) });
+  cell.Commit();
+  CHECK(cell.Acknowledged() == 1);
+  cell.List({}, { DoneEnd(2, 1) });
+  CHECK(cell.Acknowledged() == 0);
+  cell.Commit();
+  CHECK(cell.Acknowledged() == 2);
+  cell.mReports[0].mIncarnation = 6;
+  cell.mCell.SetWorkers(cell.mReports, cell.mNow);
+  CHECK(cell.Acknowledged() == 0);
+}
+
 TEST_CASE("all faults of a cell combined break no guarantee")
 {
   for (std::uint64_t seed = 1; seed <= 24; ++seed) {
