Log restarts of workers and what the cell concludes from them

The four hypotheses of the incident couldn't be told apart: a lost run told its cause, not whether any listing had shown it or whether its start was unanswered, and restarts, inherited runs and forgotten ends left no line.

No decision changes.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -15,6 +15,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <variant>
 #include <vector>
 
 namespace buckthornshunt {
@@ -137,6 +138,8 @@
   int mMissedAnswers = 0;
   /// All ended runs up to this position have been processed.
   std::uint64_t mLastSeenEnd = 0;
+  /// The list of the known incarnation is followed from its first end on.
+  bool mEndsFollowed = false;
   /// Later ones that have been, beyond one that can't be read.
   std::set<std::uint64_t> mEndsSeenAhead;
   std::uint64_t mLastCommittedEnd = 0;
@@ -159,6 +162,7 @@
   TimePoint mRateAdjustedAt;
 
   void AddRun(const TaskId& aTask, const ActiveRun& aRun);
+  std::vector<TaskId> Tasks() const;
   /// Tasks whose runs are confirmed.
   std::vector<TaskId> RunningTasks() const;
   /// Time until the next end of a short run is due.
@@ -260,10 +264,59 @@
   std::int64_t mIncarnation = 0;
   RunLossCause mCause = RunLossCause::LeaseExpired;
   std::size_t mRuns = 0;
+  /// Those of them that no listing of the known incarnation has shown.
+  std::size_t mUnlisted = 0;
+  /// Those of them whose start got no answer.
+  std::size_t mUnanswered = 0;
   /// Time since the worker's last answer.
   Duration mSilence{};
 };
 
+/// A worker has restarted under its id.
+struct WorkerRestart
+{
+  std::string mWorker;
+  std::int64_t mFrom = 0;
+  std::int64_t mTo = 0;
+  /// Shown by a listing, and not by the directory.
+  bool mByListing = false;
+  std::size_t mRuns = 0;
+  std::size_t mUnlisted = 0;
+  std::size_t mUnanswered = 0;
+};
+
+/// How the runs of earlier owners on a worker became known.
+enum class InheritedProof : std::uint8_t
+{
+  Listing,
+  LeaseExpired,
+  Restarted,
+  WorkerEnded
+};
+
+std::string_view
+ToString(InheritedProof aProof);
+
+struct InheritedRunsResolved
+{
+  std::string mWorker;
+  std::int64_t mIncarnation = 0;
+  InheritedProof mProof = InheritedProof::Listing;
+};
+
+/// Ends that a worker's list left out before this owner had read them. Another
+/// call than the owner's present ones has acknowledged them.
+struct EndsForgotten
+{
+  std::string mWorker;
+  std::int64_t mIncarnation = 0;
+  std::uint64_t mFirst = 0;
+  std::uint64_t mLast = 0;
+};
+
+using WorkerNotice =
+  std::variant<WorkerRestart, InheritedRunsResolved, EndsForgotten>;
+
 /// Cores of a pool.
 struct PoolSummary
 {
@@ -366,6 +419,7 @@
   std::vector<WorkerCrash> TakeCrashes();
   /// Runs lost by workers since the last call.
   std::vector<RunLoss> TakeRunLosses();
+  std::vector<WorkerNotice> TakeWorkerNotices();
 
   /// Orders to send now.
   std::vector<CellOrder> Plan(TimePoint aNow, WallTime aWallNow);
@@ -462,7 +516,7 @@
   void ReportIncarnation(CellWorker& aWorker,
                          const WorkerReport& aReport,
                          TimePoint aNow);
-  static void BeginIncarnation(CellWorker& aWorker);
+  void BeginIncarnation(CellWorker& aWorker);
   void RequireNewToken(CellWorker& aWorker, TimePoint aNow) const;
   FencingToken TokenFor(const CellWorker& aWorker) const;
   void RemoveLostRuns(CellWorker& aWorker,
@@ -474,8 +528,14 @@
   void RemoveRun(CellWorker& aWorker, const TaskId& aTask);
   void RecordRunLoss(const CellWorker& aWorker,
                      RunLossCause aCause,
-                     std::size_t aRuns,
+                     std::span<const TaskId> aLost,
                      TimePoint aNow);
+  void RecordRestart(const CellWorker& aWorker,
+                     std::int64_t aTo,
+                     bool aByListing);
+  void ResolveInheritedRuns(CellWorker& aWorker, InheritedProof aProof);
+  void RecordForgottenEnds(const CellWorker& aWorker,
+                           const WorkerStatus& aListing);
   void ResetToIdle(const TaskId& aTask, std::string_view aWorker);
   void RecordCrash(CellWorker& aWorker,
                    std::span<const TaskId> aLost,
@@ -570,6 +630,7 @@
   DemandEstimator mDemand;
   std::vector<WorkerCrash> mCrashes;
   std::vector<RunLoss> mRunLosses;
+  std::vector<WorkerNotice> mWorkerNotices;
   double mIncomingCores = 0;
   PoolLoad mLoad;
   /// When mLoad was measured; none if it must be measured again.
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -184,13 +184,12 @@
         worker.mMissedAnswers < kMissedAnswersUntilSuspected) {
       continue;
     }
-    worker.mInheritedRunsUnknown = false;
+    ResolveInheritedRuns(worker, InheritedProof::LeaseExpired);
     // A worker that is cut off stays listed; one that has crashed isn't.
     if (!worker.mListed) {
       RecordCrash(worker, worker.RunningTasks(), aNow);
     }
-    RecordRunLoss(
-      worker, RunLossCause::LeaseExpired, worker.mRuns.size(), aNow);
+    RecordRunLoss(worker, RunLossCause::LeaseExpired, worker.Tasks(), aNow);
     while (!worker.mRuns.empty()) {
       RemoveRun(worker, worker.mRuns.begin()->first);
     }
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -294,6 +294,24 @@
   }
 }
 
+// A worker numbers its ends without gaps and lists them until they are
+// acknowledged.
+void
+Cell::RecordForgottenEnds(const CellWorker& aWorker,
+                          const WorkerStatus& aListing)
+{
+  if (!aWorker.mEndsFollowed || aListing.mEndedRuns.empty()) {
+    return;
+  }
+  std::uint64_t first = aListing.mEndedRuns.front().mSequence;
+  std::uint64_t readable = aListing.mFirstUnreadableEnd.value_or(first);
+  std::uint64_t next = aWorker.mLastSeenEnd + 1;
+  if (first > next && readable >= first) {
+    mWorkerNotices.emplace_back(EndsForgotten{
+      aWorker.mReport.mId, aWorker.mIncarnation, next, first - 1 });
+  }
+}
+
 // Ends are acknowledged up to mLastSeenEnd, and the worker forgets them then,
 // so it stays before an end that can't be read.
 void
@@ -301,6 +319,7 @@
                        const WorkerStatus& aListing,
                        TimePoint aNow)
 {
+  RecordForgottenEnds(aWorker, aListing);
   const std::optional<std::uint64_t>& gap = aListing.mFirstUnreadableEnd;
   for (const EndedRun& end : aListing.mEndedRuns) {
     if (!aWorker.HasSeenEnd(end.mSequence)) {
@@ -315,6 +334,7 @@
   if (!gap) {
     aWorker.mEndsSeenAhead.clear();
   }
+  aWorker.mEndsFollowed = true;
   aWorker.mAcknowledgementDue =
     std::any_of(aListing.mEndedRuns.begin(),
                 aListing.mEndedRuns.end(),
@@ -349,6 +369,7 @@
   if (newIncarnation) {
     bool reported = worker->mReport.mIncarnation >= aListing.mIncarnation;
     if (!reported) {
+      RecordRestart(*worker, aListing.mIncarnation, true);
       worker->mDrainedBeforeRestart = worker->mReport.mDraining;
     }
     // The token was raised once the directory had reported the restart.
@@ -378,7 +399,7 @@
   // no task starts a second time.
   bool complete = aListing.IsComplete() && worker->mTokenAccepted;
   if (complete) {
-    worker->mInheritedRunsUnknown = false;
+    ResolveInheritedRuns(*worker, InheritedProof::Listing);
   }
   if (!worker->mPersisted) {
     mWorkersDirty = true;
@@ -424,9 +445,9 @@
   aWorker.mListed = false;
   mWorkersDirty = mWorkersDirty || aWorker.mPersisted;
   aWorker.mPersisted = false;
-  aWorker.mInheritedRunsUnknown = false;
+  ResolveInheritedRuns(aWorker, InheritedProof::WorkerEnded);
   aWorker.mLeaseExpiry = aNow;
-  RecordRunLoss(aWorker, RunLossCause::WorkerEnded, aWorker.mRuns.size(), aNow);
+  RecordRunLoss(aWorker, RunLossCause::WorkerEnded, aWorker.Tasks(), aNow);
   while (!aWorker.mRuns.empty()) {
     RemoveRun(aWorker, aWorker.mRuns.begin()->first);
   }
@@ -477,7 +498,7 @@
            ActiveRun::Stage::Running;
   });
   RecordCrash(*worker, lost, aNow);
-  RecordRunLoss(*worker, RunLossCause::WorkerEnded, lost.size(), aNow);
+  RecordRunLoss(*worker, RunLossCause::WorkerEnded, lost, aNow);
   for (const TaskId& task : lost) {
     RemoveRun(*worker, task);
   }
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -77,6 +77,7 @@
     return;
   }
   if (aReport.mIncarnation > aWorker.mReport.mIncarnation) {
+    RecordRestart(aWorker, aReport.mIncarnation, false);
     aWorker.mDrainedBeforeRestart = aWorker.mReport.mDraining;
     aWorker.mMissedAnswers = 0;
     RequireNewToken(aWorker, aNow);
@@ -312,21 +313,94 @@
   return "worker_ended";
 }
 
+std::string_view
+ToString(InheritedProof aProof)
+{
+  switch (aProof) {
+    case InheritedProof::Listing:
+      return "listing";
+    case InheritedProof::LeaseExpired:
+      return "lease_expired";
+    case InheritedProof::Restarted:
+      return "restarted";
+    case InheritedProof::WorkerEnded:
+      break;
+  }
+  return "worker_ended";
+}
+
+namespace {
+
+std::size_t
+CountUnlisted(const CellWorker& aWorker, std::span<const TaskId> aTasks)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aTasks.begin(), aTasks.end(), [&](const TaskId& aTask) {
+      return !aWorker.mRuns.find(aTask)->second.mReported;
+    }));
+}
+
+std::size_t
+CountUnanswered(const CellWorker& aWorker, std::span<const TaskId> aTasks)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aTasks.begin(), aTasks.end(), [&](const TaskId& aTask) {
+      ActiveRun::Stage stage = aWorker.mRuns.find(aTask)->second.mStage;
+      return stage == ActiveRun::Stage::Starting ||
+             stage == ActiveRun::Stage::Unconfirmed;
+    }));
+}
+
+} // namespace
+
 void
 Cell::RecordRunLoss(const CellWorker& aWorker,
                     RunLossCause aCause,
-                    std::size_t aRuns,
+                    std::span<const TaskId> aLost,
                     TimePoint aNow)
 {
-  if (aRuns > 0) {
+  if (!aLost.empty()) {
     mRunLosses.push_back({ aWorker.mReport.mId,
                            aWorker.mIncarnation,
                            aCause,
-                           aRuns,
+                           aLost.size(),
+                           CountUnlisted(aWorker, aLost),
+                           CountUnanswered(aWorker, aLost),
                            aNow - aWorker.mLastAnswerAt });
   }
 }
 
+void
+Cell::RecordRestart(const CellWorker& aWorker,
+                    std::int64_t aTo,
+                    bool aByListing)
+{
+  std::vector<TaskId> tasks = aWorker.Tasks();
+  mWorkerNotices.emplace_back(WorkerRestart{ aWorker.mReport.mId,
+                                             aWorker.mIncarnation,
+                                             aTo,
+                                             aByListing,
+                                             tasks.size(),
+                                             CountUnlisted(aWorker, tasks),
+                                             CountUnanswered(aWorker, tasks) });
+}
+
+void
+Cell::ResolveInheritedRuns(CellWorker& aWorker, InheritedProof aProof)
+{
+  if (aWorker.mInheritedRunsUnknown) {
+    aWorker.mInheritedRunsUnknown = false;
+    mWorkerNotices.emplace_back(InheritedRunsResolved{
+      aWorker.mReport.mId, aWorker.mIncarnation, aProof });
+  }
+}
+
+std::vector<WorkerNotice>
+Cell::TakeWorkerNotices()
+{
+  return std::exchange(mWorkerNotices, {});
+}
+
 std::vector<RunLoss>
 Cell::TakeRunLosses()
 {
@@ -350,9 +424,10 @@
   }
   aWorker.mRestartUnresolved = true;
   aWorker.mEnded = false;
-  aWorker.mInheritedRunsUnknown = false;
+  ResolveInheritedRuns(aWorker, InheritedProof::Restarted);
   aWorker.mHasMoreEnds = false;
   aWorker.mAcknowledgementDue = false;
+  aWorker.mEndsFollowed = true;
   aWorker.mLastSeenEnd = 0;
   aWorker.mLastCommittedEnd = 0;
   aWorker.mUncommittedEnds.clear();
@@ -377,7 +452,7 @@
     }
   }
   RecordCrash(aWorker, lost, aNow);
-  RecordRunLoss(aWorker, RunLossCause::Restarted, lost.size(), aNow);
+  RecordRunLoss(aWorker, RunLossCause::Restarted, lost, aNow);
   for (const TaskId& task : lost) {
     RemoveRun(aWorker, task);
   }
@@ -411,6 +486,16 @@
   return std::max(next, kMinTimeToNextEnd);
 }
 
+std::vector<TaskId>
+CellWorker::Tasks() const
+{
+  std::vector<TaskId> tasks;
+  for (const auto& [task, run] : mRuns) {
+    tasks.push_back(task);
+  }
+  return tasks;
+}
+
 std::vector<TaskId>
 CellWorker::RunningTasks() const
 {
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -837,18 +837,67 @@
   }
 }
 
+namespace {
+
+struct NoticeLogger
+{
+  void operator()(const WorkerRestart& aNotice) const
+  {
+    LogInfo(kPart,
+            "restart worker={} pool={} from={} born={} by={} n={} unlisted={} "
+            "unanswered={}",
+            aNotice.mWorker,
+            mPool,
+            aNotice.mFrom,
+            aNotice.mTo,
+            aNotice.mByListing ? "listing" : "directory",
+            aNotice.mRuns,
+            aNotice.mUnlisted,
+            aNotice.mUnanswered);
+  }
+  void operator()(const InheritedRunsResolved& aNotice) const
+  {
+    LogInfo(kPart,
+            "inherited runs known worker={} pool={} born={} by={}",
+            aNotice.mWorker,
+            mPool,
+            aNotice.mIncarnation,
+            ToString(aNotice.mProof));
+  }
+  void operator()(const EndsForgotten& aNotice) const
+  {
+    LogWarn(kPart,
+            "ends forgotten unread worker={} pool={} born={} first={} last={}",
+            aNotice.mWorker,
+            mPool,
+            aNotice.mIncarnation,
+            aNotice.mFirst,
+            aNotice.mLast);
+  }
+
+  std::string_view mPool;
+};
+
+} // namespace
+
 // Logs each crash with the runs that the worker had, and the jobs that fail.
 void
 CellRuntime::RecordCrashes()
 {
+  for (const WorkerNotice& notice : mCell->TakeWorkerNotices()) {
+    std::visit(NoticeLogger{ mId.mName }, notice);
+  }
   for (const RunLoss& loss : mCell->TakeRunLosses()) {
     LogInfo(kPart,
-            "runs lost worker={} pool={} born={} cause={} n={} silent_ms={}",
+            "runs lost worker={} pool={} born={} cause={} n={} unlisted={} "
+            "unanswered={} silent_ms={}",
             loss.mWorker,
             mId.mName,
             loss.mIncarnation,
             ToString(loss.mCause),
             loss.mRuns,
+            loss.mUnlisted,
+            loss.mUnanswered,
             ToMillis(loss.mSilence));
   }
   for (const WorkerCrash& crash : mCell->TakeCrashes()) {
