--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -61,8 +61,8 @@
     return aEntry.second <= mConfig.mVersion;
   });
   mQueues.clear();
-  for (const QueueConfig& queue : mConfig.mQueues) {
-    mQueues.emplace(queue.mName, &queue);
+  for (std::size_t i = 0; i < mConfig.mQueues.size(); ++i) {
+    mQueues.emplace(mConfig.mQueues[i].mName, i);
   }
 }
 
@@ -84,7 +84,7 @@
 Cell::FindQueue(std::string_view aName) const
 {
   auto it = mQueues.find(aName);
-  return it == mQueues.end() ? nullptr : it->second;
+  return it == mQueues.end() ? nullptr : &mConfig.mQueues[it->second];
 }
 
 const QueueConfig*
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -608,8 +608,8 @@
   TimePoint mTakenOver;
   bool mFenced = false;
   WorkloadConfig mConfig;
-  /// The queues of mConfig by name.
-  std::map<std::string, const QueueConfig*, std::less<>> mQueues;
+  /// Indices of the queues of mConfig by name.
+  std::map<std::string, std::size_t, std::less<>> mQueues;
   std::string mPool;
   std::map<std::string, CellJob, std::less<>> mJobs;
   /// Number of jobs in mJobs by queue.
