--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -1,6 +1,7 @@
 // Tests a cell's decisions against simulated workers, orders and rows.
 
 #include "cell_simulation.h"
+#include "single_worker_cell.h"
 
 #include <doctest/doctest.h>
 
@@ -47,106 +48,6 @@
   CHECK(simulation.Starts() > 0);
 }
 
-EndedRun
-DoneEnd(std::uint64_t aSequence, std::uint32_t aIndex)
-{
-  return { aSequence, { "a", 0, 0, aIndex }, 1, RunEnd::Done, "" };
-}
-
-/// A cell with one worker whose answers are scripted by the test.
-struct SingleWorkerCell
-{
-  SingleWorkerCell()
-    : mCell(CellDurations{}, FencingToken(7), 1, mNow)
-  {
-    WorkloadConfig config;
-    QueueConfig queue;
-    queue.mName = "q";
-    queue.mPool = "pool";
-    queue.mMaxAttempts = 2;
-    queue.mTargetStretch = 2;
-    queue.mTargetLatency = 600ms;
-    config.mQueues.push_back(queue);
-    mCell.SetConfig(config, "pool");
-    WorkerReport report;
-    report.mId = "w";
-    report.mPool = "pool";
-    report.mEndpoint = { "127.0.0.1", 1 };
-    report.mCapacity = { 32000, 100000, 0 };
-    report.mIncarnation = 5;
-    mReports.push_back(report);
-    mCell.SetWorkers(mReports, mNow);
-    List({}, {});
-    Commit();
-  }
-
-  void List(std::vector<ReportedRun> aPresent, std::vector<EndedRun> aEnded)
-  {
-    ListStatus({ 0, 5, std::move(aPresent), std::move(aEnded) });
-  }
-
-  void ListStatus(WorkerStatus aListing)
-  {
-    mNow += 10ms;
-    TimePoint sent = mNow;
-    mNow += 10ms;
-    aListing.mClockMs = ToMillis(mNow.time_since_epoch());
-    mCell.OnListing("w", aListing, sent, mNow);
-  }
-
-  /// Adds a worker without runs that equals the first one.
-  void AddIdleWorker(std::string_view aId)
-  {
-    WorkerReport report = mReports[0];
-    report.mId = aId;
-    report.mIncarnation = 5;
-    mReports.push_back(report);
-    mCell.SetWorkers(mReports, mNow);
-    mCell.OnListing(aId, { 0, 5, {}, {} }, mNow, mNow);
-    Commit();
-  }
-
-  void Commit()
-  {
-    CellChanges changes = mCell.TakeChanges(mNow);
-    mCell.OnCommitted(changes, mNow);
-    mCell.SetNewestToken(FencingToken(++mRevision));
-  }
-
-  void Submit(std::string_view aId, JobSpec aSpec)
-  {
-    mCell.Submit({ std::string(aId), "q", std::move(aSpec), {} }, mNow);
-    Commit();
-  }
-
-  std::vector<CellOrder> Plan()
-  {
-    mNow += 10ms;
-    return mCell.Plan(mNow, {});
-  }
-
-  // Plans, and answers every order as executed.
-  std::vector<CellOrder> PlanAndAnswer()
-  {
-    std::vector<CellOrder> orders = Plan();
-    for (const CellOrder& order : orders) {
-      mCell.OnOrderReply("w", order.mCall, WorkerReply(OrderDone{ 1 }), mNow);
-    }
-    return orders;
-  }
-
-  std::uint64_t Acknowledged()
-  {
-    return mCell.NextRenewal("w", 0s, mNow).mAcknowledgedSequence;
-  }
-
-  TimePoint mNow{ 100s };
-  /// Of the store; above the cell's token.
-  std::uint64_t mRevision = 7;
-  std::vector<WorkerReport> mReports;
-  Cell mCell;
-};
-
 } // namespace
 
 TEST_CASE("a cell without faults completes every job")
