Don't end a worker's present process by a list of VMs of the former one

What callers saw: TWICE, two runs of a task at once, after a worker had restarted under its id. Cause: the owner of the fleet names the process that the directory knows, and the list of VMs shows it as ended. The cell compared that with its own report of the directory, also after the next process had answered. Until that one had accepted a new token, all runs that it had listed were freed and started elsewhere. No call has to be late or lost for that.

The present process is now the later one of those that the directory has reported and that have answered. Evidence: the walk of five events reaches it by: restart, second job, list of VMs. That sequence is gone from its results; the new test failed before. Class: a conclusion about a run that rests neither on a listing of the process that has it nor on its entry in the directory.

--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -470,13 +470,14 @@
   if (answers && worker->mIncarnation == aIncarnation) {
     worker->mNeedsProbe = true;
   }
-  // With a later incarnation in the directory, its listing tells.
-  bool isLatest =
-    worker != nullptr && worker->mReport.mIncarnation <= aIncarnation;
-  bool matches =
-    isLatest && !answers && !worker->mEnded &&
-    (worker->mIncarnation == aIncarnation || worker->mIncarnation == 0 ||
-     worker->mReport.mIncarnation == aIncarnation);
+  // Of a later incarnation, which the directory has reported or which has
+  // answered, its listing tells.
+  std::int64_t latest =
+    worker == nullptr
+      ? 0
+      : std::max(worker->mIncarnation, worker->mReport.mIncarnation);
+  bool matches = worker != nullptr && !answers && !worker->mEnded &&
+                 (latest == aIncarnation || latest == 0);
   if (!matches) {
     return false;
   }
