Keep the runs of an earlier owner unknown when their worker restarts

Cause: a new owner takes the process that the directory names first for the known one. If the directory then reports a later one, Cell::BeginIncarnation dropped the mark that the worker may hold runs of the earlier owner. That owner may have started them on this very process, so they went on while the new one started their tasks elsewhere.

The mark now goes only by a complete listing, by the lease, or by the end of the worker.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -290,7 +290,6 @@
 {
   Listing,
   LeaseExpired,
-  Restarted,
   WorkerEnded
 };
 
@@ -516,7 +515,7 @@
   void ReportIncarnation(CellWorker& aWorker,
                          const WorkerReport& aReport,
                          TimePoint aNow);
-  void BeginIncarnation(CellWorker& aWorker);
+  static void BeginIncarnation(CellWorker& aWorker);
   void RequireNewToken(CellWorker& aWorker, TimePoint aNow) const;
   FencingToken TokenFor(const CellWorker& aWorker) const;
   void RemoveLostRuns(CellWorker& aWorker,
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -321,8 +321,6 @@
       return "listing";
     case InheritedProof::LeaseExpired:
       return "lease_expired";
-    case InheritedProof::Restarted:
-      return "restarted";
     case InheritedProof::WorkerEnded:
       break;
   }
@@ -424,7 +422,6 @@
   }
   aWorker.mRestartUnresolved = true;
   aWorker.mEnded = false;
-  ResolveInheritedRuns(aWorker, InheritedProof::Restarted);
   aWorker.mHasMoreEnds = false;
   aWorker.mAcknowledgementDue = false;
   aWorker.mEndsFollowed = true;
