Don't end runs of an earlier owner by a list of VMs that is older than they

Cause: a list of VMs may be 3 s old. What the earlier owner had started on the worker's next process since then was taken for ended with the process that the list shows.

The list counts for runs that the owner doesn't know once it must be younger than the take-over. Two tests took such a list at the moment of the take-over; they wait for its age now.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -30,6 +30,9 @@
 /// Allowance for answers that are read late.
 constexpr Duration kLeaseGracePeriod = std::chrono::milliseconds(200);
 
+/// Maximum age of what the list of VMs says by the time a cell hears of it.
+constexpr Duration kMaxVmListAge = std::chrono::seconds(3);
+
 /// Platform settings that a cell plans with.
 struct CellDurations
 {
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -476,8 +476,11 @@
     worker == nullptr
       ? 0
       : std::max(worker->mIncarnation, worker->mReport.mIncarnation);
+  // The earlier owner may have started runs on the next incarnation meanwhile.
+  bool inheritedSince = worker != nullptr && worker->mInheritedRunsUnknown &&
+                        aNow < mTakenOver + kMaxVmListAge;
   bool matches = worker != nullptr && !answers && !worker->mEnded &&
-                 (latest == aIncarnation || latest == 0);
+                 !inheritedSince && (latest == aIncarnation || latest == 0);
   if (!matches) {
     return false;
   }
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -16,8 +16,6 @@
 /// The directory drops a worker after three silent heartbeats. One that is
 /// still listed by then is contacted like a new one.
 constexpr Duration kEndedWorkerRetention = std::chrono::seconds(10);
-/// Maximum age of what the list of VMs says by the time a cell hears of it.
-constexpr Duration kMaxVmListAge = std::chrono::seconds(3);
 /// Time within which a worker carries out a call that it doesn't answer.
 constexpr Duration kMaxCallDelay = std::chrono::seconds(12);
 /// Bounds the rate of renewals of a worker whose runs are overdue.
--- a/tests/cell_restart_test.cpp
+++ b/tests/cell_restart_test.cpp
@@ -86,3 +86,15 @@
   cell.mNow += 10s;
   CHECK_FALSE(cell.Starts());
 }
+
+// Guards against a list of VMs that is older than the last starts of the
+// earlier owner.
+TEST_CASE("a list of VMs ends runs that an earlier owner has started since")
+{
+  InheritedCell cell(5);
+  CHECK_FALSE(cell.mCell.OnWorkerEnded("w", 5, cell.mNow));
+  CHECK_FALSE(cell.Starts());
+  cell.mNow += kMaxVmListAge;
+  CHECK(cell.mCell.OnWorkerEnded("w", 5, cell.mNow));
+  CHECK(cell.Starts());
+}
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -513,6 +513,8 @@
   StoredJob stored{ "a", "q", ChainOf({ 1 }), 1, {} };
   harness.mCell.Restore(RestoreJob(stored, {}), harness.mNow, {});
   CHECK(harness.Plan().empty());
+  // By then the list is younger than what the earlier owner started.
+  harness.mNow += kMaxVmListAge;
   CHECK(harness.mCell.OnWorkerEnded("gone", 77, harness.mNow));
   CHECK(harness.Plan().size() == 1);
 }
@@ -812,6 +814,7 @@
   next.mCell.Restore(RestoreJob(stored, {}), next.mNow, {});
   next.Plan();
   CHECK(next.mCell.Use(next.mNow).mMissingVms == 0);
+  next.mNow += kMaxVmListAge;
   CHECK(next.mCell.OnWorkerEnded("gone", 77, next.mNow));
   CHECK(next.mCell.Use(next.mNow).mMissingVms == 2);
 }
@@ -870,6 +873,8 @@
   // By then the stops that the earlier owner ordered are over.
   harness.mNow += 1500ms;
   CHECK(harness.Plan().empty());
+  // By then the list is younger than what the earlier owner started.
+  harness.mNow += kMaxVmListAge;
   CHECK(harness.mCell.OnWorkerEnded("gone", 77, harness.mNow));
   CHECK(harness.Plan().size() == 1);
 }
