Count a run as the known process's only once a listing has shown it

Cause: the cell reckoned the lease of every run on a silent worker by the clock of the process that had answered last. The reply to a start doesn't tell which process carried it out. A later one takes the lease for the longest one, 10 s instead of 7 s; and a start without an answer may be carried out up to 12 s late, by a process that neither a listing nor the directory has shown. The list of VMs freed such a start as well.

A run belongs to the known process once a listing has shown it and no attempt of its start is without an answer. Only then the lease of that process ends it. The others wait for late calls and the longest lease, unless the directory still lists the known process: it drops one sooner than a lease ends. What a restart extended for all runs of the worker before is now a bound of these runs alone.

The walk counts a process as contacted once the cell takes its token for accepted. No test had a restart that the directory doesn't show.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -8,6 +8,7 @@
 #include "decide/task_placement.h"
 #include "ports/worker_calls.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -30,6 +31,10 @@
 /// Allowance for answers that are read late.
 constexpr Duration kLeaseGracePeriod = std::chrono::milliseconds(200);
 
+/// Time within which a worker carries out a call that it doesn't answer. The
+/// platform says "seconds" and names no bound.
+constexpr Duration kMaxCallDelay = std::chrono::seconds(12);
+
 /// Maximum age of what the list of VMs says by the time a cell hears of it.
 constexpr Duration kMaxVmListAge = std::chrono::seconds(3);
 
@@ -65,6 +70,9 @@
   /// A listing of the worker's known incarnation has shown the run. The reply
   /// to a start order doesn't tell which incarnation carried it out.
   bool mReported = false;
+  /// Until when an attempt of its start that got no answer may be carried out;
+  /// none once a later listing has shown the run.
+  std::optional<TimePoint> mLateStartUntil;
   bool mStopSent = false;
   TimePoint mStopSentAt;
   /// When the worker confirmed the stop; a listing requested later shows
@@ -83,6 +91,9 @@
   TimePoint mStartedAt;
   /// Expected run time; of no meaning for a long-running task.
   Duration mExpectedRunTime{};
+
+  /// Whether no incarnation after the known one can have the run.
+  bool IsOfKnownIncarnation() const { return mReported && !mLateStartUntil; }
 };
 
 /// Crashes during runs of a task from which it runs without short neighbours.
@@ -135,8 +146,11 @@
   std::int64_t mWorkerClockMs = 0;
   /// When mWorkerClockMs was received.
   TimePoint mClockReceivedAt;
-  /// When every lease granted so far has certainly expired, on our clock.
+  /// When every lease granted so far has certainly expired at the known
+  /// incarnation, on our clock.
   TimePoint mLeaseExpiry;
+  /// The same for a later incarnation that carries out calls to the known one.
+  TimePoint mLaterLeaseExpiry = TimePoint::min();
   TimePoint mLastAnswerAt;
   int mMissedAnswers = 0;
   /// All ended runs up to this position have been processed.
@@ -173,6 +187,13 @@
   /// Whether the run may belong to an incarnation after the known one, of which
   /// the platform's list of VMs shows at aNow that it has ended.
   static bool MayOutliveIncarnation(const ActiveRun& aRun, TimePoint aNow);
+  /// When the run has certainly ended, if the worker doesn't answer.
+  TimePoint RunExpiry(const ActiveRun& aRun) const;
+  /// The same for runs of earlier owners that aren't known.
+  TimePoint InheritedRunExpiry() const
+  {
+    return std::max(mLeaseExpiry, mLaterLeaseExpiry);
+  }
 
   bool HasSeenEnd(std::uint64_t aSequence) const
   {
@@ -408,7 +429,8 @@
   void OnOrderReply(std::string_view aWorker,
                     const WorkerCall& aCall,
                     const Expected<WorkerReply>& aReply,
-                    TimePoint aNow);
+                    TimePoint aNow,
+                    bool aAttemptUnanswered = false);
 
   // Advice.
   std::vector<AdviceRequest> TakeAdviceRequests();
@@ -518,8 +540,10 @@
   void ReportIncarnation(CellWorker& aWorker,
                          const WorkerReport& aReport,
                          TimePoint aNow);
-  static void BeginIncarnation(CellWorker& aWorker);
+  static void BeginIncarnation(CellWorker& aWorker, TimePoint aNow);
   void RequireNewToken(CellWorker& aWorker, TimePoint aNow) const;
+  Duration LongestLease() const;
+  void ExtendLaterLease(CellWorker& aWorker, TimePoint aNow) const;
   FencingToken TokenFor(const CellWorker& aWorker) const;
   void RemoveLostRuns(CellWorker& aWorker,
                       const std::set<TaskId>& aPresent,
--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -193,7 +193,8 @@
   CellChanges changes = TakeChanges(aNow);
   changes.mWorkers.emplace();
   for (const auto& [id, worker] : mWorkers) {
-    bool unknown = worker.mInheritedRunsUnknown && aNow <= worker.mLeaseExpiry;
+    bool unknown =
+      worker.mInheritedRunsUnknown && aNow <= worker.InheritedRunExpiry();
     if (!worker.mRuns.empty() || unknown) {
       changes.mWorkers->push_back(
         { id, worker.mReport.mEndpoint, worker.mReport.mVm });
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -175,7 +175,7 @@
   return orders;
 }
 
-// A worker that doesn't answer has no runs after its last lease expires.
+// The runs of a worker that doesn't answer end with their leases.
 void
 Cell::ExpireLeases(TimePoint aNow)
 {
@@ -184,14 +184,26 @@
         worker.mMissedAnswers < kMissedAnswersUntilSuspected) {
       continue;
     }
-    ResolveInheritedRuns(worker, InheritedProof::LeaseExpired);
+    if (aNow > worker.InheritedRunExpiry()) {
+      ResolveInheritedRuns(worker, InheritedProof::LeaseExpired);
+    }
+    std::vector<TaskId> expired;
+    std::vector<TaskId> running;
+    for (const auto& [task, run] : worker.mRuns) {
+      if (aNow > worker.RunExpiry(run)) {
+        expired.push_back(task);
+        if (run.mStage == ActiveRun::Stage::Running) {
+          running.push_back(task);
+        }
+      }
+    }
     // A worker that is cut off stays listed; one that has crashed isn't.
     if (!worker.mListed) {
-      RecordCrash(worker, worker.RunningTasks(), aNow);
+      RecordCrash(worker, running, aNow);
     }
-    RecordRunLoss(worker, RunLossCause::LeaseExpired, worker.Tasks(), aNow);
-    while (!worker.mRuns.empty()) {
-      RemoveRun(worker, worker.mRuns.begin()->first);
+    RecordRunLoss(worker, RunLossCause::LeaseExpired, expired, aNow);
+    for (const TaskId& task : expired) {
+      RemoveRun(worker, task);
     }
   }
 }
@@ -222,7 +234,8 @@
   return std::none_of(
     mWorkers.begin(), mWorkers.end(), [&](const auto& aEntry) {
       const CellWorker& worker = aEntry.second;
-      return worker.mInheritedRunsUnknown && aNow <= worker.mLeaseExpiry;
+      return worker.mInheritedRunsUnknown &&
+             aNow <= worker.InheritedRunExpiry();
     });
 }
 
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -193,6 +193,9 @@
   if (it != aWorker.mRuns.end() && it->second.mRun == aPresent.mRun) {
     ActiveRun& run = it->second;
     run.mReported = true;
+    if (run.mLateStartUntil && aSent > *run.mLateStartUntil) {
+      run.mLateStartUntil.reset();
+    }
     if (run.mStage == ActiveRun::Stage::Starting ||
         run.mStage == ActiveRun::Stage::Unconfirmed) {
       run.mStage = ActiveRun::Stage::Running;
@@ -212,6 +215,10 @@
     run.mStage = ActiveRun::Stage::Stopping;
     run.mStageSince = aNow;
     run.mReported = true;
+    if (aNow < mTakenOver + kMaxCallDelay) {
+      // An attempt of the earlier owner may have got no answer.
+      run.mLateStartUntil = mTakenOver + kMaxCallDelay;
+    }
     run.mStartedAt = aNow;
     CellJob* job = FindJob(aPresent.mTask.mJob);
     bool known = job != nullptr &&
@@ -374,10 +381,14 @@
     }
     // The token was raised once the directory had reported the restart.
     bool raised = reported && !worker->mNeedsNewToken;
-    BeginIncarnation(*worker);
+    BeginIncarnation(*worker, aNow);
     if (!raised) {
       RequireNewToken(*worker, aNow);
     }
+    // It has carried out calls to the earlier one, and does until it has
+    // accepted the token.
+    worker->mLeaseExpiry =
+      std::max(worker->mLeaseExpiry, worker->mLaterLeaseExpiry);
   }
   worker->mIncarnation = std::max(worker->mIncarnation, aListing.mIncarnation);
   worker->mWorkerClockMs = aListing.mClockMs;
@@ -552,7 +563,8 @@
 Cell::OnOrderReply(std::string_view aWorker,
                    const WorkerCall& aCall,
                    const Expected<WorkerReply>& aReply,
-                   TimePoint aNow)
+                   TimePoint aNow,
+                   bool aAttemptUnanswered)
 {
   CellWorker* worker = FindWorker(aWorker);
   if (worker == nullptr) {
@@ -591,12 +603,16 @@
     }
     return;
   }
+  bool neverSent = !Ok(aReply) && std::holds_alternative<ConnectFailure>(
+                                    std::get<Failure>(aReply));
+  if (aAttemptUnanswered || (!Ok(aReply) && !neverSent)) {
+    run.mLateStartUntil = aNow + kMaxCallDelay;
+    ExtendLaterLease(*worker, aNow);
+  }
   if (run.mStage != ActiveRun::Stage::Starting) {
     return;
   }
   run.mStageSince = aNow;
-  bool neverSent = !Ok(aReply) && std::holds_alternative<ConnectFailure>(
-                                    std::get<Failure>(aReply));
   bool notStarted = neverSent || (refused != nullptr && !fenced &&
                                   refused->mReason != StartRefusal::StaleRun);
   if (!notStarted) {
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -16,8 +16,6 @@
 /// The directory drops a worker after three silent heartbeats. One that is
 /// still listed by then is contacted like a new one.
 constexpr Duration kEndedWorkerRetention = std::chrono::seconds(10);
-/// Time within which a worker carries out a call that it doesn't answer.
-constexpr Duration kMaxCallDelay = std::chrono::seconds(12);
 /// Bounds the rate of renewals of a worker whose runs are overdue.
 constexpr Duration kMinTimeToNextEnd = std::chrono::milliseconds(100);
 
@@ -49,7 +47,8 @@
   std::erase_if(mWorkers, [&](const auto& aEntry) {
     const CellWorker& worker = aEntry.second;
     // Runs that an earlier owner started may exist until the lease expires.
-    bool unknown = worker.mInheritedRunsUnknown && aNow <= worker.mLeaseExpiry;
+    bool unknown =
+      worker.mInheritedRunsUnknown && aNow <= worker.InheritedRunExpiry();
     // The directory lists a worker for seconds after its end; if it were
     // forgotten by then, it would be taken for a new one.
     bool listedSinceEnd =
@@ -81,7 +80,7 @@
     RequireNewToken(aWorker, aNow);
   }
   if (aWorker.mRuns.empty()) {
-    BeginIncarnation(aWorker);
+    BeginIncarnation(aWorker, aNow);
     aWorker.mIncarnation = aReport.mIncarnation;
   }
 }
@@ -122,7 +121,7 @@
 {
   aWorker.mTokenAccepted = false;
   aWorker.mNeedsNewToken = true;
-  ExtendLease(aWorker, aNow + kMaxCallDelay);
+  ExtendLaterLease(aWorker, aNow);
 }
 
 void
@@ -136,14 +135,26 @@
 
 // Orders that were meant for an earlier incarnation carry leases by its clock,
 // which the next one may shorten only to the maximum.
+Duration
+Cell::LongestLease() const
+{
+  return std::chrono::duration_cast<Duration>(mTimes.mMaxRunLeaseDuration /
+                                              (1 - kMaxClockDrift)) +
+         kLeaseGracePeriod;
+}
+
 void
 Cell::ExtendLease(CellWorker& aWorker, TimePoint aNow) const
 {
-  TimePoint expiry = aNow +
-                     std::chrono::duration_cast<Duration>(
-                       mTimes.mMaxRunLeaseDuration / (1 - kMaxClockDrift)) +
-                     kLeaseGracePeriod;
-  aWorker.mLeaseExpiry = std::max(aWorker.mLeaseExpiry, expiry);
+  aWorker.mLeaseExpiry = std::max(aWorker.mLeaseExpiry, aNow + LongestLease());
+}
+
+// A call that was sent by aNow may be carried out late.
+void
+Cell::ExtendLaterLease(CellWorker& aWorker, TimePoint aNow) const
+{
+  aWorker.mLaterLeaseExpiry =
+    std::max(aWorker.mLaterLeaseExpiry, aNow + kMaxCallDelay + LongestLease());
 }
 
 // The worker may have begun to drain, or restarted, while the order was queued.
@@ -203,6 +214,7 @@
       std::chrono::duration<double>(remaining / (1 - kMaxClockDrift))) +
     kLeaseGracePeriod;
   aWorker.mLeaseExpiry = std::max(aWorker.mLeaseExpiry, expiry);
+  ExtendLaterLease(aWorker, aNow);
   return end;
 }
 
@@ -408,10 +420,13 @@
 // first; what the earlier one has confirmed as stopped isn't known to the new
 // one.
 void
-Cell::BeginIncarnation(CellWorker& aWorker)
+Cell::BeginIncarnation(CellWorker& aWorker, TimePoint aNow)
 {
   for (auto& [task, run] : aWorker.mRuns) {
     run.mReported = false;
+    if (run.mStage == ActiveRun::Stage::Starting) {
+      run.mLateStartUntil = aNow + kMaxCallDelay;
+    }
     if (run.mStage != ActiveRun::Stage::Running) {
       run.mStage = ActiveRun::Stage::Stopping;
       run.mStopSent = false;
@@ -507,9 +522,20 @@
 CellWorker::MayOutliveIncarnation(const ActiveRun& aRun, TimePoint aNow)
 {
   bool starting = aRun.mStage == ActiveRun::Stage::Starting;
-  bool confirmed = aRun.mStage == ActiveRun::Stage::Running;
-  return starting || (confirmed && !aRun.mReported &&
-                      aNow < aRun.mStageSince + kMaxVmListAge);
+  bool startMayFollow = aRun.mLateStartUntil && aNow < *aRun.mLateStartUntil;
+  bool unlisted = !aRun.mReported && aNow < aRun.mStageSince + kMaxVmListAge;
+  return starting || startMayFollow || unlisted;
+}
+
+// The directory drops a process after three silent heartbeats, sooner than a
+// lease expires. One that it still lists was alive after the last call to it.
+TimePoint
+CellWorker::RunExpiry(const ActiveRun& aRun) const
+{
+  bool alive = mListed && mReport.mIncarnation == mIncarnation;
+  return alive || aRun.IsOfKnownIncarnation()
+           ? mLeaseExpiry
+           : std::max(mLeaseExpiry, mLaterLeaseExpiry);
 }
 
 void
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -464,11 +464,12 @@
     queue.mOrders.pop_front();
     const WorkerCall& call = order.mCall;
     TimePoint taken = mClock.Now();
-    Expected<WorkerReply> reply = co_await SendOrder(aWorker, call);
+    bool unanswered = false;
+    Expected<WorkerReply> reply = co_await SendOrder(aWorker, call, unanswered);
     mActivity.OnOrder(
       taken - order.mDecidedAt, mClock.Now() - taken, Ok(reply));
     LogOrder(aWorker, call, reply);
-    mCell->OnOrderReply(aWorker, call, reply, mClock.Now());
+    mCell->OnOrderReply(aWorker, call, reply, mClock.Now(), unanswered);
     if (!Ok(reply) || !std::holds_alternative<OrderDone>(std::get<0>(reply))) {
       mPlanDue.Set();
     }
@@ -508,9 +509,13 @@
 } // namespace
 
 // An order without an answer is sent again under its number, which has no
-// effect on a worker that has carried it out. aCall must outlive the task.
+// effect on a worker that has carried it out. aUnanswered tells whether some
+// attempt got no answer, which the worker's next process may carry out. aCall
+// and aUnanswered must outlive the task.
 Task<Expected<WorkerReply>>
-CellRuntime::SendOrder(std::string aWorker, const WorkerCall& aCall)
+CellRuntime::SendOrder(std::string aWorker,
+                       const WorkerCall& aCall,
+                       bool& aUnanswered)
 {
   WorkerQueue& queue = QueueOf(aWorker);
   TimePoint giveUpAt = std::min(mClock.Now() + kOrderTimeout, mLease.Expiry());
@@ -537,6 +542,7 @@
       std::holds_alternative<ConnectFailure>(std::get<Failure>(reply));
     if (!neverSent && !unsettled) {
       unsettled = std::get<Failure>(reply);
+      aUnanswered = true;
     }
     bool silent = now >= deadline;
     if (silent) {
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -154,7 +154,8 @@
   Duration RenewalBackoff(std::string_view aWorker) const;
   Task<void> SendOrders(std::string aWorker);
   Task<Expected<WorkerReply>> SendOrder(std::string aWorker,
-                                        const WorkerCall& aCall);
+                                        const WorkerCall& aCall,
+                                        bool& aUnanswered);
   bool MaySend(std::string_view aWorker, const WorkerCall& aCall) const;
   Task<void> FetchAdvice(AdviceRequest aRequest);
   void Dispatch(std::vector<CellOrder> aOrders);
--- a/tests/cell_restart_test.cpp
+++ b/tests/cell_restart_test.cpp
@@ -98,3 +98,90 @@
   CHECK(cell.mCell.OnWorkerEnded("w", 5, cell.mNow));
   CHECK(cell.Starts());
 }
+
+// Guards against the next process of a worker carrying a start out after a list
+// of VMs has shown the end of the one that was asked.
+TEST_CASE("a list of VMs ends a start that got no answer")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 1 }));
+  std::vector<CellOrder> orders = cell.Plan();
+  REQUIRE(orders.size() == 1);
+  cell.mCell.OnOrderReply(
+    "w", orders[0].mCall, Failure(TimeoutFailure{}), cell.mNow);
+  cell.AddIdleWorker("idle");
+  cell.mCell.OnNoAnswer("w");
+  CHECK_FALSE(cell.mCell.OnWorkerEnded("w", 5, cell.mNow));
+  CHECK(cell.PlanAndAnswer().empty());
+  cell.mNow += kMaxVmListAge;
+  CHECK_FALSE(cell.mCell.OnWorkerEnded("w", 5, cell.mNow));
+  CHECK(cell.PlanAndAnswer().empty());
+  cell.mNow += kMaxCallDelay;
+  CHECK(cell.mCell.OnWorkerEnded("w", 5, cell.mNow));
+  CHECK(cell.PlanAndAnswer().size() == 1);
+}
+
+namespace {
+
+/// Lets the worker fall silent at the directory too, and returns whether its
+/// task is started elsewhere once the lease of its known process is over.
+bool
+StartsElsewhereAfterLease(SingleWorkerCell& aCell)
+{
+  aCell.AddIdleWorker("idle");
+  aCell.mReports.erase(aCell.mReports.begin());
+  aCell.mCell.SetWorkers(aCell.mReports, aCell.mNow);
+  aCell.mCell.OnNoAnswer("w");
+  aCell.mCell.OnNoAnswer("w");
+  aCell.mNow += 11s;
+  aCell.mCell.OnListing("idle", { 0, 5, {}, {} }, aCell.mNow, aCell.mNow);
+  bool starts = !aCell.PlanAndAnswer().empty();
+  // Late calls and the longest lease are over by then.
+  aCell.mNow += 13s;
+  aCell.mCell.OnListing("idle", { 0, 5, {}, {} }, aCell.mNow, aCell.mNow);
+  bool startsLater = !aCell.PlanAndAnswer().empty();
+  CHECK(starts != startsLater);
+  return starts;
+}
+
+} // namespace
+
+// Guards against a restart that neither a listing nor the directory shows: the
+// next process takes the lease of a start for the longest one.
+TEST_CASE("a run that no listing has shown ends with a lease of the known one")
+{
+  SingleWorkerCell unlisted;
+  unlisted.Submit("a", ChainOf({ 1 }));
+  REQUIRE(unlisted.PlanAndAnswer().size() == 1);
+  CHECK_FALSE(StartsElsewhereAfterLease(unlisted));
+  SingleWorkerCell listed;
+  listed.Submit("a", ChainOf({ 1 }));
+  REQUIRE(listed.PlanAndAnswer().size() == 1);
+  listed.List({ kRun }, {});
+  CHECK(StartsElsewhereAfterLease(listed));
+}
+
+// Guards against a lease that the next process took for the longest one while
+// the cell still reckons with the clock of the former.
+TEST_CASE("a process that has answered once ends runs with the former's lease")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 1 }));
+  REQUIRE(cell.PlanAndAnswer().size() == 1);
+  cell.ListStatus({ 0, 6, { kRun }, {} });
+  CHECK_FALSE(StartsElsewhereAfterLease(cell));
+}
+
+// Guards against the first attempt of a start, which got no answer, being
+// carried out by the next process.
+TEST_CASE("a listing settles a start of which an attempt may follow")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 1 }));
+  std::vector<CellOrder> orders = cell.Plan();
+  REQUIRE(orders.size() == 1);
+  cell.mCell.OnOrderReply(
+    "w", orders[0].mCall, WorkerReply(OrderDone{ 1 }), cell.mNow, true);
+  cell.List({ kRun }, {});
+  CHECK_FALSE(StartsElsewhereAfterLease(cell));
+}
--- a/tests/restart_model.cpp
+++ b/tests/restart_model.cpp
@@ -299,8 +299,10 @@
     return;
   }
   if (const auto* listing = std::get_if<WorkerStatus>(&*reply)) {
-    ProcessOf(aWorker).mContacted = true;
     mOwner.OnListing(aWorker, *listing, sent, mNow);
+    auto known = mOwner.Workers().find(aWorker);
+    ProcessOf(aWorker).mContacted =
+      known != mOwner.Workers().end() && known->second.mTokenAccepted;
   } else if (mOwner.IsSuperseded(aWorker, renewal.mToken)) {
     mOwner.OnNoAnswer(aWorker);
   } else {
@@ -331,7 +333,7 @@
     Execute(aOrder.mWorker, aOrder.mCall);
   }
   Advance(kAnswerTime);
-  mOwner.OnOrderReply(aOrder.mWorker, aOrder.mCall, reply, mNow);
+  mOwner.OnOrderReply(aOrder.mWorker, aOrder.mCall, reply, mNow, repeated);
 }
 
 void
--- a/tests/restart_model.h
+++ b/tests/restart_model.h
@@ -62,7 +62,7 @@
 {
 public:
   /// With aLateBeforeContact a process also carries out calls to an earlier one
-  /// while it hasn't answered the owner yet, which no token prevents.
+  /// while it hasn't answered under a new token yet, which nothing prevents.
   explicit RestartModel(bool aLateBeforeContact);
 
   bool CanApply(RestartEvent aEvent) const;
@@ -102,7 +102,7 @@
     std::map<TaskId, std::uint64_t> mClosed;
     std::vector<End> mEnds;
     std::uint64_t mNextEnd = 1;
-    /// Has answered the present owner.
+    /// Has answered the present owner under a token that it takes for new.
     bool mContacted = false;
   };
   struct LateCall
