Acknowledge ends only right after a listing has shown them

No call has to be late or lost. Cause: numbers of ends begin anew with each process. An acknowledgement that was due for one process was sent with the next renewal, however much later; if the worker had restarted unseen, that reached the next process, which forgot ends that nobody had read.

An acknowledgement follows a listing within 0.1 s, less than a worker needs to restart, or is left out until the next listing. Once a second it goes out without the pause between renewals, so that a busy owner acknowledges too.

Evidence: the walk finds it with six events: wait, task ends, second job, restart, task ends, any. Class: a position in the list of one process that is used for another one.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -35,6 +35,12 @@
 /// platform says "seconds" and names no bound.
 constexpr Duration kMaxCallDelay = std::chrono::seconds(12);
 
+/// Maximum age of the listing by which ends are acknowledged, below the time
+/// that a worker takes to restart.
+constexpr Duration kMaxAcknowledgementDelay = std::chrono::milliseconds(100);
+/// Interval within which ends are acknowledged that the worker still lists.
+constexpr Duration kAcknowledgementInterval = std::chrono::seconds(1);
+
 /// Maximum age of what the list of VMs says by the time a cell hears of it.
 constexpr Duration kMaxVmListAge = std::chrono::seconds(3);
 
@@ -162,6 +168,7 @@
   std::uint64_t mLastCommittedEnd = 0;
   /// The worker may still list ends that are committed.
   bool mAcknowledgementDue = false;
+  TimePoint mAcknowledgedAt = TimePoint::min();
   /// The last listing left ended runs out.
   bool mHasMoreEnds = false;
   /// Later ones, oldest first.
@@ -483,6 +490,9 @@
   }
   /// Whether the worker has runs, has ends to acknowledge or must be probed.
   bool NeedsRenewal(std::string_view aWorker) const;
+  /// Whether its ends should be acknowledged without a pause after the listing
+  /// that has just been received.
+  bool IsAcknowledgementOverdue(std::string_view aWorker, TimePoint aNow) const;
   PoolSummary Summary() const;
   /// Usage of the pool, for the fleet plan.
   PoolUsage Use(TimePoint aNow) const;
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -196,6 +196,15 @@
          worker.mHasMoreEnds || worker.mLastSeenEnd > worker.mLastCommittedEnd;
 }
 
+bool
+Cell::IsAcknowledgementOverdue(std::string_view aWorker, TimePoint aNow) const
+{
+  auto it = mWorkers.find(aWorker);
+  return it != mWorkers.end() && it->second.mAcknowledgementDue &&
+         it->second.mTokenAccepted &&
+         aNow - kAcknowledgementInterval >= it->second.mAcknowledgedAt;
+}
+
 // The lease end is a time of the worker's clock, which is known only as of its
 // last answer; assuming that it runs slow never grants too much. A worker that
 // doesn't answer gets no extension, so that its runs expire.
@@ -234,10 +243,12 @@
   }
   renewal.mToken = TokenFor(*worker);
   // The next incarnation would forget ends that nobody has read, so they are
-  // acknowledged no longer than the worker lists them.
+  // acknowledged to the one that has just listed them.
   bool restarted = worker->mReport.mIncarnation > worker->mIncarnation;
-  if (worker->mAcknowledgementDue && !restarted) {
+  bool listedNow = aNow <= worker->mLastAnswerAt + kMaxAcknowledgementDelay;
+  if (worker->mAcknowledgementDue && !restarted && listedNow) {
     renewal.mAcknowledgedSequence = worker->mLastCommittedEnd;
+    worker->mAcknowledgedAt = aNow;
   }
   bool mayWait = worker->mTokenAccepted && !worker->mHasMoreEnds;
   renewal.mMaxWait = mayWait ? std::min(aMaxWait, worker->TimeToNextEnd(aNow))
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -678,6 +678,9 @@
     TimePoint began = mClock.Now();
     bool answered = co_await RenewWorkerLeases(aWorker, began - idleSince);
     idleSince = mClock.Now();
+    if (answered && mCell->IsAcknowledgementOverdue(aWorker, mClock.Now())) {
+      continue;
+    }
     TimePoint next = answered ? began + mPace.RenewalInterval(mWorkersInUse)
                               : mClock.Now() + RenewalBackoff(aWorker);
     if (mClock.Now() < next) {
--- a/tests/cell_restart_test.cpp
+++ b/tests/cell_restart_test.cpp
@@ -185,3 +185,20 @@
   cell.List({ kRun }, {});
   CHECK_FALSE(StartsElsewhereAfterLease(cell));
 }
+
+// Guards against the position in one process's list reaching the next one,
+// which forgets ends that nobody has read.
+TEST_CASE("ends are acknowledged although the worker may have restarted since")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 2 }));
+  REQUIRE(cell.PlanAndAnswer().size() == 2);
+  cell.List({}, { DoneEnd(1, 0) });
+  cell.Commit();
+  cell.mNow += 1s;
+  CHECK(cell.Acknowledged() == 0);
+  cell.List({}, { DoneEnd(1, 0) });
+  CHECK(cell.mCell.IsAcknowledgementOverdue("w", cell.mNow));
+  CHECK(cell.Acknowledged() == 1);
+  CHECK_FALSE(cell.mCell.IsAcknowledgementOverdue("w", cell.mNow));
+}
--- a/tests/restart_model.cpp
+++ b/tests/restart_model.cpp
@@ -385,6 +385,9 @@
   for (std::string_view worker : { kRestarting, kOther }) {
     if (mOwner.NeedsRenewal(worker)) {
       Renew(worker);
+      if (!mDeposed && mOwner.IsAcknowledgementOverdue(worker, mNow)) {
+        Renew(worker);
+      }
     }
     if (mDeposed) {
       return;
