Store which process of a worker an owner knew

What callers saw: TWICE is possible after an owner is lost that didn't know of a worker's restart: the next owner takes the process that the directory names for the one that the earlier owner's calls were meant for, and waits for the longest lease, but not for late calls. Cause: what an owner knows of a process ended with the owner.

The row of workers holds the start of each process and is written when that or the address changes. A new owner that finds another process in the directory, or none, waits for late calls too. Rows of earlier versions lack it and are read as before.

| choice | against | reason | |---|---|---| | the row of workers | a claim of the cell for each restart | no transaction of its own, and the tokens of other workers stay |

The new tests fail with the start of the process left out when it is read, or not written.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -161,10 +161,12 @@
     worker.mReport.mId = address.mId;
     worker.mReport.mEndpoint = address.mEndpoint;
     worker.mReport.mVm = address.mVm;
+    worker.mIncarnation = address.mIncarnation;
     worker.mPersisted = true;
     worker.mInheritedRunsUnknown = true;
     // It may have restarted, and run things under the longest lease.
     ExtendLease(worker, aNow);
+    ExtendLaterLease(worker, aNow);
   }
 }
 
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -8,7 +8,6 @@
 #include "decide/task_placement.h"
 #include "ports/worker_calls.h"
 
-#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -197,10 +196,9 @@
   /// When the run has certainly ended, if the worker doesn't answer.
   TimePoint RunExpiry(const ActiveRun& aRun) const;
   /// The same for runs of earlier owners that aren't known.
-  TimePoint InheritedRunExpiry() const
-  {
-    return std::max(mLeaseExpiry, mLaterLeaseExpiry);
-  }
+  TimePoint InheritedRunExpiry() const;
+  /// Whether the directory lists the known incarnation, and no later one.
+  bool IsKnownIncarnationListed() const;
 
   bool HasSeenEnd(std::uint64_t aSequence) const
   {
--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -164,8 +164,10 @@
     changes.mWorkers.emplace();
     for (const auto& [id, worker] : mWorkers) {
       if (!worker.mEnded) {
-        changes.mWorkers->push_back(
-          { id, worker.mReport.mEndpoint, worker.mReport.mVm });
+        changes.mWorkers->push_back({ id,
+                                      worker.mReport.mEndpoint,
+                                      worker.mReport.mVm,
+                                      worker.mIncarnation });
       }
     }
   }
@@ -196,8 +198,10 @@
     bool unknown =
       worker.mInheritedRunsUnknown && aNow <= worker.InheritedRunExpiry();
     if (!worker.mRuns.empty() || unknown) {
-      changes.mWorkers->push_back(
-        { id, worker.mReport.mEndpoint, worker.mReport.mVm });
+      changes.mWorkers->push_back({ id,
+                                    worker.mReport.mEndpoint,
+                                    worker.mReport.mVm,
+                                    worker.mIncarnation });
     }
   }
   return changes;
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -390,6 +390,9 @@
     worker->mLeaseExpiry =
       std::max(worker->mLeaseExpiry, worker->mLaterLeaseExpiry);
   }
+  mWorkersDirty =
+    mWorkersDirty ||
+    (worker->mPersisted && aListing.mIncarnation > worker->mIncarnation);
   worker->mIncarnation = std::max(worker->mIncarnation, aListing.mIncarnation);
   worker->mWorkerClockMs = aListing.mClockMs;
   worker->mClockReceivedAt = aNow;
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -39,7 +39,11 @@
       // The cell may have known an earlier incarnation, and forgotten it.
       worker.mToken = mNewestToken;
     }
+    std::int64_t known = worker.mIncarnation;
     ReportIncarnation(worker, report, aNow);
+    bool changed = worker.mIncarnation != known ||
+                   worker.mReport.mEndpoint != report.mEndpoint;
+    mWorkersDirty = mWorkersDirty || (changed && worker.mPersisted);
     worker.mReport = report;
     worker.mInDirectory = true;
     worker.mListed = !worker.mEnded;
@@ -540,15 +544,28 @@
 
 // The directory drops a process after three silent heartbeats, sooner than a
 // lease expires. One that it still lists was alive after the last call to it.
+bool
+CellWorker::IsKnownIncarnationListed() const
+{
+  return mListed && mReport.mIncarnation == mIncarnation &&
+         !mRestartUnresolved;
+}
+
 TimePoint
 CellWorker::RunExpiry(const ActiveRun& aRun) const
 {
-  bool alive = mListed && mReport.mIncarnation == mIncarnation;
-  return alive || aRun.IsOfKnownIncarnation()
+  return IsKnownIncarnationListed() || aRun.IsOfKnownIncarnation()
            ? mLeaseExpiry
            : std::max(mLeaseExpiry, mLaterLeaseExpiry);
 }
 
+TimePoint
+CellWorker::InheritedRunExpiry() const
+{
+  return IsKnownIncarnationListed() ? mLeaseExpiry
+                                    : std::max(mLeaseExpiry, mLaterLeaseExpiry);
+}
+
 void
 Cell::ReleaseRun(CellWorker& aWorker, const TaskId& aTask)
 {
--- a/src/ports/worker_calls.h
+++ b/src/ports/worker_calls.h
@@ -26,6 +26,8 @@
   Endpoint mEndpoint;
   /// VM that the worker runs on; empty if unknown.
   std::string mVm = {};
+  /// As WorkerReport::mIncarnation; 0 if unknown.
+  std::int64_t mIncarnation = 0;
 };
 
 /// Starts a run of a task, or confirms a run that is present.
--- a/src/wire/cell_codec.cpp
+++ b/src/wire/cell_codec.cpp
@@ -600,7 +600,8 @@
     list.push_back(Json::array({ worker.mId,
                                  worker.mEndpoint.mHost,
                                  worker.mEndpoint.mPort,
-                                 worker.mVm }));
+                                 worker.mVm,
+                                 worker.mIncarnation }));
   }
   return ToCbor(list);
 }
@@ -618,10 +619,13 @@
     return worker;
   }
   worker.mId = aJson[0].get<std::string>();
-  // Rows written by the previous version lack the VM.
+  // Rows written by previous versions lack the VM or the incarnation.
   if (aJson.size() >= 4 && aJson[3].is_string()) {
     worker.mVm = aJson[3].get<std::string>();
   }
+  if (aJson.size() >= 5 && aJson[4].is_number_unsigned()) {
+    worker.mIncarnation = aJson[4].get<std::int64_t>();
+  }
   if (aJson.size() >= 3) {
     worker.mEndpoint = leaf::try_handle_all(
       [&] { return RemoteEndpointFromParts(aJson[1], aJson[2]); },
--- a/tests/cell_restart_test.cpp
+++ b/tests/cell_restart_test.cpp
@@ -29,7 +29,7 @@
     mCell.SetConfig(config, "pool");
     mCell.Restore(
       RestoreJob({ "a", "q", ChainOf({ 1 }), 1, {} }, {}), mNow, {});
-    std::vector<WorkerAddress> workers = { { "w", { "127.0.0.1", 1 } } };
+    std::vector<WorkerAddress> workers = { { "w", { "127.0.0.1", 1 }, "", 5 } };
     mCell.RestoreWorkers(workers, mNow);
     Report(aReported);
     mCell.OnListing("idle", { 0, 5, {}, {} }, mNow, mNow);
@@ -202,3 +202,30 @@
   CHECK(cell.Acknowledged() == 1);
   CHECK_FALSE(cell.mCell.IsAcknowledgementOverdue("w", cell.mNow));
 }
+
+// Guards against late calls of the earlier owner to a process that the
+// directory doesn't show.
+TEST_CASE("a new owner counts on the process that the earlier one knew")
+{
+  InheritedCell listed(5);
+  listed.mNow += 11s;
+  listed.Report(5);
+  CHECK(listed.Starts());
+  InheritedCell restarted(6);
+  restarted.mNow += 11s;
+  restarted.Report(6);
+  CHECK_FALSE(restarted.Starts());
+  restarted.mNow += kMaxCallDelay;
+  restarted.Report(6);
+  CHECK(restarted.Starts());
+}
+
+TEST_CASE("the next owner isn't told that a worker has restarted")
+{
+  SingleWorkerCell cell;
+  cell.ListStatus({ 0, 6, {}, {} });
+  CellChanges changes = cell.mCell.TakeChanges(cell.mNow);
+  REQUIRE(changes.mWorkers);
+  REQUIRE(changes.mWorkers->size() == 1);
+  CHECK((*changes.mWorkers)[0].mIncarnation == 6);
+}
