Don't count a commit for the ends of a worker's next process

What callers saw: TWICE is possible if an owner is lost soon after. Cause: a commit tells up to which end of a worker its rows reach. If the worker restarts while the commit is on its way, that number counted for the list of the next process, and ends that no row holds were acknowledged.

The commit names the process.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -212,6 +212,13 @@
   WorkerCall mCall;
 };
 
+/// Ends of a worker's incarnation that a commit covers.
+struct CoveredEnds
+{
+  std::int64_t mIncarnation = 0;
+  std::uint64_t mSequence = 0;
+};
+
 /// Row changes of one commit.
 struct CellChanges
 {
@@ -223,8 +230,8 @@
   std::vector<std::string> mExpiredJobs;
   /// The stored worker set, if it changed.
   std::optional<std::vector<WorkerAddress>> mWorkers;
-  /// Sequence of the last end that the rows cover, by worker.
-  std::map<std::string, std::uint64_t> mLastEnds;
+  /// The last end that the rows cover, by worker.
+  std::map<std::string, CoveredEnds> mLastEnds;
 
   bool Empty() const;
   /// Number of rows of jobs.
--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -177,7 +177,7 @@
       if (ends.mLastChange > covered) {
         break;
       }
-      changes.mLastEnds[id] = ends.mSequence;
+      changes.mLastEnds[id] = { worker.mIncarnation, ends.mSequence };
     }
   }
   return changes;
@@ -248,10 +248,13 @@
       }
     }
   }
-  for (const auto& [id, sequence] : aChanges.mLastEnds) {
+  // The worker may have restarted during the commit, and numbers its ends anew.
+  for (const auto& [id, ends] : aChanges.mLastEnds) {
     CellWorker* worker = FindWorker(id);
-    if (worker != nullptr && worker->mLastSeenEnd >= sequence) {
-      worker->mLastCommittedEnd = std::max(worker->mLastCommittedEnd, sequence);
+    if (worker != nullptr && worker->mIncarnation == ends.mIncarnation &&
+        worker->mLastSeenEnd >= ends.mSequence) {
+      worker->mLastCommittedEnd =
+        std::max(worker->mLastCommittedEnd, ends.mSequence);
       worker->mAcknowledgementDue = true;
       std::erase_if(worker->mUncommittedEnds, [&](const ProcessedEnds& aEnds) {
         return aEnds.mSequence <= worker->mLastCommittedEnd;
--- a/tests/cell_restart_test.cpp
+++ b/tests/cell_restart_test.cpp
@@ -229,3 +229,18 @@
   REQUIRE(changes.mWorkers->size() == 1);
   CHECK((*changes.mWorkers)[0].mIncarnation == 6);
 }
+
+// Guards against an acknowledgement of ends that no commit holds.
+TEST_CASE("a commit of an earlier process's ends covers those of the next one")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 2 }));
+  REQUIRE(cell.PlanAndAnswer().size() == 2);
+  cell.List({}, { DoneEnd(1, 0) });
+  CellChanges changes = cell.mCell.TakeChanges(cell.mNow);
+  cell.ListStatus({ 0, 6, {}, { DoneEnd(1, 1) } });
+  cell.mCell.OnCommitted(changes, cell.mNow);
+  CHECK(cell.Acknowledged() == 0);
+  cell.Commit();
+  CHECK(cell.Acknowledged() == 1);
+}
