Wait for late calls also while a silent worker is listed

What callers saw: TWICE is possible with late orders, a cut and a restart behind it.

Evidence: five sequences of five events, with late calls also before the first answer (calls late, wait of a lease, restart, late start), were broken and aren't any more; the walk covers these calls now. The new test failed before.

--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -547,14 +547,14 @@
 bool
 CellWorker::IsKnownIncarnationListed() const
 {
-  return mListed && mReport.mIncarnation == mIncarnation &&
-         !mRestartUnresolved;
+  return mListed && mReport.mIncarnation == mIncarnation && !mRestartUnresolved;
 }
 
 TimePoint
 CellWorker::RunExpiry(const ActiveRun& aRun) const
 {
-  return IsKnownIncarnationListed() || aRun.IsOfKnownIncarnation()
+  bool sinceLastCall = IsKnownIncarnationListed() && !aRun.mLateStartUntil;
+  return sinceLastCall || aRun.IsOfKnownIncarnation()
            ? mLeaseExpiry
            : std::max(mLeaseExpiry, mLaterLeaseExpiry);
 }
--- a/tests/cell_restart_test.cpp
+++ b/tests/cell_restart_test.cpp
@@ -161,6 +161,25 @@
   CHECK(StartsElsewhereAfterLease(listed));
 }
 
+// Guards against a worker that is listed while it is silent, and restarts once
+// the lease is over: it may carry the start out then.
+TEST_CASE("an unanswered start ends with the lease of a worker that is listed")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 1 }));
+  std::vector<CellOrder> orders = cell.Plan();
+  REQUIRE(orders.size() == 1);
+  cell.mCell.OnOrderReply(
+    "w", orders[0].mCall, Failure(TimeoutFailure{}), cell.mNow);
+  cell.AddIdleWorker("idle");
+  cell.mCell.OnNoAnswer("w");
+  cell.mCell.OnNoAnswer("w");
+  cell.mNow += 11s;
+  CHECK(cell.PlanAndAnswer().empty());
+  cell.mNow += kMaxCallDelay;
+  CHECK(cell.PlanAndAnswer().size() == 1);
+}
+
 // Guards against a lease that the next process took for the longest one while
 // the cell still reckons with the clock of the former.
 TEST_CASE("a process that has answered once ends runs with the former's lease")
--- a/tests/restart_order_test.cpp
+++ b/tests/restart_order_test.cpp
@@ -90,3 +90,10 @@
 {
   CheckAllOrders(false, WalkDepth(5));
 }
+
+// The same with calls to an earlier process that the present one carries out
+// before the owner has reached it.
+TEST_CASE("no order of late calls to a restarted worker runs a task twice")
+{
+  CheckAllOrders(true, WalkDepth(5));
+}
