Start tasks only by a report of the present process

What callers saw: LIMIT or ROUTE is possible for some tenths of a second after a worker has restarted under its id. Cause: a listing may show the next process before the directory does. Once that process had accepted its token, tasks were started on it by the capacity, the rack and the labels of the former one, and a new lifetime may be of a different kind.

Nothing is started there until the directory has reported that process; it writes there about once a heartbeat.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -199,6 +199,9 @@
   TimePoint InheritedRunExpiry() const;
   /// Whether the directory lists the known incarnation, and no later one.
   bool IsKnownIncarnationListed() const;
+  /// Whether mReport may describe the known incarnation. A listing shows a
+  /// later one before the directory does.
+  bool IsReportCurrent() const;
 
   bool HasSeenEnd(std::uint64_t aSequence) const
   {
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -239,10 +239,12 @@
     });
 }
 
+// The next process of a worker may be of another kind.
 bool
 Cell::Usable(const CellWorker& aWorker, TimePoint aNow) const
 {
-  return aWorker.mListed && aWorker.mTokenAccepted && aWorker.mPersisted &&
+  return aWorker.mListed && aWorker.IsReportCurrent() &&
+         aWorker.mTokenAccepted && aWorker.mPersisted &&
          !aWorker.mReport.mDraining && !aWorker.mDraining &&
          aWorker.mMissedAnswers < kMissedAnswersUntilSuspected &&
          aNow >= aWorker.mAvoidUntil;
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -167,8 +167,8 @@
 {
   auto it = mWorkers.find(aWorker);
   return it != mWorkers.end() && it->second.mListed &&
-         it->second.mTokenAccepted && !it->second.mReport.mDraining &&
-         !it->second.mDraining;
+         it->second.IsReportCurrent() && it->second.mTokenAccepted &&
+         !it->second.mReport.mDraining && !it->second.mDraining;
 }
 
 bool
@@ -550,6 +550,12 @@
   return mListed && mReport.mIncarnation == mIncarnation && !mRestartUnresolved;
 }
 
+bool
+CellWorker::IsReportCurrent() const
+{
+  return mReport.mIncarnation == 0 || mReport.mIncarnation >= mIncarnation;
+}
+
 TimePoint
 CellWorker::RunExpiry(const ActiveRun& aRun) const
 {
