Don't empty a process since the former one was draining

What callers saw: AVAIL is possible after a worker that drained is back under its id. Cause: as for starts; the tasks that last on the next process were stopped by the former one's report, though that process is sound.

Found by reading; the new test failed before.

--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -803,7 +803,8 @@
   }
   bool inheritedRunsKnown = InheritedRunsKnown(aNow);
   for (auto& [id, worker] : mWorkers) {
-    bool draining = worker.mReport.mDraining && worker.mListed;
+    bool draining =
+      worker.mReport.mDraining && worker.mListed && worker.IsReportCurrent();
     if ((!worker.mDraining && !draining) || !worker.mTokenAccepted) {
       continue;
     }
--- a/tests/restart_paths_test.cpp
+++ b/tests/restart_paths_test.cpp
@@ -63,3 +63,20 @@
   ReportProcess(cell, 6);
   CHECK(cell.Plan().size() == 1);
 }
+
+// Guards against a stop of a run that is at work on a sound process, since the
+// former one was draining (AVAIL).
+TEST_CASE("a process is emptied since the former one was draining")
+{
+  SingleWorkerCell cell;
+  JobSpec lasting = ChainOf({ 1 });
+  lasting.mSteps[0].mLongRunning = true;
+  lasting.mSteps[0].mMaxUnavailable = 1;
+  cell.Submit("a", lasting);
+  REQUIRE(cell.PlanAndAnswer().size() == 1);
+  cell.List({ kRun }, {});
+  cell.mReports[0].mDraining = true;
+  cell.mCell.SetWorkers(cell.mReports, cell.mNow);
+  RestartUnreported(cell, { kRun });
+  CHECK(cell.Plan().empty());
+}
