Order a pace again that the present process may not have

What callers saw: HARM is possible: a task that fills works at full speed beside one that is over its target, and isn't slowed down any more. Cause: the cell orders a pace only when the one it wants changes, and takes what it has ordered for what is. A run starts at 100 percent in the next process of its worker, and a pace that got no answer may never have been carried out: with 0 wanted, none followed. The run of an earlier owner was taken for one at 100 percent; slowed down before, it stayed so for good.

A pace that is uncertain is ordered again at the next adjustment. Found by reading; the three new tests failed before.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -90,6 +90,9 @@
   std::uint32_t mEarlierCrashes = 0;
   int mRatePercent = 0;
   int mTargetRatePercent = 100;
+  /// Its process may run it at another rate: the order was meant for the former
+  /// process, was given by an earlier owner, or got no answer.
+  bool mRateUncertain = false;
   /// Tail latency in milliseconds, for runs with a target.
   std::optional<double> mGauge;
   Duration mTailLatencyTarget{};
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -896,8 +896,9 @@
         targetPercent =
           std::min(targetPercent + kRateStepPercent, kFullRatePercent);
       }
-      if (targetPercent != run.mTargetRatePercent) {
+      if (targetPercent != run.mTargetRatePercent || run.mRateUncertain) {
         run.mTargetRatePercent = targetPercent;
+        run.mRateUncertain = false;
         aOrders.push_back(
           { id,
             ThrottleRun{ task, run.mRun, targetPercent, TokenFor(worker) } });
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -215,6 +215,7 @@
     run.mStage = ActiveRun::Stage::Stopping;
     run.mStageSince = aNow;
     run.mReported = true;
+    run.mRateUncertain = true;
     if (aNow < mTakenOver + kMaxCallDelay) {
       // An attempt of the earlier owner may have got no answer.
       run.mLateStartUntil = mTakenOver + kMaxCallDelay;
@@ -573,6 +574,16 @@
   if (worker == nullptr) {
     return;
   }
+  if (const auto* throttle = std::get_if<ThrottleRun>(&aCall)) {
+    bool carriedOut = Ok(aReply) && std::holds_alternative<OrderDone>(
+                                      std::get<WorkerReply>(aReply));
+    auto run = worker->mRuns.find(throttle->mTask);
+    if (!carriedOut && run != worker->mRuns.end() &&
+        run->second.mRun == throttle->mRun) {
+      run->second.mRateUncertain = true;
+    }
+    return;
+  }
   const auto* start = std::get_if<StartRun>(&aCall);
   const auto* stop = std::get_if<StopRun>(&aCall);
   if (start == nullptr && stop == nullptr) {
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -439,6 +439,7 @@
 {
   for (auto& [task, run] : aWorker.mRuns) {
     run.mReported = false;
+    run.mRateUncertain = true;
     if (run.mStage == ActiveRun::Stage::Starting) {
       run.mLateStartUntil = aNow + kMaxCallDelay;
     }
--- a/tests/restart_paths_test.cpp
+++ b/tests/restart_paths_test.cpp
@@ -80,3 +80,105 @@
   RestartUnreported(cell, { kRun });
   CHECK(cell.Plan().empty());
 }
+
+namespace {
+
+/// Jobs of a step that lasts, on idx 0, and of one that fills beside it.
+const TaskId kFilling{ "b", 0, 0, 0 };
+
+std::vector<ReportedRun>
+PacedRuns(double aTail)
+{
+  ReportedRun serving = kRun;
+  serving.mGauge = aTail;
+  ReportedRun filling = kRun;
+  filling.mTask = kFilling;
+  return { serving, filling };
+}
+
+void
+SubmitServingAndFilling(SingleWorkerCell& aCell)
+{
+  JobSpec serving = ChainOf({ 1 });
+  serving.mSteps[0].mLongRunning = true;
+  serving.mSteps[0].mTailLatencyTarget = 100ms;
+  aCell.Submit("a", serving);
+  JobSpec filling = ChainOf({ 1 });
+  filling.mSteps[0].mBestEffort = true;
+  aCell.Submit("b", filling);
+}
+
+/// Lists the runs and plans, until the pace of the run that fills is 0.
+void
+PaceDown(SingleWorkerCell& aCell)
+{
+  int percent = 100;
+  for (int i = 0; i < 10 && percent > 0; ++i) {
+    aCell.mNow += 500ms;
+    aCell.List(PacedRuns(95), {});
+    for (const auto& pace : CallsTo<ThrottleRun>("w", aCell.PlanAndAnswer())) {
+      percent = pace.mSpeedPercent;
+    }
+  }
+  REQUIRE(percent == 0);
+}
+
+std::vector<ThrottleRun>
+NextPaces(SingleWorkerCell& aCell)
+{
+  aCell.mNow += 500ms;
+  return CallsTo<ThrottleRun>("w", aCell.Plan());
+}
+
+} // namespace
+
+// Guards against a run that works at full speed in the next process of its
+// worker while the cell believes that it stands still (HARM).
+TEST_CASE("a pace is taken for that of the next process")
+{
+  SingleWorkerCell cell;
+  SubmitServingAndFilling(cell);
+  REQUIRE(cell.PlanAndAnswer().size() == 2);
+  PaceDown(cell);
+  CHECK(NextPaces(cell).empty());
+  RestartUnreported(cell, PacedRuns(95));
+  std::vector<ThrottleRun> paces = NextPaces(cell);
+  REQUIRE(paces.size() == 1);
+  CHECK(paces[0].mTask == kFilling);
+  CHECK(paces[0].mSpeedPercent == 0);
+  CHECK(paces[0].mToken > FencingToken(7));
+}
+
+// Guards against a pace that the worker has never carried out (HARM).
+TEST_CASE("a pace that got no answer is taken for carried out")
+{
+  SingleWorkerCell cell;
+  SubmitServingAndFilling(cell);
+  REQUIRE(cell.PlanAndAnswer().size() == 2);
+  PaceDown(cell);
+  cell.mCell.OnOrderReply("w",
+                          ThrottleRun{ kFilling, 1, 0, FencingToken(7) },
+                          Failure(TimeoutFailure{}),
+                          cell.mNow);
+  std::vector<ThrottleRun> paces = NextPaces(cell);
+  REQUIRE(paces.size() == 1);
+  CHECK(paces[0].mSpeedPercent == 0);
+}
+
+// Guards against a run that the earlier owner has slowed down for good.
+TEST_CASE("the run of an earlier owner is taken for one at full speed")
+{
+  SingleWorkerCell cell;
+  JobSpec filling = ChainOf({ 1 });
+  filling.mSteps[0].mBestEffort = true;
+  cell.mCell.Restore(
+    RestoreJob({ "b", "q", filling, 1, {} }, {}), cell.mNow, {});
+  ReportedRun slow = kRun;
+  slow.mTask = kFilling;
+  slow.mSpeedPercent = 10;
+  cell.List({ slow }, {});
+  std::vector<ThrottleRun> paces = NextPaces(cell);
+  REQUIRE(paces.size() == 1);
+  CHECK(paces[0].mSpeedPercent == 100);
+  CHECK(NextPaces(cell).empty());
+}
