Prove the end of a process only by what is younger than it

What callers saw: TWICE is possible while the machine service is away, and after a worker is back that the directory doesn't list. Cause: cells count on a list of VMs that is at most 3 s old. The fleet's owner kept the last one for as long as it got no other. For a worker that isn't listed it took the start of its process from the cell, as old enough for any list, though only a listing may have told the cell of it a moment before. A confirmed move counted for its process, also once the directory had reported a later one.

A list proves an end while it is less than a second old; with its lag of 2 s that is the age that cells count on. A process that became known in place of another one is reported as unlisted after 3 s.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -288,7 +288,8 @@
   use.mMissingVms = room.mMissingWorkers;
   for (const auto& [id, worker] : mWorkers) {
     WorkerUsage& workerUse = use.mWorkers[id];
-    if (!worker.mListed) {
+    // A list of VMs must be younger than what it is compared with.
+    if (!worker.mListed && aNow >= worker.mRestartedAt + kMaxVmListAge) {
       workerUse.mUnlisted =
         UnlistedWorker{ worker.mReport.mVm, worker.mIncarnation };
     }
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -40,9 +40,6 @@
 /// Interval within which ends are acknowledged that the worker still lists.
 constexpr Duration kAcknowledgementInterval = std::chrono::seconds(1);
 
-/// Maximum age of what the list of VMs says by the time a cell hears of it.
-constexpr Duration kMaxVmListAge = std::chrono::seconds(3);
-
 /// Platform settings that a cell plans with.
 struct CellDurations
 {
@@ -148,6 +145,8 @@
   /// already report a later one, which counts from its first listing on if only
   /// that tells which runs it has.
   std::int64_t mIncarnation = 0;
+  /// When the known incarnation became known in place of an earlier one.
+  TimePoint mRestartedAt = TimePoint::min();
   /// The known incarnation was draining when the directory reported a later
   /// one.
   bool mDrainedBeforeRestart = false;
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -535,7 +535,8 @@
 {
   CellWorker* worker = FindWorker(aWorker);
   bool matches = worker != nullptr && !worker->mEnded &&
-                 worker->mIncarnation == aIncarnation;
+                 worker->mIncarnation == aIncarnation &&
+                 worker->mReport.mIncarnation <= aIncarnation;
   if (matches) {
     EndIncarnation(*worker, aNow);
     mLoadMeasuredAt.reset();
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -450,6 +450,7 @@
     }
   }
   aWorker.mRestartUnresolved = true;
+  aWorker.mRestartedAt = aNow;
   aWorker.mEnded = false;
   aWorker.mHasMoreEnds = false;
   aWorker.mAcknowledgementDue = false;
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -29,6 +29,8 @@
 /// Maximum age of the list's content at the time of the request; observed ages
 /// are under half of that.
 constexpr Duration kMaxListLag = std::chrono::seconds(2);
+/// Age up to which a list proves the end of a worker. Cells count on both.
+constexpr Duration kMaxListAge = kMaxVmListAge - kMaxListLag;
 /// Older reports are ignored.
 constexpr Duration kMaxReportAge = std::chrono::seconds(2);
 
@@ -529,10 +531,13 @@
                       std::string_view aPool,
                       const WorkerIncarnation& aIncarnation,
                       const PoolVm* aVm,
-                      TimePoint aListed)
+                      TimePoint aListed,
+                      TimePoint aNow)
 {
-  // The list may not show a recent incarnation yet.
-  if (aVm == nullptr || aIncarnation.mFirstSeen + kMaxListLag > aListed) {
+  // The list may not show a recent incarnation yet, and one that hasn't been
+  // read again for some time says nothing about the present one.
+  if (aVm == nullptr || aIncarnation.mFirstSeen + kMaxListLag > aListed ||
+      aNow > aListed + kMaxListAge) {
     return false;
   }
   switch (aVm->mState) {
--- a/src/decide/fleet_plan.h
+++ b/src/decide/fleet_plan.h
@@ -120,16 +120,20 @@
 double
 CoresOf(const PoolVm& aVm);
 
-/// Whether the list of VMs, requested at aListed, proves that a worker's
-/// incarnation has ended. aVm is its VM's entry, null if the list has none;
-/// aPool is the worker's pool. When workers and owners are lost together, the
-/// runs of a dead worker then needn't wait for its lease to expire.
+/// Maximum age of what the list of VMs says by the time a cell hears of it.
+constexpr Duration kMaxVmListAge = std::chrono::seconds(3);
+
+/// Whether the list of VMs, requested at aListed, proves at aNow that a
+/// worker's incarnation has ended. aVm is its VM's entry, null if the list has
+/// none; aPool is the worker's pool. When workers and owners are lost together,
+/// the runs of a dead worker then needn't wait for its lease to expire.
 bool
 ListProvesWorkerEnded(std::string_view aWorker,
                       std::string_view aPool,
                       const WorkerIncarnation& aIncarnation,
                       const PoolVm* aVm,
-                      TimePoint aListed);
+                      TimePoint aListed,
+                      TimePoint aNow);
 
 /// Whether the confirmed move of its VM has ended a worker's incarnation in
 /// aPool.
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -552,6 +552,7 @@
   if (use == mView.mUsages.end()) {
     return sync;
   }
+  TimePoint now = mClock.Now();
   for (const auto& [id, worker] : use->second.mWorkers) {
     std::optional<WorkerIncarnation> incarnation =
       mDirectory->FindIncarnation(id);
@@ -573,7 +574,7 @@
     }
     const PoolVm* at = FindVm(incarnation->mVm);
     if (ListProvesWorkerEnded(
-          id, aCell.mPool, *incarnation, at, mListRequestedAt)) {
+          id, aCell.mPool, *incarnation, at, mListRequestedAt, now)) {
       sync.mEnded.emplace(id, incarnation->mId);
     }
   }
--- a/tests/cell_restart_test.cpp
+++ b/tests/cell_restart_test.cpp
@@ -263,3 +263,28 @@
   cell.Commit();
   CHECK(cell.Acknowledged() == 1);
 }
+
+// Guards against a list of VMs that was asked for before the process began.
+TEST_CASE("a process that the directory never showed ends by an earlier list")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 1 }));
+  REQUIRE(cell.PlanAndAnswer().size() == 1);
+  cell.ListStatus({ 0, 6, { kRun }, {} });
+  cell.mCell.SetWorkers({}, cell.mNow);
+  CHECK_FALSE(cell.mCell.Use(cell.mNow).mWorkers.at("w").mUnlisted);
+  cell.mNow += kMaxVmListAge;
+  CHECK(cell.mCell.Use(cell.mNow).mWorkers.at("w").mUnlisted);
+}
+
+// Guards against a confirmed move of a former process's VM.
+TEST_CASE("a late confirmation of a move ends a process reported since")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 1 }));
+  REQUIRE(cell.PlanAndAnswer().size() == 1);
+  cell.mReports[0].mIncarnation = 6;
+  cell.mCell.SetWorkers(cell.mReports, cell.mNow);
+  CHECK_FALSE(cell.mCell.OnWorkerMoved("w", 5, cell.mNow));
+  CHECK(cell.mCell.Workers().find("w")->second.mRuns.size() == 1);
+}
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -327,26 +327,34 @@
   vm.mVm = "vm";
   vm.mPool = "p";
   vm.mWorker = "w";
-  CHECK_FALSE(ListProvesWorkerEnded("w", "p", incarnation, &vm, listed));
-  CHECK_FALSE(ListProvesWorkerEnded("w", "p", incarnation, nullptr, listed));
+  CHECK_FALSE(
+    ListProvesWorkerEnded("w", "p", incarnation, &vm, listed, listed));
+  CHECK_FALSE(
+    ListProvesWorkerEnded("w", "p", incarnation, nullptr, listed, listed));
   vm.mState = PoolVmState::Down;
-  CHECK(ListProvesWorkerEnded("w", "p", incarnation, &vm, listed));
+  CHECK(ListProvesWorkerEnded("w", "p", incarnation, &vm, listed, listed));
   vm.mState = PoolVmState::Moving;
-  CHECK(ListProvesWorkerEnded("w", "p", incarnation, &vm, listed));
+  CHECK(ListProvesWorkerEnded("w", "p", incarnation, &vm, listed, listed));
   vm.mState = PoolVmState::Up;
   vm.mWorker = "next";
-  CHECK(ListProvesWorkerEnded("w", "p", incarnation, &vm, listed));
+  CHECK(ListProvesWorkerEnded("w", "p", incarnation, &vm, listed, listed));
   // Neither an unknown state nor a missing id is conclusive.
   vm.mState = PoolVmState::Unknown;
-  CHECK_FALSE(ListProvesWorkerEnded("w", "p", incarnation, &vm, listed));
+  CHECK_FALSE(
+    ListProvesWorkerEnded("w", "p", incarnation, &vm, listed, listed));
   vm.mState = PoolVmState::Up;
   vm.mWorker.clear();
-  CHECK_FALSE(ListProvesWorkerEnded("w", "p", incarnation, &vm, listed));
+  CHECK_FALSE(
+    ListProvesWorkerEnded("w", "p", incarnation, &vm, listed, listed));
   vm.mPool = "off";
-  CHECK(ListProvesWorkerEnded("w", "p", incarnation, &vm, listed));
+  CHECK(ListProvesWorkerEnded("w", "p", incarnation, &vm, listed, listed));
+  // Guards against the last list of a machine service that is away.
+  CHECK_FALSE(
+    ListProvesWorkerEnded("w", "p", incarnation, &vm, listed, listed + 2s));
   // The list lags, so it may show the state before a new incarnation.
   incarnation.mFirstSeen = listed - 1s;
-  CHECK_FALSE(ListProvesWorkerEnded("w", "p", incarnation, &vm, listed));
+  CHECK_FALSE(
+    ListProvesWorkerEnded("w", "p", incarnation, &vm, listed, listed));
 }
 
 TEST_CASE("a wave skips a pool in its peak until its deadline is near")
