Tell the next owner only of a process that has accepted a token

What callers saw: TWICE is possible if an owner is lost right after it learned of a restart. Cause: the row of workers named the new process as soon as a listing or the directory had shown it. It still carried out calls to the former one, and the next owner took it for known and waited 10.4 s instead of 22.4 s.

The row names the process that last accepted a token of its own.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -162,6 +162,7 @@
     worker.mReport.mEndpoint = address.mEndpoint;
     worker.mReport.mVm = address.mVm;
     worker.mIncarnation = address.mIncarnation;
+    worker.mAcceptedIncarnation = address.mIncarnation;
     worker.mPersisted = true;
     worker.mInheritedRunsUnknown = true;
     // It may have restarted, and run things under the longest lease.
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -145,6 +145,9 @@
   /// already report a later one, which counts from its first listing on if only
   /// that tells which runs it has.
   std::int64_t mIncarnation = 0;
+  /// The last one that has accepted a token of its own, which the next owner is
+  /// told: a later one may carry out calls that were meant for it.
+  std::int64_t mAcceptedIncarnation = 0;
   /// When the known incarnation became known in place of an earlier one.
   TimePoint mRestartedAt = TimePoint::min();
   /// The known incarnation was draining when the directory reported a later
--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -167,7 +167,7 @@
         changes.mWorkers->push_back({ id,
                                       worker.mReport.mEndpoint,
                                       worker.mReport.mVm,
-                                      worker.mIncarnation });
+                                      worker.mAcceptedIncarnation });
       }
     }
   }
@@ -201,7 +201,7 @@
       changes.mWorkers->push_back({ id,
                                     worker.mReport.mEndpoint,
                                     worker.mReport.mVm,
-                                    worker.mIncarnation });
+                                    worker.mAcceptedIncarnation });
     }
   }
   return changes;
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -391,9 +391,6 @@
     worker->mLeaseExpiry =
       std::max(worker->mLeaseExpiry, worker->mLaterLeaseExpiry);
   }
-  mWorkersDirty =
-    mWorkersDirty ||
-    (worker->mPersisted && aListing.mIncarnation > worker->mIncarnation);
   worker->mIncarnation = std::max(worker->mIncarnation, aListing.mIncarnation);
   worker->mWorkerClockMs = aListing.mClockMs;
   worker->mClockReceivedAt = aNow;
@@ -408,6 +405,11 @@
     worker->mLeaseExpiry = aNow;
     ExtendLease(*worker, aNow);
   }
+  if (worker->mTokenAccepted &&
+      worker->mAcceptedIncarnation != worker->mIncarnation) {
+    worker->mAcceptedIncarnation = worker->mIncarnation;
+    mWorkersDirty = mWorkersDirty || worker->mPersisted;
+  }
   worker->mHasMoreEnds = aListing.mHasMoreEnds;
   // A row that can't be read, or that doesn't fit the listing, may stand for
   // any task: none of the runs that aren't listed is taken for ended, so that
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -39,11 +39,9 @@
       // The cell may have known an earlier incarnation, and forgotten it.
       worker.mToken = mNewestToken;
     }
-    std::int64_t known = worker.mIncarnation;
     ReportIncarnation(worker, report, aNow);
-    bool changed = worker.mIncarnation != known ||
-                   worker.mReport.mEndpoint != report.mEndpoint;
-    mWorkersDirty = mWorkersDirty || (changed && worker.mPersisted);
+    bool moved = worker.mReport.mEndpoint != report.mEndpoint;
+    mWorkersDirty = mWorkersDirty || (moved && worker.mPersisted);
     worker.mReport = report;
     worker.mInDirectory = true;
     worker.mListed = !worker.mEnded;
