Use a ticket only for the process that it was given for

What callers saw: starts refused for want of a ticket, which are priced, and a job that waits for advice meanwhile. Cause: tickets were kept by the worker's id alone, and a ticket is valid during one life. After a restart the former process's ticket was used for the next one, and its refusal threw away the tickets of all workers; advice that was asked for before the restart did the same after it.

A ticket names the process that was known when the advice was asked for. Stale ones are removed, and once none is left, advice is asked for again. Found by reading; the two new tests failed before.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -8,6 +8,7 @@
 #include "decide/task_placement.h"
 #include "ports/worker_calls.h"
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <optional>
@@ -207,6 +208,11 @@
   /// Whether mReport may describe the known incarnation. A listing shows a
   /// later one before the directory does.
   bool IsReportCurrent() const;
+  /// The known incarnation, or a later one that the directory has reported.
+  std::int64_t LatestIncarnation() const
+  {
+    return std::max(mIncarnation, mReport.mIncarnation);
+  }
 
   bool HasSeenEnd(std::uint64_t aSequence) const
   {
@@ -268,7 +274,8 @@
   std::string mJob;
   std::uint32_t mOccurrence = 0;
   std::uint32_t mStep = 0;
-  std::vector<std::string> mWorkers;
+  /// Latest known incarnation of each worker, by id.
+  std::map<std::string, std::int64_t, std::less<>> mWorkers;
 };
 
 /// A worker crashed with runs on it.
@@ -620,6 +627,7 @@
   LongRunningRoom FindLongRunningRoom(TimePoint aNow) const;
   void PlanEvacuation(TimePoint aNow);
   void PlanRates(TimePoint aNow, std::vector<CellOrder>& aOrders);
+  void RemoveStaleTickets(StepRecord& aStep, TimePoint aNow) const;
   void PlanStarts(TimePoint aNow, std::vector<CellOrder>& aOrders);
   void CollectCandidates(TimePoint aNow, std::vector<Candidate>& aOut);
   Placement PlaceStep(const Candidate& aCandidate,
--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -340,7 +340,7 @@
         for (const auto& [worker, state] : mWorkers) {
           if (state.mListed && !state.mReport.mDraining &&
               request.mWorkers.size() < kMaxWorkersPerRequest) {
-            request.mWorkers.push_back(worker);
+            request.mWorkers.emplace(worker, state.LatestIncarnation());
           }
         }
         step.mAdviceRequested = true;
@@ -367,7 +367,13 @@
   }
   StepRecord& step = occurrence->second.mSteps[aRequest.mStep];
   step.mAdviceRequested = false;
-  step.mTickets = std::move(aTickets);
+  step.mTickets.clear();
+  for (auto& [id, ticket] : aTickets) {
+    auto asked = aRequest.mWorkers.find(id);
+    if (asked != aRequest.mWorkers.end()) {
+      step.mTickets.emplace(id, StepTicket{ std::move(ticket), asked->second });
+    }
+  }
   step.mTicketExpiry = aNow + aValid;
 }
 
--- a/src/decide/cell_job.h
+++ b/src/decide/cell_job.h
@@ -71,6 +71,13 @@
   TimePoint mNotBefore;
 };
 
+/// The advice service lets an incarnation of a worker run a step.
+struct StepTicket
+{
+  std::string mText;
+  std::int64_t mIncarnation = 0;
+};
+
 struct StepRecord
 {
   std::vector<TaskRecord> mTasks;
@@ -79,7 +86,7 @@
   /// Starts of the whole gang in this term.
   std::uint32_t mGangStarts = 0;
   /// Ticket of each worker that may run the step, for queues with advice.
-  std::map<std::string, std::string, std::less<>> mTickets;
+  std::map<std::string, StepTicket, std::less<>> mTickets;
   TimePoint mTicketExpiry;
   bool mAdviceRequested = false;
 };
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -410,11 +410,24 @@
   }
   auto ticket = step.mTickets.find(aWorker.mReport.mId);
   if (ticket != step.mTickets.end()) {
-    start.mTicket = ticket->second;
+    start.mTicket = ticket->second.mText;
   }
   aOrders.push_back({ aWorker.mReport.mId, std::move(start) });
 }
 
+// A ticket is valid during one life of its worker. Once none is left, advice is
+// asked for again.
+void
+Cell::RemoveStaleTickets(StepRecord& aStep, TimePoint aNow) const
+{
+  bool expired = aNow > aStep.mTicketExpiry;
+  std::erase_if(aStep.mTickets, [&](const auto& aEntry) {
+    auto worker = mWorkers.find(aEntry.first);
+    return expired || worker == mWorkers.end() ||
+           worker->second.LatestIncarnation() != aEntry.second.mIncarnation;
+  });
+}
+
 // In a full pool, short tasks take all capacity as it becomes free, which
 // starves a larger long-running task. The worker with the most free capacity is
 // reserved for it until it fits.
@@ -455,8 +468,8 @@
                        ->second.mSteps[aCandidate.mStep];
   const QueueConfig* queue = QueueOf(job);
   bool needsAdvice = queue->mAdvice.has_value();
-  if (needsAdvice && aNow > step.mTicketExpiry) {
-    step.mTickets.clear();
+  if (needsAdvice) {
+    RemoveStaleTickets(step, aNow);
   }
   bool anyDue =
     std::any_of(step.mTasks.begin(), step.mTasks.end(), [&](auto& aTask) {
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -1191,7 +1191,9 @@
     advisorCall.mStep = {
       aRequest.mJob, aRequest.mOccurrence, aRequest.mStep, 0
     };
-    advisorCall.mWorkers = aRequest.mWorkers;
+    for (const auto& [worker, incarnation] : aRequest.mWorkers) {
+      advisorCall.mWorkers.push_back(worker);
+    }
     TimePoint sent = mClock.Now();
     TimePoint deadline =
       sent + terms.mBaseTimeout +
--- a/tests/restart_paths_test.cpp
+++ b/tests/restart_paths_test.cpp
@@ -182,3 +182,68 @@
   CHECK(paces[0].mSpeedPercent == 100);
   CHECK(NextPaces(cell).empty());
 }
+
+namespace {
+
+/// A cell whose queue has advice, with a job of one task that waits for it.
+struct AdvisedCell : SingleWorkerCell
+{
+  AdvisedCell()
+  {
+    WorkloadConfig config;
+    QueueConfig queue;
+    queue.mName = "q";
+    queue.mPool = "pool";
+    queue.mMaxAttempts = 2;
+    queue.mAdvice = AdviceConfig{ 100ms, 10ms, 10s };
+    config.mQueues.push_back(queue);
+    mCell.SetConfig(config, "pool");
+    Submit("a", ChainOf({ 1 }));
+    Plan();
+  }
+
+  AdviceRequest TakeRequest()
+  {
+    std::vector<AdviceRequest> requests = mCell.TakeAdviceRequests();
+    REQUIRE(requests.size() == 1);
+    return requests[0];
+  }
+
+  void Advise(const AdviceRequest& aRequest, std::string_view aTicket)
+  {
+    std::map<std::string, std::string, std::less<>> tickets;
+    for (const auto& [worker, incarnation] : aRequest.mWorkers) {
+      tickets.emplace(worker, aTicket);
+    }
+    mCell.OnAdvice(aRequest, std::move(tickets), 10s, mNow);
+  }
+};
+
+} // namespace
+
+// Guards against a ticket of the former process, for which the next one refuses
+// the start.
+TEST_CASE("a start carries the ticket of the former process")
+{
+  AdvisedCell cell;
+  cell.Advise(cell.TakeRequest(), "former");
+  ReportProcess(cell, 6);
+  RestartUnreported(cell, {});
+  CHECK(CallsTo<StartRun>("w", cell.Plan()).empty());
+  cell.Advise(cell.TakeRequest(), "present");
+  std::vector<StartRun> starts = CallsTo<StartRun>("w", cell.Plan());
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].mTicket == "present");
+}
+
+TEST_CASE("advice that was asked for before a restart is used after it")
+{
+  AdvisedCell cell;
+  AdviceRequest before = cell.TakeRequest();
+  ReportProcess(cell, 6);
+  RestartUnreported(cell, {});
+  cell.Advise(before, "former");
+  CHECK(CallsTo<StartRun>("w", cell.Plan()).empty());
+  cell.Advise(cell.TakeRequest(), "present");
+  CHECK(CallsTo<StartRun>("w", cell.Plan()).size() == 1);
+}
