Stop the rest of a gang when a member is lost

What callers saw: a gang whose members hold their room for gang_timeout_ms (3 s) and end alone before it can start again, priced as gangs that wait, and a job that is late by as much. Cause: the others were stopped only if a start was refused or not sent, not if the start had no effect, or if the member ended with its process before the others were present.

They are stopped wherever the cell takes a member for lost while the others may wait: at a restart, at the answer of another worker, and when a listing doesn't show a member. Members that work are broken then in any case. Found by reading; the four new tests failed before.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -570,7 +570,7 @@
   void ReportIncarnation(CellWorker& aWorker,
                          const WorkerReport& aReport,
                          TimePoint aNow);
-  static void BeginIncarnation(CellWorker& aWorker, TimePoint aNow);
+  void BeginIncarnation(CellWorker& aWorker, TimePoint aNow);
   void RequireNewToken(CellWorker& aWorker, TimePoint aNow) const;
   Duration LongestLease() const;
   void ExtendLaterLease(CellWorker& aWorker, TimePoint aNow) const;
@@ -582,6 +582,8 @@
   void EndIncarnation(CellWorker& aWorker, TimePoint aNow);
   void ReleaseRun(CellWorker& aWorker, const TaskId& aTask);
   void RemoveRun(CellWorker& aWorker, const TaskId& aTask);
+  /// Removes a run that ended with its incarnation.
+  void RemoveLostRun(CellWorker& aWorker, TaskId aTask, TimePoint aNow);
   void RecordRunLoss(const CellWorker& aWorker,
                      RunLossCause aCause,
                      std::span<const TaskId> aLost,
@@ -599,6 +601,8 @@
   void FailJob(CellJob& aJob, TimePoint aNow);
   void RequestStop(ActiveRun& aRun, TimePoint aNow);
   void StopRunsOf(const CellJob& aJob, TimePoint aNow);
+  /// Stops the other members of the gang, if the task is of one.
+  void StopGangOf(const TaskId& aMember, std::uint64_t aRun, TimePoint aNow);
   void OnRunEnded(CellWorker& aWorker, const EndedRun& aEnd, TimePoint aNow);
   void OnTaskDone(CellJob& aJob, const TaskId& aTask, TimePoint aNow);
   void OnTaskFailed(CellWorker& aWorker,
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -295,6 +295,7 @@
       }
     } else if (run.mStage != ActiveRun::Stage::Starting) {
       RequestStop(run, aNow);
+      StopGangOf(task, run.mRun, aNow);
     }
   }
   for (const TaskId& task : confirmed) {
@@ -466,7 +467,7 @@
   aWorker.mLeaseExpiry = aNow;
   RecordRunLoss(aWorker, RunLossCause::WorkerEnded, aWorker.Tasks(), aNow);
   while (!aWorker.mRuns.empty()) {
-    RemoveRun(aWorker, aWorker.mRuns.begin()->first);
+    RemoveLostRun(aWorker, aWorker.mRuns.begin()->first, aNow);
   }
 }
 
@@ -654,26 +655,13 @@
   if (job == nullptr) {
     return;
   }
-  const StepSpec& spec = job->mSpec.mSteps[task.mStep];
   if (refused != nullptr && refused->mReason == StartRefusal::InvalidTicket) {
     auto occurrence = job->mOccurrences.find(task.mOccurrence);
     if (occurrence != job->mOccurrences.end()) {
       occurrence->second.mSteps[task.mStep].mTickets.clear();
     }
   }
-  if (spec.mGang) {
-    // The other members would wait for the missing one forever.
-    for (auto& [id, other] : mWorkers) {
-      for (auto& [otherTask, otherRun] : other.mRuns) {
-        bool member = otherTask.mJob == task.mJob &&
-                      otherTask.mOccurrence == task.mOccurrence &&
-                      otherTask.mStep == task.mStep && otherRun.mRun == number;
-        if (member) {
-          RequestStop(otherRun, aNow);
-        }
-      }
-    }
-  }
+  StopGangOf(task, number, aNow);
 }
 
 } // namespace buckthornshunt
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -445,6 +445,7 @@
       run.mStage = ActiveRun::Stage::Stopping;
       run.mStopSent = false;
       run.mStopAcknowledgedAt.reset();
+      StopGangOf(task, run.mRun, aNow);
     }
   }
   aWorker.mRestartUnresolved = true;
@@ -479,7 +480,7 @@
   RecordCrash(aWorker, lost, aNow);
   RecordRunLoss(aWorker, RunLossCause::Restarted, lost, aNow);
   for (const TaskId& task : lost) {
-    RemoveRun(aWorker, task);
+    RemoveLostRun(aWorker, task, aNow);
   }
   aWorker.mRestartUnresolved = false;
   aWorker.mDrainedBeforeRestart = false;
@@ -595,6 +596,14 @@
   ReleaseRun(aWorker, aTask);
 }
 
+void
+Cell::RemoveLostRun(CellWorker& aWorker, TaskId aTask, TimePoint aNow)
+{
+  std::uint64_t number = aWorker.mRuns.find(aTask)->second.mRun;
+  RemoveRun(aWorker, aTask);
+  StopGangOf(aTask, number, aNow);
+}
+
 // The task's active run has certainly ended without a result.
 void
 Cell::ResetToIdle(const TaskId& aTask, std::string_view aWorker)
@@ -638,6 +647,30 @@
   }
 }
 
+// They would wait for the missing one, and end alone.
+void
+Cell::StopGangOf(const TaskId& aMember, std::uint64_t aRun, TimePoint aNow)
+{
+  const CellJob* job = FindJob(aMember.mJob);
+  bool gang = job != nullptr && aMember.mStep < job->mSpec.mSteps.size() &&
+              job->mSpec.mSteps[aMember.mStep].mGang;
+  if (!gang) {
+    return;
+  }
+  TaskId first{ aMember.mJob, aMember.mOccurrence, aMember.mStep, 0 };
+  for (auto& [id, worker] : mWorkers) {
+    auto it = worker.mRuns.lower_bound(first);
+    for (; it != worker.mRuns.end() && it->first.mJob == first.mJob &&
+           it->first.mOccurrence == first.mOccurrence &&
+           it->first.mStep == first.mStep;
+         ++it) {
+      if (it->second.mRun == aRun) {
+        RequestStop(it->second, aNow);
+      }
+    }
+  }
+}
+
 // Listings may arrive before the first plan creates the occurrence.
 OccurrenceRecord*
 Cell::OpenOccurrence(CellJob& aJob, std::uint32_t aNumber)
--- a/tests/restart_paths_test.cpp
+++ b/tests/restart_paths_test.cpp
@@ -247,3 +247,81 @@
   cell.Advise(cell.TakeRequest(), "present");
   CHECK(CallsTo<StartRun>("w", cell.Plan()).size() == 1);
 }
+
+namespace {
+
+/// A gang of two on two workers; the start on "w" isn't answered yet.
+struct GangCell : SingleWorkerCell
+{
+  GangCell()
+  {
+    AddIdleWorker("other");
+    JobSpec gang = ChainOf({ 2 });
+    gang.mSteps[0].mGang = true;
+    gang.mSteps[0].mMaxPerWorker = 1;
+    Submit("a", gang);
+    std::vector<CellOrder> orders = Plan();
+    REQUIRE(orders.size() == 2);
+    for (const CellOrder& order : orders) {
+      if (order.mWorker == "w") {
+        mHere = std::get<StartRun>(order.mCall);
+      } else {
+        mThere = std::get<StartRun>(order.mCall);
+        mCell.OnOrderReply(
+          "other", order.mCall, WorkerReply(OrderDone{ 1 }), mNow);
+      }
+    }
+  }
+
+  void AnswerHere()
+  {
+    mCell.OnOrderReply("w", mHere, WorkerReply(OrderDone{ 1 }), mNow);
+  }
+
+  bool StopsThere()
+  {
+    std::vector<StopRun> stops = CallsTo<StopRun>("other", Plan());
+    return stops.size() == 1 && stops[0].mTask == mThere.mTask;
+  }
+
+  StartRun mHere;
+  StartRun mThere;
+};
+
+} // namespace
+
+// Guards against members that wait for one whose start the restart has undone,
+// until they end alone (GANG).
+TEST_CASE("a gang waits for a member whose worker restarts during its start")
+{
+  GangCell cell;
+  ReportProcess(cell, 6);
+  RestartUnreported(cell, {});
+  CHECK(cell.StopsThere());
+}
+
+TEST_CASE("a gang waits for a member that ended with its process")
+{
+  GangCell cell;
+  cell.AnswerHere();
+  ReportProcess(cell, 6);
+  RestartUnreported(cell, {});
+  CHECK(cell.StopsThere());
+}
+
+TEST_CASE("a gang waits for a member whose start had no effect")
+{
+  GangCell cell;
+  cell.mCell.OnOrderReply(
+    "w", cell.mHere, Failure(TimeoutFailure{}), cell.mNow);
+  cell.List({}, {});
+  CHECK(cell.StopsThere());
+}
+
+TEST_CASE("a gang waits for a member whose worker another one has replaced")
+{
+  GangCell cell;
+  cell.AnswerHere();
+  cell.mCell.OnOtherWorker("w", cell.mNow);
+  CHECK(cell.StopsThere());
+}
