--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -462,7 +462,7 @@
   // Advice.
   std::vector<AdviceRequest> TakeAdviceRequests();
   void OnAdvice(const AdviceRequest& aRequest,
-                std::map<std::string, std::string, std::less<>> aTickets,
+                const std::map<std::string, std::string, std::less<>>& aTickets,
                 Duration aValid,
                 TimePoint aNow);
 
@@ -583,7 +583,7 @@
   void ReleaseRun(CellWorker& aWorker, const TaskId& aTask);
   void RemoveRun(CellWorker& aWorker, const TaskId& aTask);
   /// Removes a run that ended with its incarnation.
-  void RemoveLostRun(CellWorker& aWorker, TaskId aTask, TimePoint aNow);
+  void RemoveLostRun(CellWorker& aWorker, const TaskId& aTask, TimePoint aNow);
   void RecordRunLoss(const CellWorker& aWorker,
                      RunLossCause aCause,
                      std::span<const TaskId> aLost,
--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -353,7 +353,7 @@
 
 void
 Cell::OnAdvice(const AdviceRequest& aRequest,
-               std::map<std::string, std::string, std::less<>> aTickets,
+               const std::map<std::string, std::string, std::less<>>& aTickets,
                Duration aValid,
                TimePoint aNow)
 {
@@ -368,10 +368,10 @@
   StepRecord& step = occurrence->second.mSteps[aRequest.mStep];
   step.mAdviceRequested = false;
   step.mTickets.clear();
-  for (auto& [id, ticket] : aTickets) {
+  for (const auto& [id, ticket] : aTickets) {
     auto asked = aRequest.mWorkers.find(id);
     if (asked != aRequest.mWorkers.end()) {
-      step.mTickets.emplace(id, StepTicket{ std::move(ticket), asked->second });
+      step.mTickets.emplace(id, StepTicket{ ticket, asked->second });
     }
   }
   step.mTicketExpiry = aNow + aValid;
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -597,11 +597,13 @@
 }
 
 void
-Cell::RemoveLostRun(CellWorker& aWorker, TaskId aTask, TimePoint aNow)
+Cell::RemoveLostRun(CellWorker& aWorker, const TaskId& aTask, TimePoint aNow)
 {
-  std::uint64_t number = aWorker.mRuns.find(aTask)->second.mRun;
-  RemoveRun(aWorker, aTask);
-  StopGangOf(aTask, number, aNow);
+  // aTask may refer to the entry that RemoveRun erases.
+  TaskId task = aTask;
+  std::uint64_t number = aWorker.mRuns.find(task)->second.mRun;
+  RemoveRun(aWorker, task);
+  StopGangOf(task, number, aNow);
 }
 
 // The task's active run has certainly ended without a result.
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -1221,7 +1221,7 @@
       co_await mClock.Sleep(kRenewalRetryInterval);
     }
   }
-  mCell->OnAdvice(aRequest, std::move(tickets), valid, mClock.Now());
+  mCell->OnAdvice(aRequest, tickets, valid, mClock.Now());
   mPlanDue.Set();
 }
 
--- a/tests/restart_paths_test.cpp
+++ b/tests/restart_paths_test.cpp
@@ -215,7 +215,7 @@
     for (const auto& [worker, incarnation] : aRequest.mWorkers) {
       tickets.emplace(worker, aTicket);
     }
-    mCell.OnAdvice(aRequest, std::move(tickets), 10s, mNow);
+    mCell.OnAdvice(aRequest, tickets, 10s, mNow);
   }
 };
 
