Wait only for the longest lease of a silent worker after a take-over

Cause, by calculation: let the next owner wait 22.4 s for a silent worker that the directory doesn't list, where it had waited 10.4 s, and all jobs of earlier owners wait meanwhile.

--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -569,8 +569,8 @@
 TimePoint
 CellWorker::InheritedRunExpiry() const
 {
-  return IsKnownIncarnationListed() ? mLeaseExpiry
-                                    : std::max(mLeaseExpiry, mLaterLeaseExpiry);
+  return mRestartUnresolved ? std::max(mLeaseExpiry, mLaterLeaseExpiry)
+                            : mLeaseExpiry;
 }
 
 void
@@ -599,11 +599,9 @@
 void
 Cell::RemoveLostRun(CellWorker& aWorker, const TaskId& aTask, TimePoint aNow)
 {
-  // aTask may refer to the entry that RemoveRun erases.
-  TaskId task = aTask;
-  std::uint64_t number = aWorker.mRuns.find(task)->second.mRun;
-  RemoveRun(aWorker, task);
-  StopGangOf(task, number, aNow);
+  // aTask may refer to the entry that RemoveRun erases, so that call is last.
+  StopGangOf(aTask, aWorker.mRuns.find(aTask)->second.mRun, aNow);
+  RemoveRun(aWorker, aTask);
 }
 
 // The task's active run has certainly ended without a result.
