Soak: a worker that is down carries nothing out

Trace: the worker's process ended at 40.777 s and the next one began at 40.936 s; a call on a connection that a cut had kept open started a run at 40.904 s, on no process, and nothing ever ended it.

--- a/soak/restarts.py
+++ b/soak/restarts.py
@@ -109,7 +109,8 @@
             self.world.on_noted(self, self.ended.pop())
 
     async def handle(self, method, path, query, fields, body):
-        if self.cut in ("both", "store"):
+        # Connections of a former process may outlive it behind a cut.
+        if not self.up or self.cut in ("both", "store"):
             return None
         carry_out = partial(super().handle, method, path, query, fields, body)
         if path == "/run-start":
