--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -40,6 +40,15 @@
   return aJob.IsLive() ? ChangeKind::Progress : ChangeKind::Ended;
 }
 
+WorkerAddress
+AddressOf(std::string_view aId, const CellWorker& aWorker)
+{
+  return { std::string(aId),
+           aWorker.mReport.mEndpoint,
+           aWorker.mReport.mVm,
+           aWorker.mAcceptedIncarnation };
+}
+
 std::size_t
 RowsOf(const CellJob& aJob)
 {
@@ -164,10 +173,7 @@
     changes.mWorkers.emplace();
     for (const auto& [id, worker] : mWorkers) {
       if (!worker.mEnded) {
-        changes.mWorkers->push_back({ id,
-                                      worker.mReport.mEndpoint,
-                                      worker.mReport.mVm,
-                                      worker.mAcceptedIncarnation });
+        changes.mWorkers->push_back(AddressOf(id, worker));
       }
     }
   }
@@ -198,10 +204,7 @@
     bool unknown =
       worker.mInheritedRunsUnknown && aNow <= worker.InheritedRunExpiry();
     if (!worker.mRuns.empty() || unknown) {
-      changes.mWorkers->push_back({ id,
-                                    worker.mReport.mEndpoint,
-                                    worker.mReport.mVm,
-                                    worker.mAcceptedIncarnation });
+      changes.mWorkers->push_back(AddressOf(id, worker));
     }
   }
   return changes;
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -490,10 +490,7 @@
   }
   // Of a later incarnation, which the directory has reported or which has
   // answered, its listing tells.
-  std::int64_t latest =
-    worker == nullptr
-      ? 0
-      : std::max(worker->mIncarnation, worker->mReport.mIncarnation);
+  std::int64_t latest = worker == nullptr ? 0 : worker->LatestIncarnation();
   // The earlier owner may have started runs on the next incarnation meanwhile.
   bool inheritedSince = worker != nullptr && worker->mInheritedRunsUnknown &&
                         aNow < mTakenOver + kMaxVmListAge;
@@ -539,7 +536,7 @@
   CellWorker* worker = FindWorker(aWorker);
   bool matches = worker != nullptr && !worker->mEnded &&
                  worker->mIncarnation == aIncarnation &&
-                 worker->mReport.mIncarnation <= aIncarnation;
+                 worker->LatestIncarnation() == aIncarnation;
   if (matches) {
     EndIncarnation(*worker, aNow);
     mLoadMeasuredAt.reset();
