--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -310,14 +310,15 @@
         self.forbidden = {}
         self.changed = asyncio.Condition()
         self.alive = True
+        self.first_beat_s = 0.0
         self.guards = world.guards
         self.state = "ready"
         self.seq = 0
         self.server = HttpServer(self.handle, world.addresses.host())
         self.tasks = []
 
-    async def start(self):
-        await self.server.start()
+    async def start(self, port=0):
+        await self.server.start(port)
         self.tasks = [
             asyncio.create_task(self.beat()),
             asyncio.create_task(self.watch_lease()),
@@ -328,6 +329,7 @@
         return int((time.monotonic() - self.began) * 1000) + 1000
 
     async def beat(self):
+        await asyncio.sleep(self.first_beat_s)
         while self.alive:
             await self.report()
             await asyncio.sleep(HEARTBEAT_S)
@@ -588,6 +590,20 @@
                 3 * HEARTBEAT_S, lambda: self.store.remove("servers", worker.id)
             )
 
+    async def restart_worker(self, name, first_beat_s=0.0):
+        """The worker crashes and is back at once, under its id and address."""
+        vm = self.vms[name]
+        old = vm["worker"]
+        await old.crash()
+        new = Worker(self, name, vm["pool"], 0, vm["room"], vm["labels"])
+        new.id = old.id
+        new.server = HttpServer(new.handle, old.server.host)
+        new.first_beat_s = first_beat_s
+        vm["worker"] = new
+        await new.start(old.server.port)
+        self.note("restart", new, born=new.born)
+        return new
+
     def later(self, seconds, action):
         async def wait():
             await asyncio.sleep(seconds)
@@ -798,6 +814,12 @@
             await asyncio.sleep(0.3)
         raise CannotRun("no node accepted the job")
 
+    async def cancel(self, job):
+        queue = self.jobs[job]["queue"]
+        status, _ = await self.request(self.live_nodes()[0], "DELETE", queue, job)
+        if status != 200:
+            raise CannotRun("the cancel wasn't acknowledged")
+
     async def state(self, job, patience_s=5.0):
         queue = self.jobs[job]["queue"]
         until = time.monotonic() + patience_s
