--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -346,6 +346,8 @@
   std::size_t mRuns = 0;
   std::size_t mUnlisted = 0;
   std::size_t mUnanswered = 0;
+  /// Time since the worker's last answer.
+  Duration mSilence{};
 };
 
 /// How the runs of earlier owners on a worker became known.
@@ -649,7 +651,8 @@
                      TimePoint aNow);
   void RecordRestart(const CellWorker& aWorker,
                      std::int64_t aTo,
-                     bool aByListing);
+                     bool aByListing,
+                     TimePoint aNow);
   void ResolveInheritedRuns(CellWorker& aWorker, InheritedProof aProof);
   void RecordForgottenEnds(const CellWorker& aWorker,
                            const WorkerStatus& aListing);
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -381,7 +381,7 @@
   if (newIncarnation) {
     bool reported = worker->mReport.mIncarnation >= aListing.mIncarnation;
     if (!reported) {
-      RecordRestart(*worker, aListing.mIncarnation, true);
+      RecordRestart(*worker, aListing.mIncarnation, true, aNow);
       worker->mDrainedBeforeRestart = worker->mReport.mDraining;
     }
     // The token was raised once the directory had reported the restart.
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -76,7 +76,7 @@
     return;
   }
   if (aReport.mIncarnation > aWorker.mReport.mIncarnation) {
-    RecordRestart(aWorker, aReport.mIncarnation, false);
+    RecordRestart(aWorker, aReport.mIncarnation, false, aNow);
     aWorker.mDrainedBeforeRestart = aWorker.mReport.mDraining;
     aWorker.mMissedAnswers = 0;
     RequireNewToken(aWorker, aNow);
@@ -394,7 +394,8 @@
 void
 Cell::RecordRestart(const CellWorker& aWorker,
                     std::int64_t aTo,
-                    bool aByListing)
+                    bool aByListing,
+                    TimePoint aNow)
 {
   std::vector<TaskId> tasks = aWorker.Tasks();
   mWorkerNotices.emplace_back(WorkerRestart{ aWorker.mReport.mId,
@@ -403,7 +404,8 @@
                                              aByListing,
                                              tasks.size(),
                                              CountUnlisted(aWorker, tasks),
-                                             CountUnanswered(aWorker, tasks) });
+                                             CountUnanswered(aWorker, tasks),
+                                             aNow - aWorker.mLastAnswerAt });
 }
 
 void
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -443,7 +443,7 @@
 }
 
 // Logs one line per step whose tasks are started. The outcome of a start is
-// logged only if it failed.
+// logged only if it failed, or if some attempt got no answer.
 void
 CellRuntime::LogStarts(std::span<const CellOrder> aOrders) const
 {
@@ -507,7 +507,7 @@
     Expected<WorkerReply> reply = co_await SendOrder(aWorker, call, unanswered);
     mActivity.OnOrder(
       taken - order.mDecidedAt, mClock.Now() - taken, Ok(reply));
-    LogOrder(aWorker, call, reply);
+    LogOrder(aWorker, call, reply, unanswered);
     mCell->OnOrderReply(aWorker, call, reply, mClock.Now(), unanswered);
     if (!Ok(reply) || !std::holds_alternative<OrderDone>(std::get<0>(reply))) {
       mPlanDue.Set();
@@ -657,23 +657,25 @@
 void
 CellRuntime::LogOrder(std::string_view aWorker,
                       const WorkerCall& aCall,
-                      const Expected<WorkerReply>& aReply) const
+                      const Expected<WorkerReply>& aReply,
+                      bool aUnanswered) const
 {
   bool started = std::holds_alternative<StartRun>(aCall) && Ok(aReply) &&
                  std::holds_alternative<OrderDone>(std::get<0>(aReply));
-  if (started) {
+  if (started && !aUnanswered) {
     return;
   }
   std::string outcome = Ok(aReply)
                           ? std::visit(ReplyFormatter{}, std::get<0>(aReply))
                           : std::string(FailureName(std::get<1>(aReply)));
   LogInfo(kPart,
-          "{} worker={} pool={} token={} outcome={}",
+          "{} worker={} pool={} token={} outcome={} unanswered={}",
           std::visit(OrderFormatter{}, aCall),
           aWorker,
           mId.mName,
           mLease.Row().mTerm,
-          outcome);
+          outcome,
+          aUnanswered ? 1 : 0);
 }
 
 // --- Workers
@@ -893,7 +895,7 @@
   {
     LogInfo(kPart,
             "restart worker={} pool={} from={} born={} by={} n={} unlisted={} "
-            "unanswered={}",
+            "unanswered={} silent_ms={}",
             aNotice.mWorker,
             mPool,
             aNotice.mFrom,
@@ -901,7 +903,8 @@
             aNotice.mByListing ? "listing" : "directory",
             aNotice.mRuns,
             aNotice.mUnlisted,
-            aNotice.mUnanswered);
+            aNotice.mUnanswered,
+            ToMillis(aNotice.mSilence));
   }
   void operator()(const InheritedRunsResolved& aNotice) const
   {
--- a/src/services/cell_runtime.h
+++ b/src/services/cell_runtime.h
@@ -187,7 +187,8 @@
                            const Expected<WorkerReply>& aReply) const;
   void LogOrder(std::string_view aWorker,
                 const WorkerCall& aCall,
-                const Expected<WorkerReply>& aReply) const;
+                const Expected<WorkerReply>& aReply,
+                bool aUnanswered) const;
   void LogChanges(const CellChanges& aChanges) const;
   void MarkLost(std::string_view aWhy);
   RowName MakeRowName(std::string_view aTable, std::string_view aKey) const;
