Take a refused stop for one that did nothing

Callers saw a task run twice at the same time. A start gets no answer, and the worker carries it out seconds later. The owner sends a stop, which would forbid the run for good; the worker, unhealthy for a moment, answers 503. The owner took each refusal of a stop but that of the fence for a confirmation, so the next listing without the run freed the task for another worker.

Cause: the decoder makes one refusal of 400, 429 and 503, with which a worker "has then done nothing", and Cell::OnOrderReply read it as done.

Change: a stop counts once it is confirmed, or once the worker calls the run stale, as it then starts it no more.

The same cause looked for in the other replies: starts, renewals, paces and advice take 429, 503 and 400 for not done; a start that is refused after an attempt without an answer stays unconfirmed; commits and orders for VMs are repeated. A refused order for a VM that isn't of the wave counts as maintained, as it can never be carried out; it is left so.

--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -615,8 +615,12 @@
     return;
   }
   if (stop != nullptr) {
-    // A failed stop is sent again after an interval.
-    if (done || (refused != nullptr && !fenced)) {
+    // A failed stop is sent again after an interval. A worker that refuses it
+    // as unhealthy has done nothing; one that calls the run stale starts it no
+    // more.
+    bool stale =
+      refused != nullptr && refused->mReason == StartRefusal::StaleRun;
+    if (done || stale) {
       run.mStopAcknowledgedAt = aNow;
     }
     return;
