Reach the next process of a worker before late starts do

Callers saw a task run again after its end had been acknowledged, or beside its next run. A repeated start is answered, but its first attempt is carried out seconds later, by the next process of the worker, which has seen no token. That process was asked about a second after it was up, once the directory showed it, and an idle worker wasn't asked at all.

Change: while an attempt of a start that got no answer may still come, a worker is asked even if it is idle, so that a pending renewal ends with the process. A broken or refused connection raises the token of the worker at once; the token is that of the last commit, at hand before the restart is known. The worker is asked again after a tenth of its silence, 25 ms at least, and a process that a listing shows first gets the higher token without a pause. A new owner takes inherited workers for ones with such attempts. The cell keeps a worker that the directory has dropped for as long.

The model of restarts has connections that break with a process, unless a link hides it, as real ones do.

Evidence: the three tests don't compile on the code before, which has no such call.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -177,6 +177,8 @@
     worker.mAcceptedIncarnation = address.mIncarnation;
     worker.mPersisted = true;
     worker.mInheritedRunsUnknown = true;
+    // Starts of the earlier owner may have got no answer.
+    worker.mLateStartsUntil = aNow + kMaxCallDelay;
     // It may have restarted, and run things under the longest lease.
     ExtendLease(worker, aNow);
     ExtendLaterLease(worker, aNow);
--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -174,6 +174,8 @@
   TimePoint mLaterLeaseExpiry = TimePoint::min();
   TimePoint mLastAnswerAt;
   int mMissedAnswers = 0;
+  /// Until when an attempt of a start that got no answer may be carried out.
+  TimePoint mLateStartsUntil = TimePoint::min();
   /// All ended runs up to this position have been processed.
   std::uint64_t mLastSeenEnd = 0;
   /// The list of the known incarnation is followed from its first end on.
@@ -213,6 +215,9 @@
   TimePoint RunExpiry(const ActiveRun& aRun) const;
   /// The same for runs of earlier owners that aren't known.
   TimePoint InheritedRunExpiry() const;
+  /// Whether a start that was sent may still be carried out, also by the next
+  /// incarnation.
+  bool MayStartLate(TimePoint aNow) const;
   /// Whether the directory lists the known incarnation, and no later one.
   bool IsKnownIncarnationListed() const;
   /// Whether mReport may describe the known incarnation. A listing shows a
@@ -462,6 +467,9 @@
                  TimePoint aSent,
                  TimePoint aNow);
   void OnNoAnswer(std::string_view aWorker);
+  /// Handles a connection to the worker that broke or was refused, as when its
+  /// process ends.
+  void OnConnectionBroken(std::string_view aWorker, TimePoint aNow);
   void OnOtherWorker(std::string_view aWorker, TimePoint aNow);
   /// Handles the platform's report that an incarnation has ended; false if that
   /// was known, the worker answers, another incarnation is registered or some
@@ -530,6 +538,8 @@
   bool IsSuperseded(std::string_view aWorker, FencingToken aToken) const;
   /// Whether the worker waits for a token that no commit has brought yet.
   bool AwaitsNewToken(std::string_view aWorker) const;
+  /// Whether the next renewal brings the worker a higher token.
+  bool HasNewToken(std::string_view aWorker) const;
 
   /// Whether a planned start may still be sent to the worker.
   bool MayStartOn(std::string_view aWorker) const;
@@ -545,8 +555,9 @@
   {
     return mJobs;
   }
-  /// Whether the worker has runs, has ends to acknowledge or must be probed.
-  bool NeedsRenewal(std::string_view aWorker) const;
+  /// Whether the worker has runs, has ends to acknowledge, must be probed or
+  /// may carry a start out late.
+  bool NeedsRenewal(std::string_view aWorker, TimePoint aNow) const;
   /// Whether its ends should be acknowledged without a pause after the listing
   /// that has just been received.
   bool IsAcknowledgementOverdue(std::string_view aWorker, TimePoint aNow) const;
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -447,6 +447,19 @@
   }
 }
 
+// The next process under the id may be up before anything else tells of it, and
+// would carry out late starts until it has accepted a higher token. A process
+// that goes on accepts that token as well.
+void
+Cell::OnConnectionBroken(std::string_view aWorker, TimePoint aNow)
+{
+  CellWorker* worker = FindWorker(aWorker);
+  if (worker != nullptr && worker->mTokenAccepted &&
+      worker->MayStartLate(aNow)) {
+    RequireNewToken(*worker, aNow);
+  }
+}
+
 // Another worker answers at the address, so the earlier one has ended.
 void
 Cell::OnOtherWorker(std::string_view aWorker, TimePoint aNow)
@@ -593,6 +606,12 @@
   if (start == nullptr && stop == nullptr) {
     return;
   }
+  bool neverSent = !Ok(aReply) && std::holds_alternative<ConnectFailure>(
+                                    std::get<Failure>(aReply));
+  bool unanswered = aAttemptUnanswered || (!Ok(aReply) && !neverSent);
+  if (start != nullptr && unanswered) {
+    worker->mLateStartsUntil = aNow + kMaxCallDelay;
+  }
   const TaskId& task = start != nullptr ? start->mTask : stop->mTask;
   std::uint64_t number = start != nullptr ? start->mRun : stop->mRun;
   auto it = worker->mRuns.find(task);
@@ -625,9 +644,7 @@
     }
     return;
   }
-  bool neverSent = !Ok(aReply) && std::holds_alternative<ConnectFailure>(
-                                    std::get<Failure>(aReply));
-  if (aAttemptUnanswered || (!Ok(aReply) && !neverSent)) {
+  if (unanswered) {
     run.mLateStartUntil = aNow + kMaxCallDelay;
     ExtendLaterLease(*worker, aNow);
   }
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -55,8 +55,10 @@
     // forgotten by then, it would be taken for a new one.
     bool listedSinceEnd =
       worker.mEnded && aNow > worker.mEndedAt + kEndedWorkerRetention;
+    // One that the directory has dropped may be back before it is listed.
+    bool mayStartLate = !worker.mEnded && worker.MayStartLate(aNow);
     bool removable = (!worker.mInDirectory || listedSinceEnd) &&
-                     worker.mRuns.empty() && !unknown;
+                     worker.mRuns.empty() && !unknown && !mayStartLate;
     mWorkersDirty = mWorkersDirty || (removable && worker.mPersisted);
     return removable;
   });
@@ -114,6 +116,14 @@
          mNewestToken <= TokenFor(it->second);
 }
 
+bool
+Cell::HasNewToken(std::string_view aWorker) const
+{
+  auto it = mWorkers.find(aWorker);
+  return it != mWorkers.end() && it->second.mNeedsNewToken &&
+         mNewestToken > TokenFor(it->second);
+}
+
 // Calls that were meant for the earlier incarnation are carried out by the next
 // one, also late: they would start runs again, extend its lease and let it
 // forget ends. Once it has answered under a higher token, it refuses them. If
@@ -182,7 +192,7 @@
 }
 
 bool
-Cell::NeedsRenewal(std::string_view aWorker) const
+Cell::NeedsRenewal(std::string_view aWorker, TimePoint aNow) const
 {
   auto it = mWorkers.find(aWorker);
   if (it == mWorkers.end()) {
@@ -192,10 +202,12 @@
   if (worker.mEnded) {
     return false;
   }
-  // An unreachable worker is probed until it answers and can be used again.
+  // An unreachable worker is probed until it answers and can be used again. A
+  // pending renewal tells at once that the process has ended.
   return !worker.mRuns.empty() || !worker.mTokenAccepted ||
          worker.mMissedAnswers > 0 || worker.mNeedsProbe ||
-         worker.mHasMoreEnds || worker.mLastSeenEnd > worker.mLastCommittedEnd;
+         worker.MayStartLate(aNow) || worker.mHasMoreEnds ||
+         worker.mLastSeenEnd > worker.mLastCommittedEnd;
 }
 
 bool
@@ -536,6 +548,15 @@
   return tasks;
 }
 
+bool
+CellWorker::MayStartLate(TimePoint aNow) const
+{
+  return aNow < mLateStartsUntil ||
+         std::any_of(mRuns.begin(), mRuns.end(), [](const auto& aEntry) {
+           return aEntry.second.mStage == ActiveRun::Stage::Starting;
+         });
+}
+
 bool
 CellWorker::MayOutliveIncarnation(const ActiveRun& aRun, TimePoint aNow)
 {
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -25,6 +25,9 @@
 constexpr Duration kRenewalGracePeriod = std::chrono::milliseconds(900);
 constexpr Duration kRenewalRetryInterval = std::chrono::milliseconds(250);
 constexpr int kMaxRenewalBackoffFactor = 4;
+/// Shortest interval at which a worker is asked that may have restarted and may
+/// carry a start out late.
+constexpr Duration kMinRestartRetryInterval = std::chrono::milliseconds(25);
 constexpr Duration kOrderTimeout = std::chrono::milliseconds(800);
 /// Timeouts of one attempt of a renewal or an order. An answer takes some
 /// milliseconds, and up to 0.1 s more while the owner's processor quota is used
@@ -708,7 +711,7 @@
 {
   TimePoint idleSince = mClock.Now();
   while (Active() && mCell->Workers().contains(aWorker)) {
-    bool inUse = mCell->NeedsRenewal(aWorker) && HoldsLease();
+    bool inUse = mCell->NeedsRenewal(aWorker, mClock.Now()) && HoldsLease();
     SetInUse(QueueOf(aWorker), inUse);
     if (!inUse) {
       TimePoint deadline = mClock.Now() + kOwnerRenewalInterval;
@@ -719,7 +722,9 @@
     TimePoint began = mClock.Now();
     bool answered = co_await RenewWorkerLeases(aWorker, began - idleSince);
     idleSince = mClock.Now();
-    if (answered && mCell->IsAcknowledgementOverdue(aWorker, mClock.Now())) {
+    bool due = mCell->IsAcknowledgementOverdue(aWorker, mClock.Now()) ||
+               mCell->HasNewToken(aWorker);
+    if (answered && due) {
       continue;
     }
     TimePoint next = answered ? began + mPace.RenewalInterval(mWorkersInUse)
@@ -737,14 +742,24 @@
 }
 
 // A dead worker stays in the directory for some seconds, so the interval grows
-// with each unanswered renewal.
+// with each unanswered renewal. Workers are back within tenths of a second, and
+// the next process of one that may carry a start out late is asked first.
 Duration
 CellRuntime::RenewalBackoff(std::string_view aWorker) const
 {
   auto it = mCell->Workers().find(aWorker);
-  int missed = it == mCell->Workers().end() ? 1 : it->second.mMissedAnswers;
-  return kRenewalRetryInterval *
-         std::clamp(missed, 1, kMaxRenewalBackoffFactor);
+  if (it == mCell->Workers().end()) {
+    return kRenewalRetryInterval;
+  }
+  const CellWorker& worker = it->second;
+  Duration usual =
+    kRenewalRetryInterval *
+    std::clamp(worker.mMissedAnswers, 1, kMaxRenewalBackoffFactor);
+  TimePoint now = mClock.Now();
+  Duration silence = now - worker.mLastAnswerAt;
+  return worker.MayStartLate(now)
+           ? std::clamp(silence / 10, kMinRestartRetryInterval, usual)
+           : usual;
 }
 
 // An answer that is overdue is asked for again, on another connection and
@@ -788,8 +803,11 @@
     if (silent) {
       queue.mAnswers.OnTimeout();
     }
-    bool lost =
-      std::holds_alternative<ConnectionLost>(std::get<Failure>(reply));
+    const Failure& failure = std::get<Failure>(reply);
+    bool lost = std::holds_alternative<ConnectionLost>(failure);
+    if (lost || std::holds_alternative<ConnectFailure>(failure)) {
+      mCell->OnConnectionBroken(aWorker, now);
+    }
     bool firstAttempt = maxWait > Duration::zero();
     again = now < *giveUpAt && (silent || (lost && firstAttempt));
     maxWait = Duration::zero();
--- a/tests/cell_simulation.cpp
+++ b/tests/cell_simulation.cpp
@@ -626,7 +626,7 @@
   std::vector<std::string> due;
   for (const auto& [id, worker] : mOwner->Workers()) {
     bool paused = mNow < mRenewalPausedUntil[id];
-    if (!mRenewing[id] && !paused && mOwner->NeedsRenewal(id)) {
+    if (!mRenewing[id] && !paused && mOwner->NeedsRenewal(id, mNow)) {
       due.push_back(id);
     }
   }
--- a/tests/cell_test.cpp
+++ b/tests/cell_test.cpp
@@ -152,14 +152,14 @@
   cell.Commit();
   cell.Commit();
   CHECK(cell.Acknowledged() == 1);
-  CHECK(cell.mCell.NeedsRenewal("w"));
+  CHECK(cell.mCell.NeedsRenewal("w", cell.mNow));
   CHECK(cell.mCell.NextRenewal("w", 1s, cell.mNow).mMaxWait == Duration{});
   CHECK(cell.PlanAndAnswer().empty());
   cell.List({}, { DoneEnd(2, 1) });
   cell.Commit();
   cell.Commit();
   CHECK(cell.mCell.PhaseOf("a") == JobPhase::Completed);
-  CHECK_FALSE(cell.mCell.NeedsRenewal("w"));
+  CHECK_FALSE(cell.mCell.NeedsRenewal("w", cell.mNow));
 }
 
 // Guards against a start that was meant for a worker's earlier incarnation
@@ -581,13 +581,13 @@
   REQUIRE(harness.mCell.OnWorkerEnded("w", 5, harness.mNow));
   for (int i = 0; i < 3; ++i) {
     harness.mCell.SetWorkers(harness.mReports, harness.mNow);
-    CHECK_FALSE(harness.mCell.NeedsRenewal("w"));
+    CHECK_FALSE(harness.mCell.NeedsRenewal("w", harness.mNow));
     CHECK_FALSE(harness.mCell.MayStartOn("w"));
     CHECK(harness.mCell.Summary().mCapacityCores == 0);
   }
   harness.mReports[0].mIncarnation = 6;
   harness.mCell.SetWorkers(harness.mReports, harness.mNow);
-  CHECK(harness.mCell.NeedsRenewal("w"));
+  CHECK(harness.mCell.NeedsRenewal("w", harness.mNow));
   CHECK(harness.mCell.Summary().mCapacityCores == 32);
 }
 
@@ -611,7 +611,7 @@
   harness.mNow += 11s;
   harness.mCell.SetWorkers(harness.mReports, harness.mNow);
   harness.mCell.SetWorkers(harness.mReports, harness.mNow);
-  CHECK(harness.mCell.NeedsRenewal("w"));
+  CHECK(harness.mCell.NeedsRenewal("w", harness.mNow));
 }
 
 TEST_CASE("a worker that has ended is dropped once it isn't listed")
@@ -823,9 +823,9 @@
 {
   SingleWorkerCell harness;
   CHECK_FALSE(harness.mCell.OnWorkerEnded("w", 5, harness.mNow));
-  CHECK(harness.mCell.NeedsRenewal("w"));
+  CHECK(harness.mCell.NeedsRenewal("w", harness.mNow));
   harness.List({}, {});
-  CHECK_FALSE(harness.mCell.NeedsRenewal("w"));
+  CHECK_FALSE(harness.mCell.NeedsRenewal("w", harness.mNow));
   CHECK_FALSE(harness.mCell.OnWorkerEnded("w", 5, harness.mNow));
   harness.mCell.OnNoAnswer("w");
   CHECK(harness.mCell.OnWorkerEnded("w", 5, harness.mNow));
@@ -889,7 +889,7 @@
     "w", orders[0].mCall, Failure(TimeoutFailure{}), harness.mNow);
   harness.mCell.OnOtherWorker("w", harness.mNow);
   CHECK(harness.mCell.Workers().find("w")->second.mRuns.empty());
-  CHECK_FALSE(harness.mCell.NeedsRenewal("w"));
+  CHECK_FALSE(harness.mCell.NeedsRenewal("w", harness.mNow));
   CHECK(harness.Plan().empty());
 }
 
@@ -922,11 +922,11 @@
 TEST_CASE("an unreachable worker without runs is probed again")
 {
   SingleWorkerCell harness;
-  CHECK_FALSE(harness.mCell.NeedsRenewal("w"));
+  CHECK_FALSE(harness.mCell.NeedsRenewal("w", harness.mNow));
   harness.Submit("a", ChainOf({ 1 }));
   harness.mCell.OnNoAnswer("w");
   harness.mCell.OnNoAnswer("w");
-  CHECK(harness.mCell.NeedsRenewal("w"));
+  CHECK(harness.mCell.NeedsRenewal("w", harness.mNow));
   CHECK(harness.Plan().empty());
   harness.List({}, {});
   CHECK(harness.Plan().size() == 1);
--- /dev/null
+++ b/tests/late_copy_test.cpp
@@ -0,0 +1,91 @@
+// Tests that a late attempt of a start runs no task again after a restart.
+
+#include "cell_simulation.h"
+#include "single_worker_cell.h"
+
+#include <doctest/doctest.h>
+
+using namespace buckthornshunt;
+using namespace buckthornshunt::tests;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A cell with one task, of whose start an attempt got no answer.
+struct RepeatedStart
+{
+  RepeatedStart()
+  {
+    mCell.Submit("a", ChainOf({ 1 }));
+    std::vector<CellOrder> starts = mCell.Plan();
+    REQUIRE(starts.size() == 1);
+    mStart = starts[0].mCall;
+  }
+
+  void Answer()
+  {
+    mCell.mCell.OnOrderReply(
+      "w", mStart, WorkerReply(OrderDone{ 1 }), mCell.mNow, true);
+  }
+
+  void EndTask()
+  {
+    mCell.List({}, { DoneEnd(1, 0) });
+    mCell.Commit();
+    mCell.List({}, { DoneEnd(1, 0) });
+  }
+
+  FencingToken Token()
+  {
+    return mCell.mCell.NextRenewal("w", 0s, mCell.mNow).mToken;
+  }
+
+  SingleWorkerCell mCell;
+  WorkerCall mStart;
+};
+
+} // namespace
+
+// Guards against an idle worker whose next process isn't asked until the
+// directory has shown it.
+TEST_CASE("an idle worker isn't asked while a copy of a start may follow")
+{
+  RepeatedStart cell;
+  cell.Answer();
+  cell.EndTask();
+  REQUIRE(cell.mCell.mCell.Workers().find("w")->second.mRuns.empty());
+  CHECK(cell.mCell.mCell.NeedsRenewal("w", cell.mCell.mNow));
+  cell.mCell.mNow += kMaxCallDelay;
+  cell.mCell.List({}, { DoneEnd(1, 0) });
+  CHECK_FALSE(cell.mCell.mCell.NeedsRenewal("w", cell.mCell.mNow));
+}
+
+// Guards against a next process that carries out calls to the former one until
+// a listing has shown it.
+TEST_CASE("a worker is asked under its former token after its connection broke")
+{
+  RepeatedStart cell;
+  cell.Answer();
+  FencingToken before = cell.Token();
+  cell.mCell.mCell.OnConnectionBroken("w", cell.mCell.mNow);
+  FencingToken after = cell.Token();
+  CHECK(after > before);
+  // No further one is needed until the worker has answered.
+  cell.mCell.Commit();
+  cell.mCell.mCell.OnConnectionBroken("w", cell.mCell.mNow);
+  CHECK(cell.Token() == after);
+  CHECK_FALSE(cell.mCell.mCell.MayStartOn("w"));
+  cell.mCell.List({ { { "a", 0, 0, 0 }, 1, "", 100, std::nullopt } }, {});
+  CHECK(cell.mCell.mCell.MayStartOn("w"));
+}
+
+// Guards against a commit for each connection that breaks.
+TEST_CASE(
+  "a broken connection raises the token although all calls were answered")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 1 }));
+  REQUIRE(cell.PlanAndAnswer().size() == 1);
+  cell.mCell.OnConnectionBroken("w", cell.mNow);
+  CHECK(cell.mCell.MayStartOn("w"));
+}
--- a/tests/restart_model.cpp
+++ b/tests/restart_model.cpp
@@ -392,7 +392,7 @@
     return;
   }
   for (std::string_view worker : { kRestarting, kOther }) {
-    if (mOwner.NeedsRenewal(worker)) {
+    if (mOwner.NeedsRenewal(worker, mNow)) {
       Renew(worker);
       if (!mDeposed && mOwner.IsAcknowledgementOverdue(worker, mNow)) {
         Renew(worker);
@@ -563,6 +563,11 @@
       mLink = Link::Cut;
       break;
     case RestartEvent::Restart:
+      // A renewal that is pending ends with the process.
+      if (mLink != Link::Cut && mLink != Link::Mute &&
+          mOwner.NeedsRenewal(kRestarting, mNow)) {
+        mOwner.OnConnectionBroken(kRestarting, mNow);
+      }
       mRestarting = Process(mRestarting.mBorn + 1000, mNow);
       mRestartedAt = mNow;
       break;
