Acknowledge no end while an attempt of its start may follow

Callers saw a task run again after its end had been acknowledged: a worker restarts behind a one-way cut, where no connection is seen to break, and its next process carries out the first attempt of a repeated start.

An end whose process is gone before it was acknowledged was never taken note of. Ends on other workers aren't touched.

Evidence: the first two tests fail on the code before (an acknowledgement of 1 instead of 0).

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -183,7 +183,10 @@
   /// Later ones that have been, beyond one that can't be read.
   std::set<std::uint64_t> mEndsSeenAhead;
   std::uint64_t mLastCommittedEnd = 0;
-  /// The worker may still list ends that are committed.
+  /// Until when an attempt of the start may be carried out, by the numbers of
+  /// ends that would then be followed by another run.
+  std::map<std::uint64_t, TimePoint> mUnsettledEnds;
+  /// The worker may still list ends that can be acknowledged.
   bool mAcknowledgementDue = false;
   TimePoint mAcknowledgedAt = TimePoint::min();
   /// The last listing left ended runs out.
@@ -218,6 +221,8 @@
   /// Whether a start that was sent may still be carried out, also by the next
   /// incarnation.
   bool MayStartLate(TimePoint aNow) const;
+  /// The last end that may be acknowledged.
+  std::uint64_t LastSettledEnd(TimePoint aNow) const;
   /// Whether the directory lists the known incarnation, and no later one.
   bool IsKnownIncarnationListed() const;
   /// Whether mReport may describe the known incarnation. A listing shows a
@@ -686,6 +691,10 @@
                         const ReportedRun& aPresent,
                         TimePoint aSent,
                         TimePoint aNow);
+  static void RecordUnsettledEnd(CellWorker& aWorker,
+                                 const ActiveRun& aRun,
+                                 const EndedRun& aEnd,
+                                 TimePoint aNow);
   void ProcessEndedRuns(CellWorker& aWorker,
                         const WorkerStatus& aListing,
                         TimePoint aNow);
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -127,6 +127,24 @@
   StopRunsOf(aJob, aNow);
 }
 
+// The next process knows nothing of the end, and would carry out a late attempt
+// of the start. What ends without a result is started again in any case.
+void
+Cell::RecordUnsettledEnd(CellWorker& aWorker,
+                         const ActiveRun& aRun,
+                         const EndedRun& aEnd,
+                         TimePoint aNow)
+{
+  bool counts = !aRun.mLongRunning &&
+                (aEnd.mEnd == RunEnd::Done || aEnd.mEnd == RunEnd::Failed);
+  bool inFlight = aRun.mStage == ActiveRun::Stage::Starting;
+  std::optional<TimePoint> until =
+    inFlight ? aNow + kMaxCallDelay : aRun.mLateStartUntil;
+  if (counts && until && aNow < *until) {
+    aWorker.mUnsettledEnds.emplace(aEnd.mSequence, *until);
+  }
+}
+
 void
 Cell::OnRunEnded(CellWorker& aWorker, const EndedRun& aEnd, TimePoint aNow)
 {
@@ -136,6 +154,7 @@
   Duration runTime{};
   if (current) {
     runTime = aNow - active->second.mStartedAt;
+    RecordUnsettledEnd(aWorker, active->second, aEnd, aNow);
     RemoveRun(aWorker, aEnd.mTask);
   }
   CellJob* job = FindJob(aEnd.mTask.mJob);
@@ -347,12 +366,11 @@
     aWorker.mEndsSeenAhead.clear();
   }
   aWorker.mEndsFollowed = true;
-  aWorker.mAcknowledgementDue =
-    std::any_of(aListing.mEndedRuns.begin(),
-                aListing.mEndedRuns.end(),
-                [&](const EndedRun& aEnd) {
-                  return aEnd.mSequence <= aWorker.mLastCommittedEnd;
-                });
+  std::uint64_t settled = aWorker.LastSettledEnd(aNow);
+  aWorker.mAcknowledgementDue = std::any_of(
+    aListing.mEndedRuns.begin(),
+    aListing.mEndedRuns.end(),
+    [&](const EndedRun& aEnd) { return aEnd.mSequence <= settled; });
   std::deque<ProcessedEnds>& uncommitted = aWorker.mUncommittedEnds;
   std::uint64_t last = uncommitted.empty() ? aWorker.mLastCommittedEnd
                                            : uncommitted.back().mSequence;
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -259,9 +259,11 @@
   // The next incarnation would forget ends that nobody has read, so they are
   // acknowledged to the one that has just listed them.
   bool restarted = worker->mReport.mIncarnation > worker->mIncarnation;
+  std::erase_if(worker->mUnsettledEnds,
+                [&](const auto& aEntry) { return aNow >= aEntry.second; });
   bool listedNow = aNow <= worker->mLastAnswerAt + kMaxAcknowledgementDelay;
   if (worker->mAcknowledgementDue && !restarted && listedNow) {
-    renewal.mAcknowledgedSequence = worker->mLastCommittedEnd;
+    renewal.mAcknowledgedSequence = worker->LastSettledEnd(aNow);
     worker->mAcknowledgedAt = aNow;
   }
   bool mayWait = worker->mTokenAccepted && !worker->mHasMoreEnds;
@@ -471,6 +473,7 @@
   aWorker.mLastSeenEnd = 0;
   aWorker.mLastCommittedEnd = 0;
   aWorker.mUncommittedEnds.clear();
+  aWorker.mUnsettledEnds.clear();
   aWorker.mEndsSeenAhead.clear();
   aWorker.mMissedAnswers = 0;
   aWorker.mConsecutiveFailures = 0;
@@ -557,6 +560,20 @@
          });
 }
 
+// A worker lists a limited number of ends, the oldest first: those that can't
+// be acknowledged must not hide the newer ones.
+std::uint64_t
+CellWorker::LastSettledEnd(TimePoint aNow) const
+{
+  auto unsettled =
+    std::find_if(mUnsettledEnds.begin(),
+                 mUnsettledEnds.end(),
+                 [&](const auto& aEntry) { return aNow < aEntry.second; });
+  return mHasMoreEnds || unsettled == mUnsettledEnds.end()
+           ? mLastCommittedEnd
+           : std::min(mLastCommittedEnd, unsettled->first - 1);
+}
+
 bool
 CellWorker::MayOutliveIncarnation(const ActiveRun& aRun, TimePoint aNow)
 {
--- a/tests/late_copy_test.cpp
+++ b/tests/late_copy_test.cpp
@@ -46,6 +46,45 @@
 
 } // namespace
 
+// Guards against an end that is taken note of before an attempt of its start,
+// which the next process of the worker carries out.
+TEST_CASE("an end is acknowledged while a copy of its start may follow")
+{
+  RepeatedStart cell;
+  cell.Answer();
+  cell.EndTask();
+  CHECK(cell.mCell.mCell.PhaseOf("a") == JobPhase::Completed);
+  CHECK(cell.mCell.Acknowledged() == 0);
+  CHECK_FALSE(cell.mCell.mCell.IsAcknowledgementOverdue("w", cell.mCell.mNow));
+  cell.mCell.mNow += kMaxCallDelay;
+  cell.mCell.List({}, { DoneEnd(1, 0) });
+  CHECK(cell.mCell.Acknowledged() == 1);
+}
+
+// Guards against the answer to a repeated start arriving after its end.
+TEST_CASE("an end is acknowledged while the answer to its start is overdue")
+{
+  RepeatedStart cell;
+  cell.EndTask();
+  CHECK(cell.mCell.Acknowledged() == 0);
+  cell.Answer();
+  CHECK(cell.mCell.Acknowledged() == 0);
+  CHECK(cell.mCell.mCell.NeedsRenewal("w", cell.mCell.mNow));
+}
+
+// Guards against ends that nobody hears of, since a worker lists a limited
+// number of them.
+TEST_CASE("ends that may not be acknowledged hide newer ones")
+{
+  RepeatedStart cell;
+  cell.Answer();
+  cell.EndTask();
+  WorkerStatus full{ 0, 5, {}, { DoneEnd(1, 0) } };
+  full.mHasMoreEnds = true;
+  cell.mCell.ListStatus(full);
+  CHECK(cell.mCell.Acknowledged() == 1);
+}
+
 // Guards against an idle worker whose next process isn't asked until the
 // directory has shown it.
 TEST_CASE("an idle worker isn't asked while a copy of a start may follow")
