Soak in which the late copy of a start is the rule

Jobs are wide and end run by run, workers restart soon after ends, and the nodes of one data centre lose the store for 0.5 to 0.7 s, with some commits carried out without an answer. The summary counts the late starts that came after a noted end of the task, after a restart, or after both.

Without the options the plan of a seed is drawn as before.

--- a/soak/restarts.py
+++ b/soak/restarts.py
@@ -5,6 +5,7 @@
 
 import argparse
 import asyncio
+import collections
 import contextlib
 import contextvars
 import itertools
@@ -21,7 +22,7 @@
 sys.path.insert(0, str(ROOT / "review" / "standins-2"))
 
 import world as standins
-from world import CannotRun, HttpServer, Machines, Record, Worker, World
+from world import CannotRun, HttpServer, Machines, Node, Record, Worker, World
 from world import manifest, route
 
 POOLS = ("alpha", "beta")
@@ -37,6 +38,12 @@
 LATE_SHARES = (0.0, 0.1, 0.4)
 LATE_S = (2.0, 12.0)
 LATE_CALLS = ("/run-start", "/run-stop", "/hold")
+# With --copies.
+DATA_CENTRES = ("zone-a", "zone-b")
+RECENT_END_S = 3.0
+STORE_LOSS_S = (0.5, 0.7)
+# With --refusals.
+REFUSAL_S = (0.3, 0.9)
 
 # The ports of the connection on which the present call arrived, and its node.
 CONNECTION = contextvars.ContextVar("connection", default=None)
@@ -59,6 +66,7 @@
     # Servers of former processes whose connections a cut keeps from ending.
     stale = ()
     last_beat = 0.0
+    last_end = refusing_until = 0.0
 
     async def start(self):
         self.highest_cursor = 0
@@ -103,8 +111,15 @@
             self.lapsed_at = time.monotonic()
         super().extend(until)
 
+    async def run_task(self, task, run, spec):
+        index = int(task.rpartition(".")[2])
+        await super().run_task(
+            task, run, {**spec, "ms": spec["ms"] + index * spec.get("apart_ms", 0)}
+        )
+
     def end(self, task, how):
         super().end(task, how)
+        self.last_end = time.monotonic()
         if self.world.sticky_cursor and self.sequence <= self.highest_cursor:
             self.world.on_noted(self, self.ended.pop())
 
@@ -112,21 +127,42 @@
         # Connections of a former process may outlive it behind a cut.
         if not self.up or self.cut in ("both", "store"):
             return None
+        if path != "/health" and self.refuses():
+            return 503, {}
         carry_out = partial(super().handle, method, path, query, fields, body)
         if path == "/run-start":
             self.world.find_caller()
-        if path in LATE_CALLS and self.world.network.random() < self.world.late_share:
-            self.world.spawn(self.handle_late(carry_out))
+        if self.is_late(path, body):
+            self.world.spawn(self.handle_late(carry_out, path, body))
             return None
         answer = await carry_out()
         return None if self.cut else answer
 
-    async def handle_late(self, carry_out):
+    def refuses(self):
+        if time.monotonic() >= self.refusing_until:
+            return False
+        return self.world.copying.random() < self.world.refusals
+
+    def is_late(self, path, body):
+        world = self.world
+        if world.copies and path == "/run-start":
+            call = (self.id, body["task"], body["run"])
+            first = call not in world.attempted
+            world.attempted.add(call)
+            return first and world.copying.random() < world.copies
+        return path in LATE_CALLS and world.network.random() < world.late_share
+
+    async def handle_late(self, carry_out, path, body):
         delay = self.world.network.uniform(*LATE_S)
         CONNECTION.set({**CONNECTION.get(), "late": delay})
+        born = self.born
         await asyncio.sleep(delay)
-        if self.up:
-            await carry_out()
+        if not self.up:
+            return
+        if path == "/run-start":
+            noted = body["task"] in self.world.noted_tasks
+            self.world.late_copies[noted, self.born != born] += 1
+        await carry_out()
 
     async def hold(self, body):
         self.highest_cursor = max(self.highest_cursor, body.get("ack_cursor", 0))
@@ -156,17 +192,36 @@
         return rows
 
 
+class SoakNode(Node):
+    @property
+    def data_centre(self):
+        return DATA_CENTRES[int(self.name[-1]) % 2 if self.world.copies else 0]
+
+    def settings(self):
+        return {**super().settings(), "data_centre": self.data_centre}
+
+
 # The stand-ins make each other by these names.
 standins.HttpServer = PeerServer
 standins.Worker = SoakWorker
 standins.Machines = LaggingMachines
+standins.Node = SoakNode
 
 
 class SoakWorld(World):
-    def __init__(self, record, seed, sticky_cursor):
+    def __init__(self, record, args):
         super().__init__(record)
-        self.network = random.Random(f"{seed} network")
-        self.sticky_cursor = sticky_cursor
+        self.network = random.Random(f"{args.seed} network")
+        self.copying = random.Random(f"{args.seed} copies")
+        self.sticky_cursor = args.sticky_cursor
+        # Share of starts whose first attempt is carried out late, and of calls
+        # that a refusing worker turns down.
+        self.copies, self.refusals = args.copies, args.refusals
+        self.attempted = set()
+        self.noted_tasks = set()
+        # Count of late starts by whether the task's end had been noted, and
+        # whether the worker had restarted.
+        self.late_copies = collections.Counter()
         self.late_share = 0.0
         self.store_servers = {}
         # Kind of the cut between a node and the store, by the node's name.
@@ -242,6 +297,8 @@
         ended_at = self.runs[(worker.id, worker.born, end[1], end[2])][1]
         if worker.clock() <= worker.lease and worker.lapsed_at < ended_at:
             super().on_noted(worker, end)
+            if end[3] == "done":
+                self.noted_tasks.add(end[1])
 
     # --- The rule
 
@@ -281,9 +338,12 @@
     """Submits a job, again while it isn't accepted, as clients do."""
     is_long = rng.random() < 1 / 3
     millis = rng.randrange(10_000, 13_000) if is_long else rng.randrange(300, 1000)
-    count = rng.randint(1, 4)
+    count, spec = rng.randint(1, 4), {"ms": millis}
     step = {"count": count, "cpu": 4000, "mem_mb": 64, "estimate_ms": millis}
-    job = {"spec": json.dumps({"ms": millis}), "steps": [step]}
+    if world.copies and not is_long:
+        count, spec["apart_ms"] = rng.randint(6, 10), 100
+        step |= {"count": count, "cpu": 2000}
+    job = {"spec": json.dumps(spec), "steps": [step]}
     for _ in range(20):
         status, _ = await world.submit(rng.choice(world.nodes), queue, ident, job)
         if status == 200:
@@ -363,6 +423,50 @@
         await asyncio.sleep(rng.uniform(1.0, 4.0))
 
 
+async def restart_after_ends(world, rng, until):
+    """Restarts workers soon after runs have ended there."""
+
+    async def restart(worker):
+        await worker.restart(rng.uniform(0.1, 0.4), rng.uniform(0.0, 2.0))
+        worker.troubled = False
+
+    while time.monotonic() < until:
+        await asyncio.sleep(rng.uniform(0.4, 1.5))
+        since = time.monotonic() - RECENT_END_S
+        calm = [w for w in world.workers if w.last_end > since and not w.troubled]
+        if calm:
+            worker = rng.choice(calm)
+            worker.troubled = True
+            world.spawn(restart(worker))
+
+
+async def lose_store(world, rng, until):
+    """Breaks the connections of one data centre's nodes to the store, which has
+    carried out some of the calls."""
+    while time.monotonic() < until:
+        await asyncio.sleep(rng.uniform(1.5, 4.0))
+        place = rng.choice(DATA_CENTRES)
+        nodes = [n for n in world.nodes if n.data_centre == place]
+        nodes = [n for n in nodes if n not in world.troubled_nodes]
+        world.troubled_nodes.update(nodes)
+        world.record(f"{place} loses the store")
+        for node in nodes:
+            world.store_cuts[node.name] = rng.choice(("answers", "silent"))
+        await asyncio.sleep(rng.uniform(*STORE_LOSS_S))
+        for node in nodes:
+            await world.store_servers[node.name].stop()
+            del world.store_cuts[node.name]
+            await world.store_servers[node.name].start()
+        world.troubled_nodes.difference_update(nodes)
+
+
+async def refuse_calls(world, rng, until):
+    while time.monotonic() < until:
+        span = rng.uniform(*REFUSAL_S)
+        rng.choice(world.workers).refusing_until = time.monotonic() + span
+        await asyncio.sleep(rng.uniform(0.1, 0.5))
+
+
 async def soak(world, seed, seconds):
     slow = {"target_latency_ms": TARGET_MS}
     queues = [route(f"r-{i}", pool, i, **slow) for i, pool in enumerate(POOLS, 1)]
@@ -384,6 +488,12 @@
     until = time.monotonic() + trouble_s
     world.spawn(trouble_workers(world, random.Random(f"{seed} workers"), until))
     world.spawn(trouble_nodes(world, random.Random(f"{seed} nodes"), until))
+    if world.copies:
+        ends, losses = (random.Random(f"{seed} {part}") for part in ("ends", "losses"))
+        world.spawn(restart_after_ends(world, ends, until))
+        world.spawn(lose_store(world, losses, until))
+    if world.refusals:
+        world.spawn(refuse_calls(world, random.Random(f"{seed} refusals"), until))
     shares = list(LATE_SHARES)
     random.Random(f"{seed} phases").shuffle(shares)
     for share in shares:
@@ -405,15 +515,18 @@
 def summary(world):
     done = {key[2] for key, run in world.runs.items() if run[2] == "done"}
     late = sum(delay > 0 for _, _, delay in world.orders.values())
+    copies = world.late_copies
     return (
         f"accepted jobs={len(world.accepted)} with tasks={sum(world.accepted.values())} "
         f"done tasks={len(done)} refused calls={world.refused} "
-        f"starts={len(world.runs)} late starts={late}"
+        f"starts={len(world.runs)} late starts={late} late calls after: "
+        f"noted end={copies[True, False]} restart={copies[False, True]} "
+        f"both={copies[True, True]} neither={copies[False, False]}"
     )
 
 
 async def run(args, record):
-    world = SoakWorld(record, args.seed, args.sticky_cursor)
+    world = SoakWorld(record, args)
     stop = asyncio.current_task().cancel
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop)
@@ -433,6 +546,8 @@
     parser.add_argument("--daemon", default=str(ROOT / standins.DAEMON))
     parser.add_argument("--keep", help="folder for the record and the daemons' logs")
     parser.add_argument("--sticky-cursor", action="store_true")
+    parser.add_argument("--copies", type=float, default=0.0, metavar="SHARE")
+    parser.add_argument("--refusals", type=float, default=0.0, metavar="SHARE")
     args = parser.parse_args()
     standins.DAEMON = str(Path(args.daemon).resolve())
     if args.keep:
