Cells tell why tasks that are ready don't run

Callers see a job with nothing running; the log of the cell's owner has no line for it, as nothing happens. So a wait of suspects of a crash can't be told from runs that are still held on a worker that is gone.

The owner logs it as "waiting job=... why=...".

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -388,8 +388,45 @@
   std::uint64_t mLast = 0;
 };
 
-using WorkerNotice =
-  std::variant<WorkerRestart, InheritedRunsResolved, EndsForgotten>;
+/// Why tasks that are ready don't run.
+enum class WaitReason : std::uint8_t
+{
+  /// Suspects of crashes that are kept apart from other tasks.
+  Suspect,
+  /// An earlier owner's runs on some worker aren't known.
+  InheritedRunsUnknown,
+  /// A run on a worker that is gone or silent hasn't certainly ended.
+  RunHeld,
+  Backoff,
+  Advice,
+  Quota,
+  NoRoom
+};
+
+std::string_view
+ToString(WaitReason aReason);
+
+std::string_view
+ToString(ActiveRun::Stage aStage);
+
+/// Tasks of a step that have been ready for long and don't run.
+struct TasksWaiting
+{
+  std::string mJob;
+  std::uint32_t mOccurrence = 0;
+  std::uint32_t mStep = 0;
+  std::size_t mTasks = 0;
+  Duration mFor{};
+  WaitReason mReason = WaitReason::NoRoom;
+  /// Of the run that is held: its worker, its stage, and the time until it has
+  /// certainly ended if the worker doesn't answer.
+  std::string mWorker;
+  ActiveRun::Stage mStage = ActiveRun::Stage::Starting;
+  Duration mUntilExpiry{};
+};
+
+using WorkerNotice = std::
+  variant<WorkerRestart, InheritedRunsResolved, EndsForgotten, TasksWaiting>;
 
 /// Cores of a pool.
 struct PoolSummary
@@ -713,6 +750,12 @@
   LongRunningRoom FindLongRunningRoom(TimePoint aNow) const;
   void PlanEvacuation(TimePoint aNow);
   void PlanRates(TimePoint aNow, std::vector<CellOrder>& aOrders);
+  void RecordWaitingTasks(TimePoint aNow);
+  std::optional<TasksWaiting> FindWaitingTasks(const CellJob& aJob,
+                                               std::uint32_t aOccurrence,
+                                               std::uint32_t aStep,
+                                               bool aInheritedRunsKnown,
+                                               TimePoint aNow) const;
   void RemoveStaleTickets(StepRecord& aStep, TimePoint aNow) const;
   void PlanStarts(TimePoint aNow, std::vector<CellOrder>& aOrders);
   void CollectCandidates(TimePoint aNow, std::vector<Candidate>& aOut);
@@ -788,6 +831,7 @@
   std::vector<WorkerCrash> mCrashes;
   std::vector<RunLoss> mRunLosses;
   std::vector<WorkerNotice> mWorkerNotices;
+  TimePoint mNextWaitSearch = TimePoint::min();
   double mIncomingCores = 0;
   PoolLoad mLoad;
   /// When mLoad was measured; none if it must be measured again.
--- a/src/decide/cell_job.h
+++ b/src/decide/cell_job.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -94,6 +95,9 @@
   std::map<std::string, StepTicket, std::less<>> mTickets;
   TimePoint mTicketExpiry;
   bool mAdviceRequested = false;
+  /// Since when some task has been ready without a run that is known to go on;
+  /// none if there is no such task.
+  std::optional<TimePoint> mWaitsSince;
 };
 
 /// State of one occurrence of a job.
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -179,6 +179,7 @@
   PlanStops(aNow, orders);
   PlanRates(aNow, orders);
   PlanStarts(aNow, orders);
+  RecordWaitingTasks(aNow);
   return orders;
 }
 
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -943,6 +943,24 @@
             aNotice.mFirst,
             aNotice.mLast);
   }
+  void operator()(const TasksWaiting& aNotice) const
+  {
+    bool held = aNotice.mReason == WaitReason::RunHeld;
+    LogInfo(kPart,
+            "waiting job={} pool={} step={}.{} n={} for_ms={} why={}{}",
+            aNotice.mJob,
+            mPool,
+            aNotice.mOccurrence,
+            aNotice.mStep,
+            aNotice.mTasks,
+            ToMillis(aNotice.mFor),
+            ToString(aNotice.mReason),
+            held ? FormatText(" worker={} stage={} expires_ms={}",
+                              aNotice.mWorker,
+                              ToString(aNotice.mStage),
+                              ToMillis(aNotice.mUntilExpiry))
+                 : std::string());
+  }
 
   std::string_view mPool;
 };
