Soak: a worker isn't chosen twice at the same time

Two loops that are due in the same turn of the event loop could choose the same worker, as it was marked only once its own task ran. It is marked at once now; no number is drawn otherwise.

--- a/soak/restarts.py
+++ b/soak/restarts.py
@@ -364,7 +364,6 @@
 async def trouble_worker(worker, rng):
     """Restarts a worker and cuts it off soon after; now and then it crashes
     behind the cut, for the first time or once more."""
-    worker.troubled = True
     restart = lambda: worker.restart(rng.uniform(0.1, 0.8), rng.uniform(0.0, 2.0))
     if rng.random() < 0.8:
         await restart()
@@ -385,7 +384,10 @@
     while time.monotonic() < until:
         calm = [w for w in world.workers if w.service in POOLS and not w.troubled]
         if calm and sum(w.troubled for w in world.workers) < MAX_TROUBLED_WORKERS:
-            world.spawn(trouble_worker(rng.choice(calm), random.Random(rng.random())))
+            worker = rng.choice(calm)
+            # At once, as other loops that are due now would choose it too.
+            worker.troubled = True
+            world.spawn(trouble_worker(worker, random.Random(rng.random())))
         await asyncio.sleep(rng.uniform(0.3, 1.5))
 
 
