--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -96,6 +96,8 @@
   bool mLongRunning = false;
   /// Crashes of workers during earlier runs of the task.
   std::uint32_t mEarlierCrashes = 0;
+  /// Shares the worker with no other short task.
+  bool mIsolated = false;
   int mRatePercent = 0;
   int mTargetRatePercent = 100;
   /// Its process may run it at another rate: the order was meant for the former
@@ -173,6 +175,8 @@
   /// The same for a later incarnation that carries out calls to the known one.
   TimePoint mLaterLeaseExpiry = TimePoint::min();
   TimePoint mLastAnswerAt;
+  /// First sign after an answer that the worker may be lost.
+  TimePoint mLostAt = TimePoint::min();
   int mMissedAnswers = 0;
   /// Until when an attempt of a start that got no answer may be carried out.
   TimePoint mLateStartsUntil = TimePoint::min();
@@ -234,6 +238,15 @@
     return std::max(mIncarnation, mReport.mIncarnation);
   }
 
+  void MarkLost(TimePoint aNow)
+  {
+    if (mLostAt <= mLastAnswerAt) {
+      mLostAt = aNow;
+    }
+  }
+  /// Whether its last loss goes on, or was followed by another incarnation.
+  bool IsLossConfirmed() const;
+
   bool HasSeenEnd(std::uint64_t aSequence) const
   {
     return aSequence <= mLastSeenEnd || mEndsSeenAhead.contains(aSequence);
@@ -315,6 +328,8 @@
 
   std::string mWorker;
   std::int64_t mIncarnation = 0;
+  /// Other workers were lost at the same time, and the crash isn't counted.
+  bool mExplained = false;
   std::vector<Run> mRuns;
 };
 
@@ -616,6 +631,13 @@
     double mRuns = 0;
   };
   struct Candidate;
+  /// A crash that has been counted for its tasks.
+  struct CountedCrash
+  {
+    TimePoint mAt;
+    std::string mWorker;
+    std::vector<TaskId> mTasks;
+  };
   /// Where the long-running tasks can run that have no worker or are to leave
   /// theirs.
   struct LongRunningRoom
@@ -713,6 +735,8 @@
   void RecordCrash(CellWorker& aWorker,
                    std::span<const TaskId> aLost,
                    TimePoint aNow);
+  bool HasCommonCause(const CellWorker& aWorker) const;
+  void WithdrawExplainedCrashes(TimePoint aNow);
   void FailJob(CellJob& aJob, TimePoint aNow);
   void RequestStop(ActiveRun& aRun, TimePoint aNow);
   void StopRunsOf(const CellJob& aJob, TimePoint aNow);
@@ -772,11 +796,14 @@
     TimePoint aNow,
     std::vector<CellWorker*>& aWorkers);
   bool Usable(const CellWorker& aWorker, TimePoint aNow) const;
-  static bool MayHostSuspect(const CellWorker& aWorker, std::uint32_t aCrashes);
+  std::size_t CountIsolationSlots(TimePoint aNow) const;
+  void ReserveForIsolation(const TaskRequirements& aRequirements,
+                           std::vector<PlacementTarget>& aTargets);
   void StartTask(CellWorker& aWorker,
                  CellJob& aJob,
                  const TaskId& aTask,
                  std::uint64_t aRun,
+                 bool aIsolated,
                  TimePoint aNow,
                  std::vector<CellOrder>& aOrders);
   std::int64_t GrantLease(CellWorker& aWorker, TimePoint aNow);
@@ -829,6 +856,10 @@
   double mSharedCores = 0;
   InterferenceTable mInterference;
   std::vector<WorkerCrash> mCrashes;
+  /// Oldest first; those that a common cause may still explain.
+  std::deque<CountedCrash> mCountedCrashes;
+  /// Workers that the present planning pass may still set apart for suspects.
+  std::size_t mIsolationSlots = 0;
   std::vector<RunLoss> mRunLosses;
   std::vector<WorkerNotice> mWorkerNotices;
   TimePoint mNextWaitSearch = TimePoint::min();
--- a/src/decide/cell_job.h
+++ b/src/decide/cell_job.h
@@ -75,6 +75,8 @@
   std::string mWorker;
   std::string mLastFailedWorker;
   TimePoint mNotBefore;
+  /// Since when the task waits for a worker without other short tasks.
+  std::optional<TimePoint> mAwaitsIsolationSince;
 };
 
 /// The advice service lets an incarnation of a worker run a step.
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -35,6 +35,11 @@
   std::chrono::milliseconds(600);
 constexpr Duration kEvacuationDelay = std::chrono::seconds(4);
 
+/// Time that a suspect waits for a worker without other short tasks, and the
+/// share of the workers that suspects may have to themselves.
+constexpr Duration kMaxIsolationWait = std::chrono::milliseconds(1500);
+constexpr std::size_t kWorkersPerIsolated = 4;
+
 /// Classes of tasks in the order in which they are placed.
 enum class Urgency : std::uint8_t
 {
@@ -188,6 +193,9 @@
 Cell::ExpireLeases(TimePoint aNow)
 {
   for (auto& [id, worker] : mWorkers) {
+    if (!worker.mListed || worker.mMissedAnswers > 0) {
+      worker.MarkLost(aNow);
+    }
     if (aNow <= worker.mLeaseExpiry ||
         worker.mMissedAnswers < kMissedAnswersUntilSuspected) {
       continue;
@@ -258,20 +266,69 @@
          aNow >= aWorker.mAvoidUntil;
 }
 
-// A suspect of a crash shares its worker with no other one; after a second
-// crash it shares it with no other short task, so that a third one proves the
-// cause.
+namespace {
+
 bool
-Cell::MayHostSuspect(const CellWorker& aWorker, std::uint32_t aCrashes)
+HasShortRuns(const CellWorker& aWorker)
 {
-  return std::none_of(
-    aWorker.mRuns.begin(), aWorker.mRuns.end(), [&](const auto& aEntry) {
-      const ActiveRun& run = aEntry.second;
-      return !run.mLongRunning &&
-             (run.mEarlierCrashes > 0 || aCrashes >= kCrashesUntilIsolated);
+  return std::any_of(
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const auto& aEntry) {
+      return !aEntry.second.mLongRunning;
     });
 }
 
+bool
+HasSuspects(const CellWorker& aWorker)
+{
+  return std::any_of(
+    aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const auto& aEntry) {
+      return !aEntry.second.mLongRunning && aEntry.second.mEarlierCrashes > 0;
+    });
+}
+
+} // namespace
+
+// The short runs of the emptiest worker end before those of any other, so that
+// a suspect gets a worker of its own soon.
+void
+Cell::ReserveForIsolation(const TaskRequirements& aRequirements,
+                          std::vector<PlacementTarget>& aTargets)
+{
+  if (mIsolationSlots == 0) {
+    return;
+  }
+  PlacementTarget* emptiest = nullptr;
+  for (PlacementTarget& target : aTargets) {
+    auto shortCores = [](const PlacementTarget& aTarget) {
+      return aTarget.mReserved.mCpuMillis - aTarget.mLongRunning.mCpuMillis;
+    };
+    bool fits = !target.mUnschedulable &&
+                target.mId != aRequirements.mAvoidedWorker &&
+                FitsBesideLongRunning(target, aRequirements);
+    if (fits &&
+        (emptiest == nullptr || shortCores(target) < shortCores(*emptiest))) {
+      emptiest = &target;
+    }
+  }
+  if (emptiest != nullptr) {
+    emptiest->mUnschedulable = true;
+    --mIsolationSlots;
+  }
+}
+
+std::size_t
+Cell::CountIsolationSlots(TimePoint aNow) const
+{
+  std::size_t usable = 0;
+  std::size_t isolated = 0;
+  for (const auto& [id, worker] : mWorkers) {
+    usable += Usable(worker, aNow) ? 1 : 0;
+    isolated += worker.mIsolatedRuns > 0 ? 1 : 0;
+  }
+  std::size_t slots = std::max<std::size_t>(usable / kWorkersPerIsolated, 1);
+  return usable > 1 && slots > isolated ? slots - isolated : 0;
+}
+
 std::vector<PlacementTarget>
 Cell::PlacementTargets(TimePoint aNow, std::vector<CellWorker*>& aWorkers)
 {
@@ -373,6 +430,7 @@
   std::vector<CellWorker*> workers;
   std::vector<PlacementTarget> targets = PlacementTargets(aNow, workers);
   RoomFilter room(targets);
+  mIsolationSlots = CountIsolationSlots(aNow);
   for (const Candidate& candidate : aCandidates) {
     const StepSpec& spec = candidate.mJob->mSpec.mSteps[candidate.mStep];
     if (room.CannotFit(spec)) {
@@ -431,6 +489,7 @@
                 CellJob& aJob,
                 const TaskId& aTask,
                 std::uint64_t aRun,
+                bool aIsolated,
                 TimePoint aNow,
                 std::vector<CellOrder>& aOrders)
 {
@@ -440,6 +499,7 @@
   TaskRecord& task = step.mTasks[aTask.mIndex];
   task.mStage = TaskStage::Active;
   task.mWorker = aWorker.mReport.mId;
+  task.mAwaitsIsolationSince.reset();
   ++task.mStarts;
   ++step.mActiveTasks;
   aJob.mStarted = true;
@@ -455,6 +515,7 @@
   run.mBestEffort = spec.mBestEffort;
   run.mLongRunning = spec.mLongRunning;
   run.mEarlierCrashes = task.mCrashes;
+  run.mIsolated = aIsolated;
   run.mTailLatencyTarget = spec.mTailLatencyTarget;
   run.mExpectedRunTime =
     ExpectedRunTime(ModelOf(aJob.mQueue), spec.mEstimatedRunTime);
@@ -559,7 +620,41 @@
       }
     }
   }
-  std::vector<std::pair<std::uint32_t, std::size_t>> placed;
+  struct PlacedTask
+  {
+    std::uint32_t mIndex;
+    std::size_t mTarget;
+    bool mIsolated;
+  };
+  std::vector<PlacedTask> placed;
+  // Chooses among the workers for which aExcludes doesn't hold.
+  auto pick = [&](const TaskId& aTask, auto aExcludes) {
+    std::vector<std::size_t> excluded;
+    auto exclude = [&](std::size_t aTarget) {
+      excluded.push_back(aTarget);
+      aTargets[aTarget].mUnschedulable = true;
+    };
+    for (std::size_t w = 0; w < aTargets.size(); ++w) {
+      if (!aTargets[w].mUnschedulable && aExcludes(w)) {
+        exclude(w);
+      }
+    }
+    std::optional<std::size_t> chosen = PickWorker(aTargets, requirements);
+    // An earlier run of the task may be on the worker, still being stopped.
+    while (chosen && aWorkers[*chosen]->mRuns.contains(aTask)) {
+      exclude(*chosen);
+      chosen = PickWorker(aTargets, requirements);
+    }
+    for (std::size_t w : excluded) {
+      aTargets[w].mUnschedulable = false;
+    }
+    return chosen;
+  };
+  auto isPlacedOn = [&](std::size_t aTarget) {
+    return std::any_of(placed.begin(), placed.end(), [&](const auto& aPlaced) {
+      return aPlaced.mTarget == aTarget;
+    });
+  };
   std::vector<std::size_t> withoutTicket;
   for (std::size_t w = 0; needsAdvice && w < aTargets.size(); ++w) {
     if (!aTargets[w].mUnschedulable &&
@@ -585,7 +680,7 @@
   std::uint64_t firstRun = (mTerm - job.mAcceptedTerm) * kMaxRunsPerTerm;
   std::uint32_t starts = step.mGangStarts;
   for (std::uint32_t i = 0; i < step.mTasks.size(); ++i) {
-    const TaskRecord& task = step.mTasks[i];
+    TaskRecord& task = step.mTasks[i];
     if (task.mStage != TaskStage::Idle) {
       continue;
     }
@@ -604,36 +699,37 @@
     // The members of a gang can't be kept apart.
     bool suspect = task.mCrashes > 0 && !spec.mGang;
     requirements.mSpread = suspect;
-    std::vector<std::size_t> occupied;
-    for (std::size_t w = 0; suspect && w < aTargets.size(); ++w) {
-      bool taken =
-        !MayHostSuspect(*aWorkers[w], task.mCrashes) ||
-        std::any_of(placed.begin(), placed.end(), [&](const auto& aPlaced) {
-          return aPlaced.second == w;
-        });
-      if (taken && !aTargets[w].mUnschedulable) {
-        occupied.push_back(w);
-        aTargets[w].mUnschedulable = true;
-      }
-    }
-    std::optional<std::size_t> chosen = PickWorker(aTargets, requirements);
-    // An earlier run of the task may be on the worker, still being stopped.
-    while (chosen && aWorkers[*chosen]->mRuns.contains(id)) {
-      occupied.push_back(*chosen);
-      aTargets[*chosen].mUnschedulable = true;
-      chosen = PickWorker(aTargets, requirements);
+    bool isolate = suspect && task.mCrashes >= kCrashesUntilIsolated;
+    std::optional<std::size_t> chosen;
+    bool isolated = false;
+    if (isolate && mIsolationSlots > 0) {
+      chosen = pick(id, [&](std::size_t aTarget) {
+        return HasShortRuns(*aWorkers[aTarget]) || isPlacedOn(aTarget);
+      });
+      isolated = chosen.has_value();
+      mIsolationSlots -= isolated ? 1 : 0;
     }
-    for (std::size_t w : occupied) {
-      aTargets[w].mUnschedulable = false;
+    if (isolate && !isolated && aWorkers.size() > 1) {
+      task.mAwaitsIsolationSince = task.mAwaitsIsolationSince.value_or(aNow);
+      if (aNow < *task.mAwaitsIsolationSince + kMaxIsolationWait) {
+        ReserveForIsolation(requirements, aTargets);
+        continue;
+      }
     }
     if (!chosen && suspect) {
-      continue;
+      chosen = pick(id, [&](std::size_t aTarget) {
+        return HasSuspects(*aWorkers[aTarget]) || isPlacedOn(aTarget);
+      });
+    }
+    if (!chosen) {
+      chosen = pick(id, [](std::size_t) { return false; });
     }
     if (!chosen) {
       result = Placement::NoRoom;
       break;
     }
     aTargets[*chosen].mReserved += requirements.mResources;
+    aTargets[*chosen].mUnschedulable = isolated;
     if (spec.mLongRunning) {
       aTargets[*chosen].mLongRunning += requirements.mResources;
     }
@@ -642,13 +738,13 @@
     if (spec.mSameRack && rack.empty()) {
       rack = aTargets[*chosen].mRack;
     }
-    placed.emplace_back(i, *chosen);
+    placed.push_back({ i, *chosen, isolated });
   }
   for (std::size_t w : withoutTicket) {
     aTargets[w].mUnschedulable = false;
   }
   if (spec.mGang && result != Placement::AllPlaced) {
-    for (auto [index, target] : placed) {
+    for (auto [index, target, isolated] : placed) {
       aTargets[target].mReserved -= requirements.mResources;
       if (spec.mLongRunning) {
         aTargets[target].mLongRunning -= requirements.mResources;
@@ -660,11 +756,11 @@
     ++step.mGangStarts;
     ++starts;
   }
-  for (auto [index, target] : placed) {
+  for (auto [index, target, isolated] : placed) {
     TaskId task{ job.mId, aCandidate.mOccurrence, aCandidate.mStep, index };
     std::uint64_t run =
       firstRun + (spec.mGang ? starts : step.mTasks[index].mStarts + 1);
-    StartTask(*aWorkers[target], job, task, run, aNow, aOrders);
+    StartTask(*aWorkers[target], job, task, run, isolated, aNow, aOrders);
     aTargets[target].mUnschedulable =
       aTargets[target].mUnschedulable || aWorkers[target]->mIsolatedRuns > 0;
   }
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -491,6 +491,7 @@
 void
 Cell::EndIncarnation(CellWorker& aWorker, TimePoint aNow)
 {
+  aWorker.MarkLost(aNow);
   RecordCrash(aWorker, aWorker.RunningTasks(), aNow);
   aWorker.mEnded = true;
   aWorker.mEndedAt = aNow;
--- a/src/decide/cell_waits.cpp
+++ b/src/decide/cell_waits.cpp
@@ -75,7 +75,7 @@
     if (task.mStage == TaskStage::Idle) {
       ++idle;
       anyDue = anyDue || aNow >= task.mNotBefore;
-      anySuspect = anySuspect || (task.mCrashes > 0 && !spec.mGang);
+      anySuspect = anySuspect || task.mAwaitsIsolationSince;
     } else if (task.mStage == TaskStage::Active) {
       auto worker = mWorkers.find(task.mWorker);
       if (worker == mWorkers.end()) {
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -10,8 +10,16 @@
 /// Workers that may crash during runs of a task before its job fails. With the
 /// first limit the cause may be any of the worker's runs; the second holds if
 /// the last one ran no other short task.
-constexpr std::uint32_t kMaxCrashes = 3;
-constexpr std::uint32_t kMaxCrashesAlone = 2;
+constexpr std::uint32_t kMaxCrashes = 4;
+constexpr std::uint32_t kMaxCrashesAlone = 3;
+
+/// Crashes have a common cause if within this time at least so many workers
+/// were lost, and three quarters of a rack, a data centre or the pool.
+constexpr Duration kCommonCauseWindow = std::chrono::seconds(1);
+constexpr std::size_t kMinCommonLosses = 3;
+/// Time within which the losses of other workers may become known, which lasts
+/// as long as a lease if a worker isn't back.
+constexpr Duration kCountedCrashRetention = std::chrono::seconds(10);
 
 /// The directory drops a worker after three silent heartbeats. One that is
 /// still listed by then is contacted like a new one.
@@ -82,6 +90,7 @@
     aWorker.mDrainedBeforeRestart = aWorker.mReport.mDraining;
     aWorker.mMissedAnswers = 0;
     RequireNewToken(aWorker, aNow);
+    aWorker.MarkLost(aNow);
   }
   if (aWorker.mRuns.empty()) {
     BeginIncarnation(aWorker, aNow);
@@ -276,21 +285,104 @@
   return renewal;
 }
 
+// A loss whose runs aren't known to be lost yet counts too, since the owner
+// learns of crashes one by one.
+bool
+CellWorker::IsLossConfirmed() const
+{
+  return mEnded || !mListed || mMissedAnswers > 0 || mRestartUnresolved ||
+         mReport.mIncarnation > mIncarnation || mRestartedAt >= mLostAt;
+}
+
+bool
+Cell::HasCommonCause(const CellWorker& aWorker) const
+{
+  struct Group
+  {
+    std::size_t mWorkers = 0;
+    std::size_t mLost = 0;
+    void Add(bool aLost)
+    {
+      ++mWorkers;
+      mLost += aLost ? 1 : 0;
+    }
+    bool HasFailed() const
+    {
+      return mLost >= kMinCommonLosses && 4 * mLost >= 3 * mWorkers;
+    }
+  };
+  Group rack;
+  Group dataCentre;
+  Group pool;
+  const WorkerReport& report = aWorker.mReport;
+  for (const auto& [id, other] : mWorkers) {
+    bool together = aWorker.mLostAt != TimePoint::min() &&
+                    other.mLostAt >= aWorker.mLostAt - kCommonCauseWindow &&
+                    other.mLostAt <= aWorker.mLostAt + kCommonCauseWindow;
+    bool lost = &other == &aWorker || (together && other.IsLossConfirmed());
+    pool.Add(lost);
+    if (other.mReport.mDataCentre != report.mDataCentre) {
+      continue;
+    }
+    dataCentre.Add(lost);
+    if (other.mReport.mRack == report.mRack) {
+      rack.Add(lost);
+    }
+  }
+  return (!report.mRack.empty() && rack.HasFailed()) ||
+         (!report.mDataCentre.empty() && dataCentre.HasFailed()) ||
+         pool.HasFailed();
+}
+
+// The first crashes of a group are recorded before the others are known.
+void
+Cell::WithdrawExplainedCrashes(TimePoint aNow)
+{
+  std::erase_if(mCountedCrashes, [&](const CountedCrash& aCrash) {
+    if (aCrash.mAt < aNow - kCountedCrashRetention) {
+      return true;
+    }
+    const CellWorker* worker = FindWorker(aCrash.mWorker);
+    bool lostAgain = worker != nullptr && worker->mLostAt > aCrash.mAt;
+    if (worker == nullptr || lostAgain || !HasCommonCause(*worker)) {
+      return false;
+    }
+    for (const TaskId& id : aCrash.mTasks) {
+      CellJob* job = FindJob(id.mJob);
+      if (job == nullptr || !job->IsLive()) {
+        continue;
+      }
+      auto occurrence = job->mOccurrences.find(id.mOccurrence);
+      if (occurrence == job->mOccurrences.end()) {
+        continue;
+      }
+      TaskRecord& task = occurrence->second.mSteps[id.mStep].mTasks[id.mIndex];
+      task.mCrashes -= task.mCrashes > 0 ? 1 : 0;
+      MarkDirty(*job);
+    }
+    return true;
+  });
+}
+
 // Which of its runs crashed a worker isn't known, so each of their tasks is a
-// suspect. Suspects are started apart from each other, the second time without
-// short neighbours, and the next crash tells. Runs that may not have begun
-// aren't counted. A long-running task meets unrelated crashes in the course of
-// time, so it is never given up.
+// suspect, unless many workers were lost together. Suspects are started apart
+// from each other where there is room, the second time without short
+// neighbours, and the next crash tells. Runs that may not have begun aren't
+// counted. A long-running task meets unrelated crashes in the course of time,
+// so it is never given up.
 void
 Cell::RecordCrash(CellWorker& aWorker,
                   std::span<const TaskId> aLost,
                   TimePoint aNow)
 {
-  if (aWorker.mDraining || aWorker.mReport.mDraining ||
+  if (aLost.empty() || aWorker.mDraining || aWorker.mReport.mDraining ||
       aWorker.mDrainedBeforeRestart) {
     return;
   }
-  WorkerCrash crash{ aWorker.mReport.mId, aWorker.mIncarnation, {} };
+  WithdrawExplainedCrashes(aNow);
+  bool explained = HasCommonCause(aWorker);
+  WorkerCrash crash{ aWorker.mReport.mId, aWorker.mIncarnation, explained, {} };
+  CountedCrash counted{ aNow, aWorker.mReport.mId, {} };
   std::vector<CellJob*> failed;
   auto shortRuns = std::count_if(
     aWorker.mRuns.begin(), aWorker.mRuns.end(), [](const auto& aEntry) {
@@ -312,11 +404,15 @@
         task.mWorker != aWorker.mReport.mId) {
       continue;
     }
-    ++task.mCrashes;
     task.mLastFailedWorker = aWorker.mReport.mId;
-    MarkDirty(*job);
-    bool givenUp = task.mCrashes >= kMaxCrashes ||
-                   (task.mCrashes >= kMaxCrashesAlone && shortRuns == 1);
+    bool givenUp = false;
+    if (!explained) {
+      ++task.mCrashes;
+      MarkDirty(*job);
+      counted.mTasks.push_back(id);
+      givenUp = task.mCrashes >= kMaxCrashes ||
+                (task.mCrashes >= kMaxCrashesAlone && shortRuns == 1);
+    }
     if (givenUp) {
       failed.push_back(job);
     }
@@ -325,6 +421,9 @@
   for (CellJob* job : failed) {
     FailJob(*job, aNow);
   }
+  if (!counted.mTasks.empty()) {
+    mCountedCrashes.push_back(std::move(counted));
+  }
   if (!crash.mRuns.empty()) {
     mCrashes.push_back(std::move(crash));
   }
@@ -464,6 +563,7 @@
       StopGangOf(task, run.mRun, aNow);
     }
   }
+  aWorker.MarkLost(aNow);
   aWorker.mRestartUnresolved = true;
   aWorker.mRestartedAt = aNow;
   aWorker.mEnded = false;
@@ -510,7 +610,7 @@
   if (aRun.mLongRunning) {
     mLongRunning += aRun.mReserved;
   }
-  mIsolatedRuns += aRun.mEarlierCrashes >= kCrashesUntilIsolated ? 1 : 0;
+  mIsolatedRuns += aRun.mIsolated ? 1 : 0;
   mRuns.emplace(aTask, aRun);
 }
 
@@ -634,8 +734,7 @@
     if (it->second.mLongRunning) {
       aWorker.mLongRunning -= it->second.mReserved;
     }
-    aWorker.mIsolatedRuns -=
-      it->second.mEarlierCrashes >= kCrashesUntilIsolated ? 1 : 0;
+    aWorker.mIsolatedRuns -= it->second.mIsolated ? 1 : 0;
     aWorker.mRuns.erase(it);
   }
 }
--- a/src/services/cell_runtime.cpp
+++ b/src/services/cell_runtime.cpp
@@ -1006,10 +1006,11 @@
       }
     }
     LogWarn(kPart,
-            "crash worker={} pool={} born={} n={} crashes={}",
+            "crash worker={} pool={} born={} common={} n={} crashes={}",
             crash.mWorker,
             mId.mName,
             crash.mIncarnation,
+            crash.mExplained ? 1 : 0,
             crash.mRuns.size(),
             runs);
   }
