Bound what readiness and metrics may hold by their own size

Unfinished requests at all addresses of a daemon made it hold more than a client may make it take: each of its HTTP servers had the limits of the callers' address, bodies of 512 KB and 32 MB held, and they add up.

Checks and reads of metrics have no bodies, so their servers take 4 KB of body, hold 4 MB together, and have 256 connections each.

--- a/src/services/entry_service.cpp
+++ b/src/services/entry_service.cpp
@@ -39,6 +39,10 @@
 /// Twice the largest body of the platform's callers. A document takes many
 /// times its size while it is decoded.
 constexpr std::uint64_t kMaxBodyBytes = 512 * 1024;
+/// Checks and reads of metrics have no bodies and come from few clients.
+constexpr std::uint64_t kMaxProbeBodyBytes = 4 * 1024;
+constexpr std::uint64_t kMaxProbeHeldBytes = 4 * 1024 * 1024;
+constexpr std::size_t kMaxProbeConnections = 256;
 /// A node that hasn't read the store for this long isn't ready.
 constexpr Duration kMaxReadyReadAge = std::chrono::seconds(10);
 /// The load balancer checks once a second and needs two failed checks; with a
@@ -128,19 +132,23 @@
   BOOST_LEAF_ASSIGN(mCells, mKernel.Find<CellService>(CellService::kName));
   HttpLimits limits;
   limits.mMaxBodyBytes = kMaxBodyBytes;
-  auto make = [&](auto aMember) {
+  HttpLimits probeLimits;
+  probeLimits.mMaxBodyBytes = kMaxProbeBodyBytes;
+  probeLimits.mMaxHeldBytes = kMaxProbeHeldBytes;
+  probeLimits.mMaxConnections = kMaxProbeConnections;
+  auto make = [&](const HttpLimits& aLimits, auto aMember) {
     return std::make_unique<HttpServer>(
       mKernel.Context(),
       mKernel.GetClock(),
       kPart,
-      limits,
+      aLimits,
       [this, aMember](const HttpRequest& aRequest, CallerState& aCaller) {
         return (this->*aMember)(aRequest, aCaller);
       });
   };
-  mCallers = make(&EntryService::ServeCaller);
-  mReady = make(&EntryService::ServeReady);
-  mMetrics = make(&EntryService::ServeMetrics);
+  mCallers = make(limits, &EntryService::ServeCaller);
+  mReady = make(probeLimits, &EntryService::ServeReady);
+  mMetrics = make(probeLimits, &EntryService::ServeMetrics);
   BOOST_LEAF_CHECK(mCallers->Listen(mEndpoints.mCallers));
   BOOST_LEAF_CHECK(mReady->Listen(mEndpoints.mReady));
   BOOST_LEAF_CHECK(mMetrics->Listen(mEndpoints.mMetrics));
