Count the capacity of request bodies, and free evicted ones at once

Clients that send chunked bodies could make the HTTP server hold more than its limit of 32 MB, up to twice as much: a body was counted by its size, and a string's capacity doubles. A connection that is evicted was no longer counted, though its memory stayed until the connection's task had its turn, behind those of hundreds of other connections.

Capacity is counted, and an evicted connection's input is freed with it. The parser stays until its task ends, because that task refers to it.

Crowds and bounds are unchanged.

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -156,6 +156,17 @@
     mSocket.close(ec);
   }
 
+  // Frees what has been received, for a closed connection whose task ends only
+  // at its next turn. The parser stays, since that task refers to it.
+  void FreeInput()
+  {
+    mBuffer.clear();
+    mBuffer.shrink_to_fit();
+    if (mParser) {
+      std::string().swap(mParser->get().body());
+    }
+  }
+
   // Bytes received for a request that hasn't been read completely.
   std::size_t UnreadBytes() const
   {
@@ -372,7 +383,7 @@
 {
   std::uint64_t held = aConnection.mBuffer.capacity();
   if (aConnection.mParser) {
-    held += aConnection.mParser->get().body().size();
+    held += aConnection.mParser->get().body().capacity();
   }
   mHeldBytes += held - aConnection.mHeldBytes;
   aConnection.mHeldBytes = held;
@@ -397,6 +408,7 @@
       return false;
     }
     CloseConnection(*longest, "evicted, all connections hold too much");
+    longest->FreeInput();
     mHeldBytes -= std::exchange(longest->mHeldBytes, 0);
   }
   return true;
