Bound the links that strangers may open to a node

Clients that opened connections to the port for links, and sent nothing or only a handshake, took all descriptors of a daemon; callers' connections were no longer accepted. The port accepted without a limit, and neither the handshake nor silence ended a connection.

A node has at most workload.max_links of them (512). Beyond, the link that has been silent longest, for 3 s at least, is closed, or the newcomer if there is none. A handshake has 2 s. A node whose idle link is closed opens another for its next call, so that nodes lose nothing.

The tests lower the limit to 64, a setting that the sources before don't have.

--- a/src/daemon/assembly.cpp
+++ b/src/daemon/assembly.cpp
@@ -49,7 +49,8 @@
   aKernel.Add<DirectoryService>(DirectoryService::kName, store);
   aKernel.Add<OwnerService>(
     OwnerService::kName, store, std::move(aOptions.mSelf), layout);
-  aKernel.Add<RelayService>(RelayService::kName, std::move(peers));
+  aKernel.Add<RelayService>(
+    RelayService::kName, std::move(peers), aOptions.mLinks);
   aKernel.Add<EntryService>(
     EntryService::kName, aOptions.mEndpoints, aOptions.mMaxConfigAge);
   aKernel.Add<CellService>(
--- a/src/daemon/assembly.h
+++ b/src/daemon/assembly.h
@@ -11,6 +11,7 @@
 #include "services/fleet_service.h"
 #include "services/member_service.h"
 #include "services/peer_service.h"
+#include "services/relay_service.h"
 
 namespace buckthornshunt {
 
@@ -41,6 +42,7 @@
   CellPorts mCells;
   CellDurations mTimes;
   FleetPorts mFleet;
+  LinkLimits mLinks;
 };
 
 /// Time for the drains of a stop; the rest of the grace period is for stopping
--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -91,6 +91,7 @@
   if (workload.mMachines.mPort != 0) {
     options.mFleet.mMachines = &aClients.mMachines;
   }
+  options.mLinks = workload.mLinks;
   AddWorkloadServices(aKernel, std::move(options));
 }
 
--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -88,6 +88,8 @@
   }
   workload.mSeparateInterference =
     aSection.value("separate_interference", workload.mSeparateInterference);
+  workload.mLinks.mMaxLinks =
+    aSection.value("max_links", workload.mLinks.mMaxLinks);
   workload.mNodeCapacity.mCores = aSection.value("processor_share", 1.0) *
                                   aSection.value("processor_speed", 1.0);
   workload.mNodeCapacity.mLinkMbps =
--- a/src/daemon/settings.h
+++ b/src/daemon/settings.h
@@ -3,6 +3,7 @@
 
 #include "decide/cell_owner.h"
 #include "kernel/log.h"
+#include "services/relay_service.h"
 #include "wire/json_fields.h"
 
 #include <filesystem>
@@ -36,6 +37,7 @@
   std::optional<Duration> mKeyRevocationDelay;
   /// Tasks whose images slow each other down run apart where there is room.
   bool mSeparateInterference = true;
+  LinkLimits mLinks;
   /// Processor and network capacity of the VM.
   NodeCapacity mNodeCapacity;
 };
--- a/src/services/relay_service.cpp
+++ b/src/services/relay_service.cpp
@@ -24,6 +24,12 @@
 /// lost SYN only after a second.
 constexpr Duration kConnectTimeout = std::chrono::milliseconds(700);
 
+/// Time for another node to complete the handshake of its link.
+constexpr Duration kHandshakeTimeout = std::chrono::seconds(2);
+
+/// Links that were silent for less aren't closed for a newer one.
+constexpr Duration kMinEvictionAge = std::chrono::seconds(3);
+
 /// A link on which nothing arrives for this long after a call is considered
 /// dead: a busy node answers some call within a few hundred milliseconds.
 constexpr Duration kSilenceTimeout = std::chrono::milliseconds(700);
@@ -34,9 +40,12 @@
 
 } // namespace
 
-RelayService::RelayService(Kernel& aKernel, Endpoint aListen)
+RelayService::RelayService(Kernel& aKernel,
+                           Endpoint aListen,
+                           LinkLimits aLimits)
   : mKernel(aKernel)
   , mListen(std::move(aListen))
+  , mLimits(aLimits)
   , mTasks(aKernel.Context(), &aKernel.Groups())
   , mAnswers(aKernel.Context(), &aKernel.Groups())
   , mSent(aKernel.Context())
@@ -115,8 +124,32 @@
       co_await mKernel.GetClock().Sleep(kAcceptRetryInterval);
       continue;
     }
-    mTasks.Spawn("serve", Serve(std::move(socket)));
+    if (AdmitLink()) {
+      mTasks.Spawn("serve", Serve(std::move(socket)));
+    }
+  }
+}
+
+// A node whose idle link is closed opens another for its next call.
+bool
+RelayService::AdmitLink()
+{
+  if (mAccepted.size() < mLimits.mMaxLinks) {
+    return true;
+  }
+  auto longest = std::min_element(mAccepted.begin(),
+                                  mAccepted.end(),
+                                  [](const auto& aLeft, const auto& aRight) {
+                                    return aLeft->mHeardAt < aRight->mHeardAt;
+                                  });
+  TimePoint latest = mKernel.GetClock().Now() - kMinEvictionAge;
+  if (longest == mAccepted.end() || (*longest)->mHeardAt > latest) {
+    return false;
   }
+  LinkPtr evicted = *longest;
+  mAccepted.erase(longest);
+  std::visit([](auto& aTypedLink) { aTypedLink.Close(); }, *evicted->mLink);
+  return true;
 }
 
 // Reads a peer's calls; each gets a task of its own, so that a slow call
@@ -128,8 +161,18 @@
     std::in_place_type<SocketLink>, std::move(aSocket), WsRole::Server, "");
   auto link = std::make_shared<Link>(mKernel.Context(), std::move(peerLink));
   auto& socket = std::get<SocketLink>(*link->mLink);
-  bool open = co_await socket.Open();
+  Clock& clock = mKernel.GetClock();
+  link->mHeardAt = clock.Now();
+  mAccepted.insert(link);
+  bool open = false;
+  {
+    Watchdog watchdog(
+      clock, clock.Now() + kHandshakeTimeout, [&socket] { socket.Close(); });
+    open = co_await socket.Open();
+    open = open && !watchdog.Fired();
+  }
   if (!open) {
+    mAccepted.erase(link);
     co_return;
   }
   mIncoming.insert(link);
@@ -139,11 +182,13 @@
     if (!messages) {
       break;
     }
+    link->mHeardAt = clock.Now();
     for (std::string& message : *messages) {
       mAnswers.Spawn("answer", HandleCall(link, std::move(message)));
     }
   }
   mIncoming.erase(link);
+  mAccepted.erase(link);
   link->mFailed = true;
   link->mQueued.NotifyAll();
 }
--- a/src/services/relay_service.h
+++ b/src/services/relay_service.h
@@ -18,6 +18,14 @@
 
 namespace buckthornshunt {
 
+/// Limits on the links that other nodes open to this one.
+struct LinkLimits
+{
+  /// Beyond them the link that has been silent longest, for some seconds at
+  /// least, is closed. If there is none, further links are refused.
+  std::size_t mMaxLinks = 512;
+};
+
 /// Remote calls between nodes, over one link to each called node.
 class RelayService
 {
@@ -27,7 +35,7 @@
   /// Answers a call; the time is the caller's deadline.
   using Handler = std::function<Task<Json>(Json, TimePoint)>;
 
-  RelayService(Kernel& aKernel, Endpoint aListen);
+  RelayService(Kernel& aKernel, Endpoint aListen, LinkLimits aLimits = {});
 
   leaf::result<void> Start();
   /// Sends the replies that are ready, then closes all links.
@@ -59,6 +67,8 @@
     std::unique_ptr<PeerLink> mLink;
     Event mQueued;
     bool mFailed = false;
+    /// When the peer last sent a whole message; for links to this node.
+    TimePoint mHeardAt;
     /// Whether queued messages haven't been written yet.
     bool mUnsent = false;
     /// When the first call was sent since the peer last sent anything.
@@ -102,10 +112,13 @@
   void OnReply(OutgoingLink& aOut, std::string_view aMessage);
   void Send(Link& aLink, const Json& aMessage);
   bool HasUnsentReplies() const;
+  /// Makes room for a further link from another node; false if there is none.
+  bool AdmitLink();
   static void FailLink(OutgoingLink& aOut, const LinkPtr& aLink);
 
   Kernel& mKernel;
   Endpoint mListen;
+  LinkLimits mLimits;
   TaskGroup mTasks;
   /// Tasks that answer calls.
   TaskGroup mAnswers;
@@ -115,6 +128,9 @@
   PeerConnector mConnector;
   std::map<std::string, Handler, std::less<>> mHandlers;
   std::map<Endpoint, OutgoingPtr> mOutgoing;
+  /// Links that other nodes have opened, and those that have completed their
+  /// handshake.
+  std::set<LinkPtr> mAccepted;
   std::set<LinkPtr> mIncoming;
   std::uint64_t mNextCall = 1;
   MalformedEntryLog mMalformed;
--- a/src/wire/config_schema.cpp
+++ b/src/wire/config_schema.cpp
@@ -164,7 +164,8 @@
         "key_revocation_ms": {"type": "number", "minimum": 0, "maximum": 600000},
         "processor_share": {"type": "number", "exclusiveMinimum": 0, "maximum": 1},
         "processor_speed": {"type": "number", "exclusiveMinimum": 0, "maximum": 1000},
-        "link_mbps": {"type": "number", "exclusiveMinimum": 0}
+        "link_mbps": {"type": "number", "exclusiveMinimum": 0},
+        "max_links": {"type": "integer", "minimum": 8, "maximum": 65536}
       }
     },
     "log": {
--- a/tests/hostile_platform_clients.py
+++ b/tests/hostile_platform_clients.py
@@ -259,8 +259,7 @@
     return []
 
 
-# Cases whose daemon may open few descriptors; a daemon that knows a limit of links
-# gets a lower one.
+# Cases whose daemon may open few descriptors.
 FEW_DESCRIPTORS = (silent_links, silent_open_links)
 
 CASES = [endless_trailers_at_each_address, endless_headers_at_each_address,
@@ -316,7 +315,7 @@
 def run(build, case):
     few = case in FEW_DESCRIPTORS
     with tempfile.TemporaryDirectory() as directory:
-        node = Node(Platform(), build, directory,
+        node = Node(Platform(), build, directory, more={"max_links": 64} if few else None,
                     descriptors=DESCRIPTORS if few else 4100)
         try:
             if not accepts_a_job(node):
