Bound what unfinished messages of links may hold

Clients of the port for links that announced messages of 15 MB and stopped before their end made a daemon keep all that they had sent: only a single message had a limit, 16 MB.

All links that other nodes have opened hold at most workload.max_link_bytes together (16 MB); beyond, the one that holds most is closed. What a link holds is counted after each read, for which SocketLink has a read that doesn't wait for a whole message.

--- a/src/daemon/settings.cpp
+++ b/src/daemon/settings.cpp
@@ -90,6 +90,8 @@
     aSection.value("separate_interference", workload.mSeparateInterference);
   workload.mLinks.mMaxLinks =
     aSection.value("max_links", workload.mLinks.mMaxLinks);
+  workload.mLinks.mMaxHeldBytes =
+    aSection.value("max_link_bytes", workload.mLinks.mMaxHeldBytes);
   workload.mNodeCapacity.mCores = aSection.value("processor_share", 1.0) *
                                   aSection.value("processor_speed", 1.0);
   workload.mNodeCapacity.mLinkMbps =
--- a/src/ports/peer_link.cpp
+++ b/src/ports/peer_link.cpp
@@ -35,6 +35,7 @@
   if (ec) {
     co_return false;
   }
+  mUnfinishedBytes += n;
   co_return mCodec.ProcessInput(std::string_view(mInput.data(), n));
 }
 
@@ -76,15 +77,28 @@
 
 Task<std::optional<std::vector<std::string>>>
 SocketLink::Receive()
+{
+  std::optional<std::vector<std::string>> messages(std::in_place);
+  while (messages && messages->empty()) {
+    messages = co_await ReceiveSome();
+  }
+  co_return messages;
+}
+
+Task<std::optional<std::vector<std::string>>>
+SocketLink::ReceiveSome()
 {
   std::vector<std::string> messages = mCodec.TakeMessages();
-  while (messages.empty()) {
+  if (messages.empty()) {
     bool connected = co_await ReadSome();
     messages = mCodec.TakeMessages();
     if (!connected && messages.empty()) {
       co_return std::nullopt;
     }
   }
+  if (!messages.empty()) {
+    mUnfinishedBytes = 0;
+  }
   co_return messages;
 }
 
--- a/src/ports/peer_link.h
+++ b/src/ports/peer_link.h
@@ -38,6 +38,13 @@
   /// Waits for at least one complete message; nullopt if the link failed.
   Task<std::optional<std::vector<std::string>>> Receive();
 
+  /// Reads once; the messages that are complete, if any; nullopt if the link
+  /// failed.
+  Task<std::optional<std::vector<std::string>>> ReceiveSome();
+
+  /// Bytes received of a message that isn't complete.
+  std::size_t UnfinishedBytes() const { return mUnfinishedBytes; }
+
   void Close();
 
 private:
@@ -47,6 +54,7 @@
   WsCodec mCodec;
   std::string mOutput;
   std::vector<char> mInput;
+  std::size_t mUnfinishedBytes = 0;
 };
 
 /// One direction of an in-process link.
--- a/src/services/relay_service.cpp
+++ b/src/services/relay_service.cpp
@@ -146,12 +146,41 @@
   if (longest == mAccepted.end() || (*longest)->mHeardAt > latest) {
     return false;
   }
-  LinkPtr evicted = *longest;
-  mAccepted.erase(longest);
-  std::visit([](auto& aTypedLink) { aTypedLink.Close(); }, *evicted->mLink);
+  CloseAccepted(LinkPtr(*longest));
   return true;
 }
 
+void
+RelayService::CloseAccepted(const LinkPtr& aLink)
+{
+  mAccepted.erase(aLink);
+  mHeldBytes -= std::exchange(aLink->mHeldBytes, 0);
+  std::visit([](auto& aTypedLink) { aTypedLink.Close(); }, *aLink->mLink);
+}
+
+void
+RelayService::UpdateHeldBytes(Link& aLink)
+{
+  std::size_t held = std::get<SocketLink>(*aLink.mLink).UnfinishedBytes();
+  mHeldBytes += held - aLink.mHeldBytes;
+  aLink.mHeldBytes = held;
+  while (mHeldBytes > mLimits.mMaxHeldBytes) {
+    auto largest =
+      std::max_element(mAccepted.begin(),
+                       mAccepted.end(),
+                       [](const auto& aLeft, const auto& aRight) {
+                         return aLeft->mHeldBytes < aRight->mHeldBytes;
+                       });
+    if (largest == mAccepted.end()) {
+      return;
+    }
+    LogWarn(kPart,
+            "link closed, all links hold too much bytes={}",
+            (*largest)->mHeldBytes);
+    CloseAccepted(LinkPtr(*largest));
+  }
+}
+
 // Reads a peer's calls; each gets a task of its own, so that a slow call
 // doesn't delay the next.
 Task<void>
@@ -178,17 +207,20 @@
   mIncoming.insert(link);
   mTasks.Spawn("write", Write(link));
   while (true) {
-    auto messages = co_await socket.Receive();
-    if (!messages) {
+    auto messages = co_await socket.ReceiveSome();
+    if (!messages || !mAccepted.contains(link)) {
       break;
     }
-    link->mHeardAt = clock.Now();
+    UpdateHeldBytes(*link);
+    if (!messages->empty()) {
+      link->mHeardAt = clock.Now();
+    }
     for (std::string& message : *messages) {
       mAnswers.Spawn("answer", HandleCall(link, std::move(message)));
     }
   }
   mIncoming.erase(link);
-  mAccepted.erase(link);
+  CloseAccepted(link);
   link->mFailed = true;
   link->mQueued.NotifyAll();
 }
--- a/src/services/relay_service.h
+++ b/src/services/relay_service.h
@@ -24,6 +24,9 @@
   /// Beyond them the link that has been silent longest, for some seconds at
   /// least, is closed. If there is none, further links are refused.
   std::size_t mMaxLinks = 512;
+  /// Bytes that all links may hold together. Beyond them the link that holds
+  /// most is closed.
+  std::size_t mMaxHeldBytes = 16 * 1024 * 1024;
 };
 
 /// Remote calls between nodes, over one link to each called node.
@@ -69,6 +72,8 @@
     bool mFailed = false;
     /// When the peer last sent a whole message; for links to this node.
     TimePoint mHeardAt;
+    /// Part of the service's held bytes that is this link's.
+    std::size_t mHeldBytes = 0;
     /// Whether queued messages haven't been written yet.
     bool mUnsent = false;
     /// When the first call was sent since the peer last sent anything.
@@ -114,6 +119,10 @@
   bool HasUnsentReplies() const;
   /// Makes room for a further link from another node; false if there is none.
   bool AdmitLink();
+  /// Counts what a link holds, and closes links until all together hold no more
+  /// than the limit.
+  void UpdateHeldBytes(Link& aLink);
+  void CloseAccepted(const LinkPtr& aLink);
   static void FailLink(OutgoingLink& aOut, const LinkPtr& aLink);
 
   Kernel& mKernel;
@@ -131,6 +140,7 @@
   /// Links that other nodes have opened, and those that have completed their
   /// handshake.
   std::set<LinkPtr> mAccepted;
+  std::size_t mHeldBytes = 0;
   std::set<LinkPtr> mIncoming;
   std::uint64_t mNextCall = 1;
   MalformedEntryLog mMalformed;
--- a/src/wire/config_schema.cpp
+++ b/src/wire/config_schema.cpp
@@ -165,7 +165,8 @@
         "processor_share": {"type": "number", "exclusiveMinimum": 0, "maximum": 1},
         "processor_speed": {"type": "number", "exclusiveMinimum": 0, "maximum": 1000},
         "link_mbps": {"type": "number", "exclusiveMinimum": 0},
-        "max_links": {"type": "integer", "minimum": 8, "maximum": 65536}
+        "max_links": {"type": "integer", "minimum": 8, "maximum": 65536},
+        "max_link_bytes": {"type": "integer", "minimum": 1048576, "maximum": 1073741824}
       }
     },
     "log": {
