Send and count the pongs of links

Clients of the port for links that sent pings made a daemon keep an answer to each: the codec answers by itself, but the link's output was sent only with the next reply of a call, and nothing bounded it.

Output is sent after a read that produced some, and what a peer doesn't take counts among what the links hold together.

--- a/src/ports/peer_link.h
+++ b/src/ports/peer_link.h
@@ -45,6 +45,12 @@
   /// Bytes received of a message that isn't complete.
   std::size_t UnfinishedBytes() const { return mUnfinishedBytes; }
 
+  /// Bytes to be sent that the peer hasn't taken.
+  std::size_t UnsentBytes() const
+  {
+    return mOutput.size() + mCodec.OutputBytes();
+  }
+
   void Close();
 
 private:
--- a/src/services/relay_service.cpp
+++ b/src/services/relay_service.cpp
@@ -161,7 +161,8 @@
 void
 RelayService::UpdateHeldBytes(Link& aLink)
 {
-  std::size_t held = std::get<SocketLink>(*aLink.mLink).UnfinishedBytes();
+  const auto& socket = std::get<SocketLink>(*aLink.mLink);
+  std::size_t held = socket.UnfinishedBytes() + socket.UnsentBytes();
   mHeldBytes += held - aLink.mHeldBytes;
   aLink.mHeldBytes = held;
   while (mHeldBytes > mLimits.mMaxHeldBytes) {
@@ -211,6 +212,10 @@
     if (!messages || !mAccepted.contains(link)) {
       break;
     }
+    // The codec has answered pings by itself.
+    if (socket.UnsentBytes() > 0) {
+      link->mQueued.NotifyAll();
+    }
     UpdateHeldBytes(*link);
     if (!messages->empty()) {
       link->mHeardAt = clock.Now();
--- a/src/wire/ws_codec.cpp
+++ b/src/wire/ws_codec.cpp
@@ -134,6 +134,12 @@
   return mImpl->mOpen && !mImpl->mFailed;
 }
 
+std::size_t
+WsCodec::OutputBytes() const
+{
+  return mImpl->mOutput.size();
+}
+
 std::string
 WsCodec::TakeOutput()
 {
--- a/src/wire/ws_codec.h
+++ b/src/wire/ws_codec.h
@@ -41,6 +41,9 @@
 
   bool IsOpen() const;
 
+  /// Number of bytes to be sent.
+  std::size_t OutputBytes() const;
+
   /// Returns and clears the bytes to be sent.
   std::string TakeOutput();
 
