The end of a job removes its first row, also of one never stored

A job that ended before its first commit was written with both of its rows, and only jobs known to be stored had their first row removed. Once the progress had expired, the first row alone was a new job to the next owner. The same held for a job whose first commit was in doubt as its owner released the cell, and for both rows of an ended job that an owner found.

Now the end of a job removes its first row whether the job is known to be stored or not, and a job that ends before its first commit gets none. An owner that finds both rows of an ended job removes the first one before the progress expires. An end that waits for its commit doesn't expire, since one commit would write and remove its row.

--- a/src/decide/cell.cpp
+++ b/src/decide/cell.cpp
@@ -136,13 +136,19 @@
   std::int64_t age =
     std::max<std::int64_t>(aWallNow.mMillis - aJob.mSubmitted.mMillis, 0);
   aJob.mFirstSeen = aNow - std::chrono::milliseconds(age);
-  if (aJob.IsLive()) {
+  bool live = aJob.IsLive();
+  if (live) {
     mLiveJobs.insert(aJob.mId);
   } else {
     aJob.mCommittedPhase = aJob.NextPhase();
     aJob.mEndedAt = aNow;
   }
-  AddJob(std::move(aJob));
+  CellJob& job = AddJob(std::move(aJob));
+  // Earlier versions could leave the first row of an ended job. It is removed
+  // before the progress expires.
+  if (!live) {
+    MarkDirty(job);
+  }
 }
 
 void
--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -55,6 +55,12 @@
   return aJob.IsLive() ? 1 : 2;
 }
 
+std::size_t
+PayloadOf(const CellJob& aJob)
+{
+  return aJob.IsLive() && !aJob.mStored ? aJob.mSpec.mPayload.size() : 0;
+}
+
 /// Selects the jobs of one commit within its limits.
 class CommitBudget
 {
@@ -65,8 +71,7 @@
     std::size_t limit = aKind == ChangeKind::Progress
                           ? kMaxJobRowsPerCommit
                           : kMaxJobRowsPerCommit - kMinProgressRows;
-    std::size_t payload =
-      aKind == ChangeKind::New ? aJob.mSpec.mPayload.size() : 0;
+    std::size_t payload = PayloadOf(aJob);
     bool fits =
       mRows + rows <= limit &&
       (mPayload == 0 || mPayload + payload <= kMaxPayloadBytesPerCommit);
@@ -130,27 +135,31 @@
   return covered;
 }
 
+// A first row without its progress is that of a new job, so that it must not
+// outlive the end: the end of a job removes it, also of one that isn't known to
+// be stored, since a commit in doubt may have stored it.
 CellChanges
 Cell::TakeChanges(TimePoint aNow)
 {
   CellChanges changes;
   for (const CellJob* job : TakeDirtyJobs()) {
-    if (!job->mStored) {
+    bool live = job->IsLive();
+    if (live && !job->mStored) {
       changes.mNewJobs.push_back({ job->mId,
                                    job->mQueue,
                                    job->mSpec,
                                    job->mAcceptedTerm,
                                    job->mSubmitted,
                                    job->mOrganisation });
-      if (job->IsLive()) {
-        continue;
-      }
+      continue;
     }
     changes.mProgress.emplace_back(job->mId, ProgressOf(*job));
-    if (!job->IsLive() && !job->mOrganisation.empty()) {
-      changes.mProgress.back().second.mHeld = HeldByJob(job->mId);
+    if (!live && !job->mOrganisation.empty()) {
+      StoredProgress& progress = changes.mProgress.back().second;
+      progress.mHeld = job->mInheritedHold;
+      progress.mHeld += HeldByJob(job->mId);
     }
-    if (!job->IsLive() && job->mStored) {
+    if (!live) {
       changes.mEndedJobs.push_back(job->mId);
     }
   }
@@ -163,8 +172,9 @@
     for (; it != mJobs.end() && changes.mExpiredJobs.size() < maxExpired;
          ++it) {
       const CellJob& job = it->second;
-      if (job.mCommittedPhase != JobPhase::Pending &&
-          aNow > job.mEndedAt + 2 * mTimes.mStatusRetention) {
+      bool committed = job.mCommittedPhase != JobPhase::Pending &&
+                       !job.mDirty && !job.mCommitting;
+      if (committed && aNow > job.mEndedAt + 2 * mTimes.mStatusRetention) {
         changes.mExpiredJobs.push_back(job.mId);
       }
     }
@@ -231,6 +241,7 @@
       job->mCommitting = false;
     }
     if (job != nullptr && ended) {
+      job->mStored = true;
       job->mCommittedPhase = progress.mPhase;
       job->mEndedAt = aNow;
       job->mOccurrences.clear();
--- a/src/decide/cell_job.cpp
+++ b/src/decide/cell_job.cpp
@@ -173,6 +173,7 @@
   job.mSubmitted = aStored.mSubmitted;
   job.mStored = true;
   job.mInherited = true;
+  job.mInheritedHold = aProgress.mHeld;
   job.mDoneOccurrences = aProgress.mDoneOccurrences;
   job.mCancelled = aProgress.mPhase == JobPhase::Cancelled;
   job.mFailed = aProgress.mPhase == JobPhase::Failed;
--- a/src/decide/cell_job.h
+++ b/src/decide/cell_job.h
@@ -124,7 +124,7 @@
   double mFairTag = 0;
   /// Of an ended job of an earlier owner: what its runs may hold.
   Resources mInheritedHold;
-  /// The job's first row is committed.
+  /// The job's first row, or its end, is committed.
   bool mStored = false;
   bool mCancelled = false;
   bool mFailed = false;
