The fleet's owner finds cells by their owner rows too

A version had sent the pool's queue elsewhere, and the fleet had got a new owner since.

The owner of the fleet knew the cells of pools with a queue in the configurations that it had read as the owner. Of other pools it thought that nothing runs there, so that their machines were neither sealed nor emptied. But jobs stay in the cell that accepted them.

Now a cell may have runs if a queue sends jobs to its pool, if it has an owner row, or until its row has been read; pools are those of queues, of the configuration and of the list of VMs. No node claims the cells of a pool that the configuration doesn't name: its machines are kept until what the last owner left running has ended with its lease. In a pool that has become the spare one, workers that its cell reports are sealed.

--- a/src/daemon/main.cpp
+++ b/src/daemon/main.cpp
@@ -87,7 +87,10 @@
   options.mTimes.mMaxRunLeaseDuration = workload.mMaxRunLeaseDuration;
   options.mTimes.mRunLeaseDuration =
     std::min(options.mTimes.mRunLeaseDuration, workload.mMaxRunLeaseDuration);
-  options.mFleet = { &aClients.mStore, nullptr, workload.mDutyLease };
+  options.mFleet = { &aClients.mStore,
+                     nullptr,
+                     workload.mDutyLease,
+                     workload.mMaxRunLeaseDuration };
   if (workload.mMachines.mPort != 0) {
     options.mFleet.mMachines = &aClients.mMachines;
   }
--- a/src/decide/fleet_plan.cpp
+++ b/src/decide/fleet_plan.cpp
@@ -88,8 +88,14 @@
   // A move that can't be ordered yet would only keep the worker empty.
   bool IsMovable() const { return IsUp() && !mHasIntent && !mHeld; }
   bool IsIdle() const { return mUsage != nullptr && mUsage->mRuns == 0; }
-  // No cell starts runs in the spare pool or in a pool without a queue.
-  bool NeedsSeal() const { return !mPool->mSpare && mPool->mHasCell; }
+  // Runs may be there, or start. A pool that has become the spare one may have
+  // a cell with runs; most of its VMs have no worker to seal.
+  bool NeedsSeal() const
+  {
+    bool mayHaveWorker =
+      !mPool->mSpare || mPool->mUsage == nullptr || mUsage != nullptr;
+    return mPool->mHasCell && mayHaveWorker;
+  }
   bool IsUp() const { return mVm->mState == PoolVmState::Up; }
 };
 
--- a/src/services/fleet_service.cpp
+++ b/src/services/fleet_service.cpp
@@ -1,5 +1,6 @@
 #include "services/fleet_service.h"
 
+#include "decide/fleet_cells.h"
 #include "kernel/log.h"
 #include "platform/directory_codec.h"
 #include "services/cell_service.h"
@@ -160,6 +161,7 @@
   DirectoryService::WorkerSubscription workers =
     mDirectory->SubscribeToWorkers();
   mView = FleetView{};
+  mFollowedCells.clear();
   mVmsByName.clear();
   mLease = std::make_unique<CellLease>(mKernel,
                                        *mPorts.mStore,
@@ -664,9 +666,7 @@
     if (config && layout && !mView.mVms.empty()) {
       mView.mPoolConfigs = config->mPools;
       mView.mLayout = *layout;
-      for (const QueueConfig& queue : config->mQueues) {
-        AddCells(queue.mPool);
-      }
+      UpdateCells(*config);
     }
     UpdateWaves();
     LogView();
@@ -683,14 +683,43 @@
   }
 }
 
-// Follows the cells of a pool that aren't followed yet.
+// Finds the cells that may have runs, and follows them. A pool without a queue
+// has a cell too if its queues have moved or their routes were removed, maybe
+// under an earlier owner of the fleet; only the owner row shows it. The list of
+// VMs names pools that the configuration no longer has.
 void
-FleetService::AddCells(std::string_view aPool)
+FleetService::UpdateCells(const WorkloadConfig& aConfig)
 {
-  for (std::uint32_t shard = 0; shard < mView.mLayout.mShards; ++shard) {
-    CellId cell = MakeCellId(mView.mLayout, aPool, shard);
-    if (mView.mCells.insert(cell.mName).second) {
-      mOwnerTasks.Spawn("sync", SyncLoop(std::move(cell)));
+  std::set<std::string_view> poolsWithQueue;
+  std::set<std::string_view> configured;
+  std::set<std::string_view> pools;
+  for (const QueueConfig& queue : aConfig.mQueues) {
+    poolsWithQueue.insert(queue.mPool);
+    pools.insert(queue.mPool);
+  }
+  for (const WorkerPoolConfig& pool : aConfig.mPools) {
+    configured.insert(pool.mName);
+    pools.insert(pool.mName);
+  }
+  for (const PoolVm& vm : mView.mVms) {
+    pools.insert(vm.mPool);
+  }
+  mView.mCells.clear();
+  for (std::string_view pool : pools) {
+    for (std::uint32_t shard = 0; shard < mView.mLayout.mShards; ++shard) {
+      CellId cell = MakeCellId(mView.mLayout, pool, shard);
+      mOwners->Watch(cell.mName);
+      CellEvidence evidence{ poolsWithQueue.contains(pool),
+                             configured.contains(pool),
+                             mOwners->HasBeenRead(cell.mName),
+                             mOwners->LastSeen(cell.mName) };
+      if (!MayHaveRuns(evidence, mPorts.mMaxRunLeaseDuration, mClock.Now())) {
+        continue;
+      }
+      mView.mCells.insert(cell.mName);
+      if (mFollowedCells.insert(cell.mName).second) {
+        mOwnerTasks.Spawn("sync", SyncLoop(std::move(cell)));
+      }
     }
   }
 }
--- a/src/services/fleet_service.h
+++ b/src/services/fleet_service.h
@@ -33,6 +33,8 @@
   Machines* mMachines = nullptr;
   /// Minimum time between orders for one VM by different owners.
   Duration mDutyLease = std::chrono::seconds(3);
+  /// Limit to which workers shorten the leases of runs.
+  Duration mMaxRunLeaseDuration = std::chrono::seconds(10);
 };
 
 /// Moves VMs between pools and orders their maintenance, on the one node that
@@ -76,7 +78,7 @@
   void LogView();
   FleetSync MakeSync(const CellId& aCell) const;
   std::optional<FleetLayout> NewLayout() const;
-  void AddCells(std::string_view aPool);
+  void UpdateCells(const WorkloadConfig& aConfig);
   bool MayOrder(std::string_view aVm, const FleetIntent& aIntent) const;
   /// Whether VMs in mHeldVms may not be ordered yet.
   bool HoldsInheritedVms() const;
@@ -95,6 +97,8 @@
   /// Number of owners of the fleet before this one.
   std::uint32_t mPreviousOwners = 0;
   FleetView mView;
+  /// Cells that are followed: all that mView has named.
+  std::set<std::string, std::less<>> mFollowedCells;
   /// The VMs of mView.
   std::unordered_map<std::string_view, const PoolVm*> mVmsByName;
   /// Versions of the state: the newest, and the last that is stored.
--- a/tests/divided_fleet_test.cpp
+++ b/tests/divided_fleet_test.cpp
@@ -52,8 +52,12 @@
     , mBusyWorkers(mContext, mManual, mClock, 0ms)
     , mWorkers(mBusyWorkers.Port())
     , mMachines(InProcessMachines{
-        [this](MachineCall, TimePoint) -> Task<Expected<MachineReply>> {
+        [this](MachineCall aCall, TimePoint) -> Task<Expected<MachineReply>> {
           co_await mClock.Sleep(4ms);
+          if (const auto* maintain = std::get_if<MaintainVm>(&aCall)) {
+            mMaintained[maintain->mVm] = IsSealed(maintain->mVm);
+            co_return MachineReply(MachineOperationStarted{});
+          }
           co_return MachineReply(PoolVmPage{ mVms, {}, {} });
         } })
   {
@@ -66,13 +70,7 @@
                        "rack",
                        { 32000, 131072, 0 } });
     }
-    Json route = { { "name", "q0" },         { "host", "h" },
-                   { "path_prefix", "/q0" }, { "service", kPool },
-                   { "max_attempts", 3 },    { "target_latency_ms", 100000 } };
-    Json config = { { "version", 1 },
-                    { "routes", Json::array({ route }) },
-                    { "services", Json::array({ { { "name", kPool } } }) } };
-    Put("op", "", "config", config.dump());
+    Configure(1, Json::array({ RouteTo(kPool) }), { kPool });
     for (int i = 0; i < kWorkers; ++i) {
       Json report = { { "service", kPool },
                       { "address", "127.0.0.1:9" },
@@ -99,6 +97,41 @@
     }
   }
 
+  static Json RouteTo(std::string_view aPool)
+  {
+    return { { "name", "q0" },         { "host", "h" },
+             { "path_prefix", "/q0" }, { "service", aPool },
+             { "max_attempts", 3 },    { "target_latency_ms", 100000 } };
+  }
+
+  void Configure(int aVersion,
+                 Json aRoutes,
+                 std::initializer_list<std::string_view> aPools)
+  {
+    Json services = Json::array();
+    for (std::string_view pool : aPools) {
+      services.push_back({ { "name", pool } });
+    }
+    Json config = { { "version", aVersion },
+                    { "routes", std::move(aRoutes) },
+                    { "services", std::move(services) } };
+    Put("op", "", "config", config.dump());
+  }
+
+  /// Whether the owner row of the pool's cell says that the VM's worker gets no
+  /// new runs.
+  bool IsSealed(std::string_view aVm) const
+  {
+    auto it = mFake.mRows.find({ "cells", std::string(kPool), "owner" });
+    REQUIRE(it != mFake.mRows.end());
+    auto row =
+      ToExpected<OwnerRow>([&] { return DecodeOwnerRow(it->second.mValue); });
+    REQUIRE(Ok(row));
+    std::string worker = "w" + std::string(aVm.substr(1));
+    const auto& sealed = std::get<OwnerRow>(row).mDrainingWorkers;
+    return std::find(sealed.begin(), sealed.end(), worker) != sealed.end();
+  }
+
   void Put(std::string_view aTable,
            std::string_view aPart,
            std::string_view aKey,
@@ -232,6 +265,8 @@
   BusyWorkers mBusyWorkers;
   Workers mWorkers;
   std::vector<PoolVm> mVms;
+  /// VMs that were maintained, and whether they were sealed by then.
+  std::map<std::string, bool> mMaintained;
   Machines mMachines;
   std::vector<std::unique_ptr<Kernel>> mNodes;
   std::uint16_t mLastNode = 0;
@@ -399,6 +434,35 @@
   CHECK(fleet.WorkersOf(0).size() == kWorkers);
 }
 
+// Guards against a new owner of the fleet that knows no queue of a pool taking
+// the pool's VMs for empty: their cell has jobs of queues that moved or were
+// removed.
+TEST_CASE("a wave takes VMs unsealed as their pool has no queue any more")
+{
+  Json moved = Json::array({ DividedFleet::RouteTo("p1") });
+  for (const Json& routes : { moved, Json::array() }) {
+    CAPTURE(routes.dump());
+    DividedFleet fleet(1, 8, true, 1);
+    fleet.mManual.Advance(8s);
+    fleet.Configure(2, routes, { kPool, "p1" });
+    fleet.mManual.Advance(2s);
+    fleet.AddNode(true);
+    fleet.StopNode();
+    fleet.mManual.Advance(2s);
+    Json wave = { { "wave", 1 },
+                  { "machines", { "m0", "m1", "m2" } },
+                  { "deadline_s", 30 },
+                  { "maximum", 3 } };
+    fleet.Put("op", "", "wave/1", wave.dump());
+    fleet.mManual.Advance(30s);
+    CHECK(fleet.mMaintained.size() == 3);
+    for (const auto& [vm, sealed] : fleet.mMaintained) {
+      CAPTURE(vm);
+      CHECK(sealed);
+    }
+  }
+}
+
 TEST_CASE("a layout that can't be read is replaced by the default")
 {
   DividedFleet fleet(0, 0, false);
