Bound the wait for a stop that a worker always refuses

Since a refused stop counts as not done, a run that its worker doesn't list was kept for as long as the worker answered and refused: its task didn't run, and its room stayed reserved.

A start that was sent before the stop is carried out within 12 s or not at all, so a listing that is asked for later and doesn't show the run ends the wait.

--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -312,7 +312,13 @@
       continue;
     }
     if (run.mStage == ActiveRun::Stage::Stopping) {
-      if (run.mStopAcknowledgedAt && *run.mStopAcknowledgedAt < aSent) {
+      bool stopped =
+        run.mStopAcknowledgedAt && *run.mStopAcknowledgedAt < aSent;
+      // A worker may refuse every stop.
+      TimePoint lastStart = run.mStageSince + kMaxCallDelay;
+      bool startIsOver =
+        aSent > std::max(lastStart, run.mLateStartUntil.value_or(lastStart));
+      if (stopped || startIsOver) {
         confirmed.push_back(task);
       }
     } else if (run.mStage != ActiveRun::Stage::Starting) {
--- a/tests/refused_calls_test.cpp
+++ b/tests/refused_calls_test.cpp
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace buckthornshunt;
 using namespace buckthornshunt::tests;
 using namespace std::chrono_literals;
@@ -37,7 +39,14 @@
   }
 
   /// Whether the task is started again.
-  bool Starts() { return !mCell.PlanAndAnswer().empty(); }
+  bool Starts()
+  {
+    std::vector<CellOrder> orders = mCell.Plan();
+    return std::any_of(
+      orders.begin(), orders.end(), [](const CellOrder& aOrder) {
+        return std::holds_alternative<StartRun>(aOrder.mCall);
+      });
+  }
 
   SingleWorkerCell mCell;
 };
@@ -62,6 +71,21 @@
   }
 }
 
+// Guards against a task that never runs again, since its worker refuses every
+// stop of a run that it doesn't have.
+TEST_CASE("a run whose stops are all refused is waited for without end")
+{
+  UnansweredStart cell;
+  for (int i = 0; i < 13; ++i) {
+    cell.AnswerStop(WorkerReply(OrderRefused{ StartRefusal::Rejected, 1 }));
+    CHECK_FALSE(cell.Starts());
+    cell.mCell.mNow += 900ms;
+  }
+  cell.mCell.mNow += 1s;
+  cell.mCell.List({}, {});
+  CHECK(cell.Starts());
+}
+
 // Guards against a stop being repeated for ever for a run that the worker can
 // no longer start.
 TEST_CASE("a stop of a run that can't start any more is repeated")
