Hand over workers that may start late, and acknowledge held ends

An owner that handed its cell over left idle workers out of the stored set of those that may run something, though an attempt of a start could still come; the next owner took them for new ones. And an end whose acknowledgement had waited for such an attempt was acknowledged only when its idle worker was used again, as nothing asked it any more.

--- a/src/decide/cell_commits.cpp
+++ b/src/decide/cell_commits.cpp
@@ -217,7 +217,8 @@
   for (const auto& [id, worker] : mWorkers) {
     bool unknown =
       worker.mInheritedRunsUnknown && aNow <= worker.InheritedRunExpiry();
-    if (!worker.mRuns.empty() || unknown) {
+    bool mayStartLate = !worker.mEnded && worker.MayStartLate(aNow);
+    if (!worker.mRuns.empty() || unknown || mayStartLate) {
       changes.mWorkers->push_back(AddressOf(id, worker));
     }
   }
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -215,8 +215,8 @@
   // pending renewal tells at once that the process has ended.
   return !worker.mRuns.empty() || !worker.mTokenAccepted ||
          worker.mMissedAnswers > 0 || worker.mNeedsProbe ||
-         worker.MayStartLate(aNow) || worker.mHasMoreEnds ||
-         worker.mLastSeenEnd > worker.mLastCommittedEnd;
+         worker.MayStartLate(aNow) || !worker.mUnsettledEnds.empty() ||
+         worker.mHasMoreEnds || worker.mLastSeenEnd > worker.mLastCommittedEnd;
 }
 
 bool
@@ -268,11 +268,12 @@
   // The next incarnation would forget ends that nobody has read, so they are
   // acknowledged to the one that has just listed them.
   bool restarted = worker->mReport.mIncarnation > worker->mIncarnation;
-  std::erase_if(worker->mUnsettledEnds,
-                [&](const auto& aEntry) { return aNow >= aEntry.second; });
   bool listedNow = aNow <= worker->mLastAnswerAt + kMaxAcknowledgementDelay;
   if (worker->mAcknowledgementDue && !restarted && listedNow) {
     renewal.mAcknowledgedSequence = worker->LastSettledEnd(aNow);
+    std::erase_if(worker->mUnsettledEnds, [&](const auto& aEntry) {
+      return aEntry.first <= renewal.mAcknowledgedSequence;
+    });
     worker->mAcknowledgedAt = aNow;
   }
   bool mayWait = worker->mTokenAccepted && !worker->mHasMoreEnds;
--- a/tests/late_copy_test.cpp
+++ b/tests/late_copy_test.cpp
@@ -57,8 +57,11 @@
   CHECK(cell.mCell.Acknowledged() == 0);
   CHECK_FALSE(cell.mCell.mCell.IsAcknowledgementOverdue("w", cell.mCell.mNow));
   cell.mCell.mNow += kMaxCallDelay;
+  CHECK(cell.mCell.mCell.NeedsRenewal("w", cell.mCell.mNow));
   cell.mCell.List({}, { DoneEnd(1, 0) });
+  CHECK(cell.mCell.mCell.NeedsRenewal("w", cell.mCell.mNow));
   CHECK(cell.mCell.Acknowledged() == 1);
+  CHECK_FALSE(cell.mCell.mCell.NeedsRenewal("w", cell.mCell.mNow));
 }
 
 // Guards against the answer to a repeated start arriving after its end.
@@ -96,9 +99,23 @@
   CHECK(cell.mCell.mCell.NeedsRenewal("w", cell.mCell.mNow));
   cell.mCell.mNow += kMaxCallDelay;
   cell.mCell.List({}, { DoneEnd(1, 0) });
+  CHECK(cell.mCell.Acknowledged() == 1);
   CHECK_FALSE(cell.mCell.mCell.NeedsRenewal("w", cell.mCell.mNow));
 }
 
+// Guards against the next owner taking an idle worker for one that it has
+// nothing to wait for at.
+TEST_CASE("an owner that hands over forgets a copy of a start that may follow")
+{
+  RepeatedStart cell;
+  cell.Answer();
+  cell.EndTask();
+  Cell& owner = cell.mCell.mCell;
+  CHECK(owner.TakeReleaseChanges(cell.mCell.mNow).mWorkers->size() == 1);
+  cell.mCell.mNow += kMaxCallDelay;
+  CHECK(owner.TakeReleaseChanges(cell.mCell.mNow).mWorkers->empty());
+}
+
 // Guards against a next process that carries out calls to the former one until
 // a listing has shown it.
 TEST_CASE("a worker is asked under its former token after its connection broke")
