Excuse a limited number of crashes by a common cause

No crash was counted, the tasks started again together, and took their neighbours with them without end.

An owner excuses three crashes of a task now; further ones count. The loss of an idle worker, too, lets it look again at the crashes that it has counted.

--- a/src/decide/cell_job.h
+++ b/src/decide/cell_job.h
@@ -75,6 +75,8 @@
   std::string mWorker;
   std::string mLastFailedWorker;
   TimePoint mNotBefore;
+  /// Crashes that a common cause explains and that aren't in mCrashes.
+  std::uint32_t mExcusedCrashes = 0;
   /// Since when the task waits for a worker without other short tasks.
   std::optional<TimePoint> mAwaitsIsolationSince;
 };
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -12,6 +12,9 @@
 /// the last one ran no other short task.
 constexpr std::uint32_t kMaxCrashes = 4;
 constexpr std::uint32_t kMaxCrashesAlone = 3;
+/// Crashes with a common cause that don't count for a task. Tasks that crash
+/// their workers may do so together.
+constexpr std::uint32_t kMaxExcusedCrashes = 3;
 
 /// Crashes have a common cause if within this time at least so many workers
 /// were lost, and three quarters of a rack, a data centre or the pool.
@@ -358,8 +361,11 @@
         continue;
       }
       TaskRecord& task = occurrence->second.mSteps[id.mStep].mTasks[id.mIndex];
-      task.mCrashes -= task.mCrashes > 0 ? 1 : 0;
-      MarkDirty(*job);
+      if (task.mCrashes > 0 && task.mExcusedCrashes < kMaxExcusedCrashes) {
+        --task.mCrashes;
+        ++task.mExcusedCrashes;
+        MarkDirty(*job);
+      }
     }
     return true;
   });
@@ -376,11 +382,12 @@
                   std::span<const TaskId> aLost,
                   TimePoint aNow)
 {
+  // The loss of an idle worker may explain the crashes of others.
+  WithdrawExplainedCrashes(aNow);
   if (aLost.empty() || aWorker.mDraining || aWorker.mReport.mDraining ||
       aWorker.mDrainedBeforeRestart) {
     return;
   }
-  WithdrawExplainedCrashes(aNow);
   bool explained = HasCommonCause(aWorker);
   WorkerCrash crash{ aWorker.mReport.mId, aWorker.mIncarnation, explained, {} };
   CountedCrash counted{ aNow, aWorker.mReport.mId, {} };
@@ -407,7 +414,9 @@
     }
     task.mLastFailedWorker = aWorker.mReport.mId;
     bool givenUp = false;
-    if (!explained) {
+    if (explained && task.mExcusedCrashes < kMaxExcusedCrashes) {
+      ++task.mExcusedCrashes;
+    } else {
       ++task.mCrashes;
       MarkDirty(*job);
       counted.mTasks.push_back(id);
--- a/tests/cell_crash_test.cpp
+++ b/tests/cell_crash_test.cpp
@@ -142,6 +142,22 @@
   }
 }
 
+// Guards against tasks that crash their workers together, time after time, and
+// are excused by each other.
+TEST_CASE("a step whose tasks all crash their workers never fails")
+{
+  LoadedPool pool(1, 6);
+  CellSimulation& simulation = pool.mSimulation;
+  int crashes = 0;
+  while (simulation.StoredPhase(JobName(0)) != JobPhase::Failed &&
+         crashes < 20) {
+    simulation.CrashWorkers(0, kDataCentres * kWorkersPerDataCentre, 600ms);
+    simulation.Run(3s);
+    ++crashes;
+  }
+  CHECK(crashes <= 8);
+}
+
 // Guards against jobs failing because all workers around them crash, again and
 // again, with no end as failed.
 TEST_CASE("jobs fail since a data centre crashes time and again")
