--- a/tests/cell_crash_test.cpp
+++ b/tests/cell_crash_test.cpp
@@ -52,13 +52,6 @@
     return lost;
   }
 
-  void CheckNoJobFailed() const
-  {
-    for (int i = 0; i < mJobs; ++i) {
-      CHECK(mSimulation.StoredPhase(JobName(i)) != JobPhase::Failed);
-    }
-  }
-
   CellSimulation mSimulation;
   int mJobs;
 };
