Count an attempt of a start from the time it is sent

Callers could see a task run twice: its end was acknowledged at once if a listing had shown the run before the outcome of its start order arrived, although an attempt of the order had got no answer. The next process of the worker then carried that attempt out.

Cause: that an attempt got no answer reaches the cell with the last reply to the order, and only a run whose stage was still Starting counted as in flight. A listing moves the run to Running before.

Change: a run says itself that the outcome of its start is outstanding. Ends that are listed meanwhile wait for it, and are settled by it: at once if all attempts were answered, after the longest delay of a call if not. Before, an end that overtook the answer waited the whole time in both cases.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -81,6 +81,9 @@
   /// Until when an attempt of its start that got no answer may be carried out;
   /// none once a later listing has shown the run.
   std::optional<TimePoint> mLateStartUntil;
+  /// The outcome of its start order is outstanding, so that an attempt may have
+  /// got no answer.
+  bool mStartInFlight = false;
   bool mStopSent = false;
   TimePoint mStopSentAt;
   /// When the worker confirmed the stop; a listing requested later shows
@@ -110,13 +113,27 @@
   /// Expected run time; of no meaning for a long-running task.
   Duration mExpectedRunTime{};
 
+  /// Whether an attempt of its start may still be carried out.
+  bool MayStartLate() const { return mStartInFlight || mLateStartUntil; }
   /// Whether no incarnation after the known one can have the run.
-  bool IsOfKnownIncarnation() const { return mReported && !mLateStartUntil; }
+  bool IsOfKnownIncarnation() const { return mReported && !MayStartLate(); }
 };
 
 /// Crashes during runs of a task from which it runs without short neighbours.
 constexpr std::uint32_t kCrashesUntilIsolated = 2;
 
+/// An end that would be followed by another run if the worker's next
+/// incarnation carried out an attempt of the start.
+struct UnsettledEnd
+{
+  TaskId mTask;
+  std::uint64_t mRun = 0;
+  /// The outcome of the start order is outstanding.
+  bool mStartInFlight = false;
+  /// Until when an attempt may be carried out.
+  TimePoint mUntil;
+};
+
 /// Ends of a worker's runs that have been processed by some moment.
 struct ProcessedEnds
 {
@@ -187,9 +204,8 @@
   /// Later ones that have been, beyond one that can't be read.
   std::set<std::uint64_t> mEndsSeenAhead;
   std::uint64_t mLastCommittedEnd = 0;
-  /// Until when an attempt of the start may be carried out, by the numbers of
-  /// ends that would then be followed by another run.
-  std::map<std::uint64_t, TimePoint> mUnsettledEnds;
+  /// By their numbers.
+  std::map<std::uint64_t, UnsettledEnd> mUnsettledEnds;
   /// The worker may still list ends that can be acknowledged.
   bool mAcknowledgementDue = false;
   TimePoint mAcknowledgedAt = TimePoint::min();
@@ -227,6 +243,10 @@
   bool MayStartLate(TimePoint aNow) const;
   /// The last end that may be acknowledged.
   std::uint64_t LastSettledEnd(TimePoint aNow) const;
+  /// Settles ends that were listed before the outcome of their start arrived.
+  void SettleEndsOf(const StartRun& aStart,
+                    bool aAttemptUnanswered,
+                    TimePoint aNow);
   /// Whether the directory lists the known incarnation, and no later one.
   bool IsKnownIncarnationListed() const;
   /// Whether mReport may describe the known incarnation. A listing shows a
--- a/src/decide/cell_plan.cpp
+++ b/src/decide/cell_plan.cpp
@@ -506,6 +506,7 @@
 
   ActiveRun run;
   run.mRun = aRun;
+  run.mStartInFlight = true;
   run.mStageSince = aNow;
   run.mStartedAt = aNow;
   run.mReserved = ReservedResources(spec);
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -137,11 +137,12 @@
 {
   bool counts = !aRun.mLongRunning &&
                 (aEnd.mEnd == RunEnd::Done || aEnd.mEnd == RunEnd::Failed);
-  bool inFlight = aRun.mStage == ActiveRun::Stage::Starting;
   std::optional<TimePoint> until =
-    inFlight ? aNow + kMaxCallDelay : aRun.mLateStartUntil;
+    aRun.mStartInFlight ? aNow + kMaxCallDelay : aRun.mLateStartUntil;
   if (counts && until && aNow < *until) {
-    aWorker.mUnsettledEnds.emplace(aEnd.mSequence, *until);
+    aWorker.mUnsettledEnds.emplace(
+      aEnd.mSequence,
+      UnsettledEnd{ aEnd.mTask, aEnd.mRun, aRun.mStartInFlight, *until });
   }
 }
 
@@ -634,8 +635,11 @@
   bool neverSent = !Ok(aReply) && std::holds_alternative<ConnectFailure>(
                                     std::get<Failure>(aReply));
   bool unanswered = aAttemptUnanswered || (!Ok(aReply) && !neverSent);
-  if (start != nullptr && unanswered) {
-    worker->mLateStartsUntil = aNow + kMaxCallDelay;
+  if (start != nullptr) {
+    worker->SettleEndsOf(*start, unanswered, aNow);
+    if (unanswered) {
+      worker->mLateStartsUntil = aNow + kMaxCallDelay;
+    }
   }
   const TaskId& task = start != nullptr ? start->mTask : stop->mTask;
   std::uint64_t number = start != nullptr ? start->mRun : stop->mRun;
@@ -669,6 +673,7 @@
     }
     return;
   }
+  run.mStartInFlight = false;
   if (unanswered) {
     run.mLateStartUntil = aNow + kMaxCallDelay;
     ExtendLaterLease(*worker, aNow);
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -666,7 +666,7 @@
 {
   return aNow < mLateStartsUntil ||
          std::any_of(mRuns.begin(), mRuns.end(), [](const auto& aEntry) {
-           return aEntry.second.mStage == ActiveRun::Stage::Starting;
+           return aEntry.second.mStartInFlight;
          });
 }
 
@@ -675,22 +675,36 @@
 std::uint64_t
 CellWorker::LastSettledEnd(TimePoint aNow) const
 {
-  auto unsettled =
-    std::find_if(mUnsettledEnds.begin(),
-                 mUnsettledEnds.end(),
-                 [&](const auto& aEntry) { return aNow < aEntry.second; });
+  auto unsettled = std::find_if(
+    mUnsettledEnds.begin(), mUnsettledEnds.end(), [&](const auto& aEntry) {
+      return aNow < aEntry.second.mUntil;
+    });
   return mHasMoreEnds || unsettled == mUnsettledEnds.end()
            ? mLastCommittedEnd
            : std::min(mLastCommittedEnd, unsettled->first - 1);
 }
 
+// Settled ends stay until they are acknowledged, so that the worker is asked.
+void
+CellWorker::SettleEndsOf(const StartRun& aStart,
+                         bool aAttemptUnanswered,
+                         TimePoint aNow)
+{
+  for (auto& [sequence, end] : mUnsettledEnds) {
+    if (end.mStartInFlight && end.mTask == aStart.mTask &&
+        end.mRun == aStart.mRun) {
+      end.mStartInFlight = false;
+      end.mUntil = aAttemptUnanswered ? aNow + kMaxCallDelay : aNow;
+    }
+  }
+}
+
 bool
 CellWorker::MayOutliveIncarnation(const ActiveRun& aRun, TimePoint aNow)
 {
-  bool starting = aRun.mStage == ActiveRun::Stage::Starting;
   bool startMayFollow = aRun.mLateStartUntil && aNow < *aRun.mLateStartUntil;
   bool unlisted = !aRun.mReported && aNow < aRun.mStageSince + kMaxVmListAge;
-  return starting || startMayFollow || unlisted;
+  return aRun.mStartInFlight || startMayFollow || unlisted;
 }
 
 // The directory drops a process after three silent heartbeats, sooner than a
@@ -710,7 +724,7 @@
 TimePoint
 CellWorker::RunExpiry(const ActiveRun& aRun) const
 {
-  bool sinceLastCall = IsKnownIncarnationListed() && !aRun.mLateStartUntil;
+  bool sinceLastCall = IsKnownIncarnationListed() && !aRun.MayStartLate();
   return sinceLastCall || aRun.IsOfKnownIncarnation()
            ? mLeaseExpiry
            : std::max(mLeaseExpiry, mLaterLeaseExpiry);
--- a/tests/late_copy_test.cpp
+++ b/tests/late_copy_test.cpp
@@ -75,6 +75,34 @@
   CHECK(cell.mCell.mCell.NeedsRenewal("w", cell.mCell.mNow));
 }
 
+// Guards against a listing that shows the run before the outcome of its start
+// order tells of the attempt that got no answer.
+TEST_CASE("an end is acknowledged while its start is still repeated")
+{
+  RepeatedStart cell;
+  cell.mCell.List({ { { "a", 0, 0, 0 }, 1, "", 100, std::nullopt } }, {});
+  cell.EndTask();
+  CHECK(cell.mCell.Acknowledged() == 0);
+  cell.Answer();
+  CHECK(cell.mCell.Acknowledged() == 0);
+  cell.mCell.mNow += kMaxCallDelay;
+  cell.mCell.List({}, { DoneEnd(1, 0) });
+  CHECK(cell.mCell.Acknowledged() == 1);
+}
+
+// Guards against a wait for attempts that don't exist.
+TEST_CASE("an end waits although all attempts of its start were answered")
+{
+  RepeatedStart cell;
+  cell.EndTask();
+  CHECK(cell.mCell.Acknowledged() == 0);
+  cell.mCell.mCell.OnOrderReply(
+    "w", cell.mStart, WorkerReply(OrderDone{ 1 }), cell.mCell.mNow);
+  cell.mCell.List({}, { DoneEnd(1, 0) });
+  CHECK(cell.mCell.Acknowledged() == 1);
+  CHECK_FALSE(cell.mCell.mCell.NeedsRenewal("w", cell.mCell.mNow));
+}
+
 // Guards against ends that nobody hears of, since a worker lists a limited
 // number of them.
 TEST_CASE("ends that may not be acknowledged hide newer ones")
