Hold ends that the next owner finds while an attempt may come

Callers could see a task run twice after a change of the owner: the end of a run that the earlier owner had started was acknowledged at once if the first listing showed it, although an attempt of its start may have got no answer. The next process of the worker then carried that attempt out.

Cause: runs that an owner finds within the time of a late call after its take-over count as started late; ends that it finds were not treated alike.

Change: such an end waits for the same time.

Measured: T315 fails before (1 acknowledged instead of 0).

--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -162,6 +162,13 @@
   bool known =
     job != nullptr && aEnd.mTask.mStep < job->mSpec.mSteps.size() &&
     aEnd.mTask.mIndex < job->mSpec.mSteps[aEnd.mTask.mStep].mTaskCount;
+  if (!current && aNow < mTakenOver + kMaxCallDelay) {
+    ActiveRun inherited;
+    inherited.mLongRunning =
+      known && job->mSpec.mSteps[aEnd.mTask.mStep].mLongRunning;
+    inherited.mLateStartUntil = mTakenOver + kMaxCallDelay;
+    RecordUnsettledEnd(aWorker, inherited, aEnd, aNow);
+  }
   if (!known || !job->IsLive()) {
     return;
   }
--- a/tests/late_copy_test.cpp
+++ b/tests/late_copy_test.cpp
@@ -220,3 +220,19 @@
   cell.mCell.OnConnectionBroken("w", cell.mNow);
   CHECK(cell.mCell.MayStartOn("w"));
 }
+
+// Guards against an owner that doesn't know which starts of the one before got
+// no answer, and takes note of their ends at once.
+TEST_CASE("an end that the next owner finds is acknowledged at once")
+{
+  SingleWorkerCell cell;
+  cell.Submit("a", ChainOf({ 1 }));
+  cell.List({}, { DoneEnd(1, 0) });
+  cell.Commit();
+  cell.List({}, { DoneEnd(1, 0) });
+  CHECK(cell.mCell.PhaseOf("a") == JobPhase::Completed);
+  CHECK(cell.Acknowledged() == 0);
+  cell.mNow += kMaxCallDelay;
+  cell.List({}, { DoneEnd(1, 0) });
+  CHECK(cell.Acknowledged() == 1);
+}
