Hold an end while an attempt to start an earlier run may come

Callers could see a task run twice: a run was lost with its worker's process, or stopped, while an attempt of its start had got no answer; the end of the task's next run was acknowledged, and a process that the worker's id came back with, or another worker, carried that attempt out.

Cause: what an owner knows of attempts without an answer belonged to the run and went with it.

Change: the task keeps until when attempts of its runs that are over may come. Its end waits for them on whichever worker, also at one in steady contact.

--- a/src/decide/cell.h
+++ b/src/decide/cell.h
@@ -132,6 +132,8 @@
   bool mStartInFlight = false;
   /// Until when an attempt may be carried out.
   TimePoint mUntil;
+  /// The same for attempts to start earlier runs of the task.
+  TimePoint mEarlierStartsUntil = TimePoint::min();
 };
 
 /// Ends of a worker's runs that have been processed by some moment.
@@ -760,6 +762,10 @@
   void RecordForgottenEnds(const CellWorker& aWorker,
                            const WorkerStatus& aListing);
   void ResetToIdle(const TaskId& aTask, std::string_view aWorker);
+  /// Null for unknown tasks and for those of occurrences that aren't open.
+  TaskRecord* FindTask(const TaskId& aTask);
+  /// Records that an attempt to start a run that is over may still come.
+  void RecordEarlierStart(const TaskId& aTask, TimePoint aUntil);
   void RecordCrash(CellWorker& aWorker,
                    std::span<const TaskId> aLost,
                    TimePoint aNow);
@@ -780,10 +786,10 @@
                         const ReportedRun& aPresent,
                         TimePoint aSent,
                         TimePoint aNow);
-  static void RecordUnsettledEnd(CellWorker& aWorker,
-                                 const ActiveRun& aRun,
-                                 const EndedRun& aEnd,
-                                 TimePoint aNow);
+  void RecordUnsettledEnd(CellWorker& aWorker,
+                          const ActiveRun& aRun,
+                          const EndedRun& aEnd,
+                          TimePoint aNow);
   void ProcessEndedRuns(CellWorker& aWorker,
                         const WorkerStatus& aListing,
                         TimePoint aNow);
--- a/src/decide/cell_job.h
+++ b/src/decide/cell_job.h
@@ -77,6 +77,9 @@
   TimePoint mNotBefore;
   /// Crashes that a common cause explains and that aren't in mCrashes.
   std::uint32_t mExcusedCrashes = 0;
+  /// Until when an attempt to start an earlier run may be carried out, also by
+  /// another worker.
+  TimePoint mEarlierStartsUntil = TimePoint::min();
   /// Since when the task waits for a worker without other short tasks.
   std::optional<TimePoint> mAwaitsIsolationSince;
 };
--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -137,12 +137,17 @@
 {
   bool counts = !aRun.mLongRunning &&
                 (aEnd.mEnd == RunEnd::Done || aEnd.mEnd == RunEnd::Failed);
-  std::optional<TimePoint> until =
-    aRun.mStartInFlight ? aNow + kMaxCallDelay : aRun.mLateStartUntil;
-  if (counts && until && aNow < *until) {
-    aWorker.mUnsettledEnds.emplace(
-      aEnd.mSequence,
-      UnsettledEnd{ aEnd.mTask, aEnd.mRun, aRun.mStartInFlight, *until });
+  UnsettledEnd end;
+  end.mTask = aEnd.mTask;
+  end.mRun = aEnd.mRun;
+  end.mStartInFlight = aRun.mStartInFlight;
+  end.mUntil = aRun.mStartInFlight ? aNow + kMaxCallDelay
+                                   : aRun.mLateStartUntil.value_or(aNow);
+  if (const TaskRecord* task = FindTask(aEnd.mTask)) {
+    end.mEarlierStartsUntil = task->mEarlierStartsUntil;
+  }
+  if (counts && aNow < std::max(end.mUntil, end.mEarlierStartsUntil)) {
+    aWorker.mUnsettledEnds.emplace(aEnd.mSequence, end);
   }
 }
 
@@ -667,6 +672,9 @@
   std::uint64_t number = start != nullptr ? start->mRun : stop->mRun;
   auto it = worker->mRuns.find(task);
   if (it == worker->mRuns.end() || it->second.mRun != number) {
+    if (start != nullptr && unanswered) {
+      RecordEarlierStart(task, aNow + kMaxCallDelay);
+    }
     return;
   }
   ActiveRun& run = it->second;
--- a/src/decide/cell_workers.cpp
+++ b/src/decide/cell_workers.cpp
@@ -691,7 +691,8 @@
   auto unsettled = std::find_if(
     mUnsettledEnds.begin(), mUnsettledEnds.end(), [&](const auto& aEntry) {
       const UnsettledEnd& end = aEntry.second;
-      return aNow < end.mUntil && (end.mStartInFlight || !noticed);
+      return aNow < end.mEarlierStartsUntil ||
+             (aNow < end.mUntil && (end.mStartInFlight || !noticed));
     });
   return mHasMoreEnds || unsettled == mUnsettledEnds.end()
            ? mLastCommittedEnd
@@ -780,6 +781,10 @@
 void
 Cell::RemoveRun(CellWorker& aWorker, const TaskId& aTask)
 {
+  auto run = aWorker.mRuns.find(aTask);
+  if (run != aWorker.mRuns.end() && run->second.mLateStartUntil) {
+    RecordEarlierStart(aTask, *run->second.mLateStartUntil);
+  }
   // aTask may refer to the entry that ReleaseRun erases, so that call is last.
   ResetToIdle(aTask, aWorker.mReport.mId);
   ReleaseRun(aWorker, aTask);
@@ -793,6 +798,31 @@
   RemoveRun(aWorker, aTask);
 }
 
+TaskRecord*
+Cell::FindTask(const TaskId& aTask)
+{
+  CellJob* job = FindJob(aTask.mJob);
+  if (job == nullptr) {
+    return nullptr;
+  }
+  auto occurrence = job->mOccurrences.find(aTask.mOccurrence);
+  if (occurrence == job->mOccurrences.end() ||
+      aTask.mStep >= occurrence->second.mSteps.size()) {
+    return nullptr;
+  }
+  std::vector<TaskRecord>& tasks =
+    occurrence->second.mSteps[aTask.mStep].mTasks;
+  return aTask.mIndex < tasks.size() ? &tasks[aTask.mIndex] : nullptr;
+}
+
+void
+Cell::RecordEarlierStart(const TaskId& aTask, TimePoint aUntil)
+{
+  if (TaskRecord* task = FindTask(aTask)) {
+    task->mEarlierStartsUntil = std::max(task->mEarlierStartsUntil, aUntil);
+  }
+}
+
 // The task's active run has certainly ended without a result.
 void
 Cell::ResetToIdle(const TaskId& aTask, std::string_view aWorker)
--- a/tests/late_copy_test.cpp
+++ b/tests/late_copy_test.cpp
@@ -236,3 +236,43 @@
   cell.List({}, { DoneEnd(1, 0) });
   CHECK(cell.Acknowledged() == 1);
 }
+
+// Guards against an end that waits for attempts of its own run only, while one
+// of a run that the restarted worker has been told to stop may come.
+TEST_CASE("an end is acknowledged while a copy of an earlier start may follow")
+{
+  RepeatedStart repeated;
+  SingleWorkerCell& cell = repeated.mCell;
+  const StartRun& lost = std::get<StartRun>(repeated.mStart);
+  auto list = [&](std::vector<EndedRun> aEnded) {
+    repeated.Token();
+    cell.ListStatus({ 0, 6, {}, std::move(aEnded) });
+  };
+  repeated.Answer();
+  cell.mReports[0].mIncarnation = 6;
+  cell.mCell.SetWorkers(cell.mReports, cell.mNow);
+  list({});
+  cell.Commit();
+  list({});
+  std::optional<StartRun> again;
+  for (int i = 0; i < 50 && !again; ++i) {
+    cell.mNow += 100ms;
+    for (const CellOrder& order : cell.PlanAndAnswer()) {
+      if (const auto* start = std::get_if<StartRun>(&order.mCall)) {
+        again = *start;
+      }
+    }
+    list({});
+  }
+  REQUIRE(again);
+  CHECK(again->mTask == lost.mTask);
+  EndedRun end{ 1, again->mTask, again->mRun, RunEnd::Done, "" };
+  list({ end });
+  cell.Commit();
+  list({ end });
+  CHECK(cell.mCell.PhaseOf("a") == JobPhase::Completed);
+  CHECK(cell.Acknowledged() == 0);
+  cell.mNow += kMaxCallDelay;
+  list({ end });
+  CHECK(cell.Acknowledged() == 1);
+}
