Hold ends after a take-over while the earlier owner's attempts may come

Callers could see a task run twice after a change of the owner: the next owner started a task again, its end was acknowledged at once, and a process that a worker's id came back with carried out an attempt of the earlier owner.

Cause: what an owner knows of attempts without an answer goes with it, and the next one assumed that there are none for the runs that it starts itself.

--- a/src/decide/cell_runs.cpp
+++ b/src/decide/cell_runs.cpp
@@ -146,6 +146,12 @@
   if (const TaskRecord* task = FindTask(aEnd.mTask)) {
     end.mEarlierStartsUntil = task->mEarlierStartsUntil;
   }
+  const CellJob* job = FindJob(aEnd.mTask.mJob);
+  if (job == nullptr || job->mInherited) {
+    // An attempt of the earlier owner may have got no answer.
+    end.mEarlierStartsUntil =
+      std::max(end.mEarlierStartsUntil, mTakenOver + kMaxCallDelay);
+  }
   if (counts && aNow < std::max(end.mUntil, end.mEarlierStartsUntil)) {
     aWorker.mUnsettledEnds.emplace(aEnd.mSequence, end);
   }
@@ -168,6 +174,7 @@
     job != nullptr && aEnd.mTask.mStep < job->mSpec.mSteps.size() &&
     aEnd.mTask.mIndex < job->mSpec.mSteps[aEnd.mTask.mStep].mTaskCount;
   if (!current && aNow < mTakenOver + kMaxCallDelay) {
+    // An attempt of the earlier owner may have got no answer.
     ActiveRun inherited;
     inherited.mLongRunning =
       known && job->mSpec.mSteps[aEnd.mTask.mStep].mLongRunning;
@@ -452,12 +459,12 @@
     mWorkersDirty = mWorkersDirty || worker->mPersisted;
   }
   worker->mHasMoreEnds = aListing.mHasMoreEnds;
+  if (worker->mTokenAccepted && !worker->mInContactSince) {
+    worker->mInContactSince = aNow;
+  }
   // A row that can't be read, or that doesn't fit the listing, may stand for
   // any task: none of the runs that aren't listed is taken for ended, so that
   // no task starts a second time.
-  if (worker->mTokenAccepted) {
-    worker->mInContactSince = worker->mInContactSince.value_or(aNow);
-  }
   bool complete = aListing.IsComplete() && worker->mTokenAccepted;
   if (complete) {
     ResolveInheritedRuns(*worker, InheritedProof::Listing);
--- a/tests/late_copy_test.cpp
+++ b/tests/late_copy_test.cpp
@@ -237,6 +237,31 @@
   CHECK(cell.Acknowledged() == 1);
 }
 
+// Guards against the same with a run that the next owner has started itself.
+TEST_CASE("an end waits for no copy of an earlier owner's start")
+{
+  SingleWorkerCell cell;
+  cell.mCell.Restore(
+    RestoreJob({ "a", "q", ChainOf({ 1 }), 1, {} }, {}), cell.mNow, {});
+  std::vector<CellOrder> starts;
+  for (int i = 0; i < 110 && starts.empty(); ++i) {
+    cell.mNow += 100ms;
+    cell.List({}, {});
+    starts = cell.PlanAndAnswer();
+  }
+  REQUIRE(starts.size() == 1);
+  const StartRun& start = std::get<StartRun>(starts[0].mCall);
+  EndedRun end{ 1, start.mTask, start.mRun, RunEnd::Done, "" };
+  cell.List({}, { end });
+  cell.Commit();
+  cell.List({}, { end });
+  CHECK(cell.mCell.PhaseOf("a") == JobPhase::Completed);
+  CHECK(cell.Acknowledged() == 0);
+  cell.mNow += kMaxCallDelay;
+  cell.List({}, { end });
+  CHECK(cell.Acknowledged() == 1);
+}
+
 // Guards against an end that waits for attempts of its own run only, while one
 // of a run that the restarted worker has been told to stop may come.
 TEST_CASE("an end is acknowledged while a copy of an earlier start may follow")
