--- a/tests/late_copy_test.cpp
+++ b/tests/late_copy_test.cpp
@@ -237,7 +237,8 @@
   CHECK(cell.Acknowledged() == 1);
 }
 
-// Guards against the same with a run that the next owner has started itself.
+// Guards against an owner that takes note of the end of a run that it started
+// itself while an attempt of the one before may come.
 TEST_CASE("an end waits for no copy of an earlier owner's start")
 {
   SingleWorkerCell cell;
@@ -263,7 +264,7 @@
 }
 
 // Guards against an end that waits for attempts of its own run only, while one
-// of a run that the restarted worker has been told to stop may come.
+// of a run that was lost with the worker's process may come.
 TEST_CASE("an end is acknowledged while a copy of an earlier start may follow")
 {
   RepeatedStart repeated;
